--- /dev/null
+++ b/cassiastack-bench/src/main/resources/META-INF/services/org.cassiastack.daemon.command.Command
@@ -0,0 +1,1 @@
+org.cassiastack.bench.quickstart.QuickstartCommand
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/package-info.java
@@ -0,0 +1,5 @@
+/** State machines and the single-threaded loop that runs them. */
+@NullMarked
+package org.cassiastack.controller;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/Filters.java
@@ -0,0 +1,38 @@
+package org.cassiastack.filter;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.filter.internal.AdmissionFilter;
+import org.cassiastack.filter.internal.CustomerFilter;
+import org.cassiastack.filter.internal.ServiceFilter;
+import org.cassiastack.filter.internal.TaskCountFilter;
+
+/**
+ * The filters that the library brings.
+ *
+ * @since 0.1
+ */
+public final class Filters {
+  private Filters() {}
+
+  /** Refuses every request while the process is stopping. */
+  public static RequestFilter admission(BooleanSupplier stopping) {
+    return new AdmissionFilter(stopping);
+  }
+
+  /** Refuses jobs with too few or too many tasks. */
+  public static RequestFilter taskCount() {
+    return new TaskCountFilter();
+  }
+
+  /** Refuses customers that the configuration in force does not declare. */
+  public static RequestFilter customer(Supplier<Configuration> inForce) {
+    return new CustomerFilter(inForce);
+  }
+
+  /** Refuses services that the configuration in force does not declare. */
+  public static RequestFilter service(Supplier<Configuration> inForce) {
+    return new ServiceFilter(inForce);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/AdmissionFilter.java
@@ -0,0 +1,28 @@
+package org.cassiastack.filter.internal;
+
+import java.time.Instant;
+import java.util.function.BooleanSupplier;
+import org.cassiastack.filter.FilterChain;
+import org.cassiastack.filter.Request;
+import org.cassiastack.filter.RequestFilter;
+import org.cassiastack.model.JobAnswer;
+import org.cassiastack.model.Refusals;
+import reactor.core.publisher.Mono;
+
+/** Refuses every request while the process is stopping. */
+public final class AdmissionFilter implements RequestFilter {
+  private final BooleanSupplier stopping;
+
+  /** Makes the filter. */
+  public AdmissionFilter(BooleanSupplier stopping) {
+    this.stopping = stopping;
+  }
+
+  @Override
+  public Mono<JobAnswer> filter(Request request, Instant now, FilterChain next) {
+    if (stopping.getAsBoolean()) {
+      return Mono.just(JobAnswer.failed(request.job().key(), Refusals.stopping()));
+    }
+    return next.proceed(request, now);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/CustomerFilter.java
@@ -0,0 +1,31 @@
+package org.cassiastack.filter.internal;
+
+import java.time.Instant;
+import java.util.function.Supplier;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.filter.FilterChain;
+import org.cassiastack.filter.Request;
+import org.cassiastack.filter.RequestFilter;
+import org.cassiastack.model.JobAnswer;
+import org.cassiastack.model.Refusals;
+import reactor.core.publisher.Mono;
+
+/** Refuses customers that are not declared. */
+public final class CustomerFilter implements RequestFilter {
+  private final Supplier<Configuration> inForce;
+
+  /** Makes the filter. */
+  public CustomerFilter(Supplier<Configuration> inForce) {
+    this.inForce = inForce;
+  }
+
+  @Override
+  public Mono<JobAnswer> filter(Request request, Instant now, FilterChain next) {
+    if (!inForce.get().customers().containsKey(request.job().customer())) {
+      return Mono.just(
+          JobAnswer.failed(
+              request.job().key(), Refusals.unknownCustomer(request.job().customer())));
+    }
+    return next.proceed(request, now);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/TaskCountFilter.java
@@ -0,0 +1,23 @@
+package org.cassiastack.filter.internal;
+
+import java.time.Instant;
+import org.cassiastack.filter.FilterChain;
+import org.cassiastack.filter.Request;
+import org.cassiastack.filter.RequestFilter;
+import org.cassiastack.model.Job;
+import org.cassiastack.model.JobAnswer;
+import org.cassiastack.model.Refusals;
+import reactor.core.publisher.Mono;
+
+/** Refuses jobs with too few or too many tasks. */
+public final class TaskCountFilter implements RequestFilter {
+  @Override
+  public Mono<JobAnswer> filter(Request request, Instant now, FilterChain next) {
+    Job job = request.job();
+    int count = job.tasks().size();
+    if (count < 1 || count > Job.MAX_TASKS) {
+      return Mono.just(JobAnswer.failed(job.key(), Refusals.invalidTaskCount(count)));
+    }
+    return next.proceed(request, now);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/package-info.java
@@ -0,0 +1,5 @@
+/** Filters of the library. */
+@NullMarked
+package org.cassiastack.filter.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/guard/StartGuard.java
@@ -0,0 +1,168 @@
+package org.cassiastack.guard;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cassiastack.controller.Controller;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.guard.internal.GuardedTask;
+import org.cassiastack.guard.internal.GuardedTasks;
+import org.cassiastack.guard.internal.MinionSlots;
+import org.cassiastack.membership.LeaveRequested;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.Minion;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.TaskId;
+import org.cassiastack.protocol.CancelTasks;
+import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.protocol.TaskNotStarted;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Admits each task to its minion at most once.
+ *
+ * <ol>
+ *   <li>A first dispatch is queued and starts when its minion has a free slot.
+ *   <li>The same dispatch again attaches to the running task or repeats what is known of it.
+ *   <li>A withdrawn task that has not started becomes a tombstone: the proof that it never will.
+ *   <li>A task is remembered until its retention has passed; while there is no room to remember one
+ *       more, new tasks are refused.
+ * </ol>
+ *
+ * @since 0.1
+ */
+public final class StartGuard implements Controller {
+  private final Incarnation incarnation;
+  private final Map<MinionId, MinionSlots> minions = new HashMap<>();
+  private final GuardedTasks tasks;
+  private boolean leaving;
+
+  private StartGuard(Incarnation incarnation, List<Minion> minions, GuardedTasks tasks) {
+    this.incarnation = incarnation;
+    minions.forEach(m -> this.minions.put(m.id(), new MinionSlots(m.slots())));
+    this.tasks = tasks;
+  }
+
+  /**
+   * Makes a guard.
+   *
+   * @param incarnation the life of the agent's process
+   * @param minions the minions that it guards
+   * @param retention how long a task is remembered after it ended
+   * @param capacity largest number of tasks that are remembered
+   */
+  public static StartGuard create(
+      Incarnation incarnation, List<Minion> minions, Duration retention, int capacity) {
+    return new StartGuard(incarnation, minions, new GuardedTasks(retention, capacity));
+  }
+
+  @Override
+  public List<Effect> on(Event event, Instant now) {
+    List<Effect> effects = new ArrayList<>();
+    if (event instanceof Received r && r.message() instanceof Dispatch d) {
+      dispatched(r.from(), d, now, effects);
+    } else if (event instanceof Received r && r.message() instanceof CancelTasks c) {
+      c.tasks().forEach(t -> withdrawn(r.from(), t, c, now, effects));
+    } else if (event instanceof TaskStopped s) {
+      stopped(s, now, effects);
+    } else if (event instanceof LeaveRequested) {
+      leaving = true;
+    } else if (event instanceof Tick) {
+      tasks.expire(now);
+      // Told at a tick, not at the last task, so that its report has left before.
+      if (leaving && active() == 0) {
+        effects.add(new GuardDrained());
+      }
+    }
+    return effects;
+  }
+
+  private int active() {
+    return minions.values().stream().mapToInt(MinionSlots::active).sum();
+  }
+
+  private void dispatched(NodeId from, Dispatch d, Instant now, List<Effect> effects) {
+    GuardedTask known = tasks.find(d.task());
+    if (known != null) {
+      known.askedBy(from, d.epoch());
+      effects.addAll(known.report());
+      return;
+    }
+    MinionSlots slots = minions.get(d.minion());
+    ResultCode refusal = refusalOf(d, slots);
+    if (refusal != null || slots == null) {
+      ResultCode reason = refusal == null ? ResultCode.NO_MINION : refusal;
+      effects.add(new Send(from, new TaskNotStarted(d.task(), d.epoch(), reason)));
+      return;
+    }
+    GuardedTask t = GuardedTask.queued(d, from, now.plus(d.timeout()));
+    tasks.add(t);
+    slots.enqueue(t);
+    startNext(slots, now, effects);
+  }
+
+  private @Nullable ResultCode refusalOf(Dispatch d, @Nullable MinionSlots slots) {
+    if (slots == null || !d.agentIncarnation().equals(incarnation)) {
+      return ResultCode.NO_MINION;
+    }
+    if (leaving) {
+      return ResultCode.STOPPING;
+    }
+    return tasks.isFull() ? ResultCode.GUARD_FULL : null;
+  }
+
+  private void withdrawn(NodeId from, TaskId id, CancelTasks c, Instant now, List<Effect> effects) {
+    GuardedTask known = tasks.find(id);
+    if (known == null) {
+      tasks.add(GuardedTask.tombstone(id, from, c.epoch()), now);
+      ResultCode reason = ResultCode.CANCELLED_NOT_RUN;
+      effects.add(new Send(from, new TaskNotStarted(id, c.epoch(), reason)));
+      return;
+    }
+    known.askedBy(from, c.epoch());
+    if (known.isQueued()) {
+      minions.values().forEach(m -> m.remove(known));
+      known.entomb(ResultCode.CANCELLED_NOT_RUN);
+      tasks.ended(known, now);
+    }
+    effects.addAll(known.report());
+  }
+
+  private void stopped(TaskStopped s, Instant now, List<Effect> effects) {
+    GuardedTask t = tasks.find(s.task());
+    if (t == null || !t.isRunning()) {
+      return;
+    }
+    t.stop(s.code(), s.output());
+    tasks.ended(t, now);
+    effects.addAll(t.report());
+    MinionSlots slots = minions.get(t.dispatch().minion());
+    if (slots != null) {
+      slots.release();
+      startNext(slots, now, effects);
+    }
+  }
+
+  private void startNext(MinionSlots slots, Instant now, List<Effect> effects) {
+    for (GuardedTask t = slots.next(); t != null; t = slots.next()) {
+      if (now.isBefore(t.startBefore())) {
+        slots.occupy();
+        t.start();
+        effects.add(new StartTask(t.dispatch()));
+      } else {
+        t.entomb(ResultCode.DEADLINE_NOT_RUN);
+        tasks.ended(t, now);
+        effects.addAll(t.report());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/guard/internal/MinionSlots.java
@@ -0,0 +1,47 @@
+package org.cassiastack.guard.internal;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.jspecify.annotations.Nullable;
+
+/** Slots of one minion and the tasks that wait for one. */
+public final class MinionSlots {
+  private final int slots;
+  private final Deque<GuardedTask> waiting = new ArrayDeque<>();
+  private int running;
+
+  /** Makes free slots. */
+  public MinionSlots(int slots) {
+    this.slots = slots;
+  }
+
+  /** Adds a task behind the others. */
+  public void enqueue(GuardedTask task) {
+    waiting.addLast(task);
+  }
+
+  /** Removes a waiting task, if it waits here. */
+  public void remove(GuardedTask task) {
+    waiting.remove(task);
+  }
+
+  /** Takes the next task, or returns null while no slot is free or no task waits. */
+  public @Nullable GuardedTask next() {
+    return running < slots ? waiting.pollFirst() : null;
+  }
+
+  /** Counts a slot as in use. */
+  public void occupy() {
+    running++;
+  }
+
+  /** Counts a slot as free again. */
+  public void release() {
+    running--;
+  }
+
+  /** Returns the number of tasks that wait or run. */
+  public int active() {
+    return waiting.size() + running;
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCancelled.java
@@ -0,0 +1,15 @@
+package org.cassiastack.job;
+
+import org.cassiastack.controller.Event;
+import org.cassiastack.model.Customer;
+import org.cassiastack.model.JobKey;
+
+/**
+ * A caller cancels a job and waits for its answer.
+ *
+ * @param caller who waits
+ * @param customer whom the caller acts for
+ * @param key the job to cancel
+ * @since 0.1
+ */
+public record JobCancelled(CallerId caller, Customer customer, JobKey key) implements Event {}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -0,0 +1,306 @@
+package org.cassiastack.job;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.configuration.ConfigurationChanged;
+import org.cassiastack.controller.Controller;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.job.internal.Assignments;
+import org.cassiastack.job.internal.Assignments.Assignment;
+import org.cassiastack.job.internal.DispatchQueue;
+import org.cassiastack.job.internal.DispatchQueue.Waiting;
+import org.cassiastack.job.internal.JobDigest;
+import org.cassiastack.job.internal.MinionLoads;
+import org.cassiastack.job.internal.RetainedAnswers;
+import org.cassiastack.job.internal.RetainedAnswers.Retained;
+import org.cassiastack.job.internal.RunningJob;
+import org.cassiastack.membership.MinionsChanged;
+import org.cassiastack.model.Epoch;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.Job;
+import org.cassiastack.model.JobAnswer;
+import org.cassiastack.model.JobId;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Refusal;
+import org.cassiastack.model.Refusals;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.model.Task;
+import org.cassiastack.model.TaskId;
+import org.cassiastack.model.TaskResult;
+import org.cassiastack.protocol.CancelTasks;
+import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.protocol.TaskEnded;
+import org.cassiastack.protocol.TaskNotStarted;
+import org.cassiastack.routing.MinionLoad;
+import org.cassiastack.routing.MinionPicker;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sees jobs through from submission to their one whole answer.
+ *
+ * <ol>
+ *   <li>A new job is queued task by task; a known one attaches its caller or gets the kept answer.
+ *   <li>Tasks go to agents as slots free up, and are sent again to the same agent until it answers.
+ *   <li>A task goes to another agent only with the proof that it did not start at the first.
+ *   <li>The last result makes the answer; a failed task, a lost agent, a deadline or a cancellation
+ *       fails the job as a whole.
+ * </ol>
+ *
+ * @since 0.1
+ */
+public final class JobCoordinator implements Controller {
+  private static final Duration RESEND_INTERVAL = Duration.ofSeconds(2);
+  private static final Duration PAUSE_AFTER_REFUSAL = Duration.ofMillis(100);
+
+  private final Epoch epoch;
+  private final MinionPicker picker;
+  private final Map<JobId, RunningJob> running = new LinkedHashMap<>();
+  private final DispatchQueue queue = new DispatchQueue();
+  private final Assignments assignments = new Assignments();
+  private final MinionLoads loads = new MinionLoads();
+  private final RetainedAnswers retained;
+  private Configuration configuration = Configuration.EMPTY;
+  private Map<NodeId, Incarnation> agents = new HashMap<>();
+
+  private JobCoordinator(Epoch epoch, MinionPicker picker, Duration retention) {
+    this.epoch = epoch;
+    this.picker = picker;
+    this.retained = new RetainedAnswers(retention);
+  }
+
+  /**
+   * Makes a coordinator.
+   *
+   * @param epoch generation under which it hands out tasks
+   * @param picker chooses minions
+   * @param retention how long answers are kept; keys issued earlier than that are refused
+   */
+  public static JobCoordinator create(Epoch epoch, MinionPicker picker, Duration retention) {
+    return new JobCoordinator(epoch, picker, retention);
+  }
+
+  @Override
+  public List<Effect> on(Event event, Instant now) {
+    List<Effect> effects = new ArrayList<>();
+    if (event instanceof JobSubmitted s) {
+      submitted(s, now, effects);
+    } else if (event instanceof Received r && r.message() instanceof TaskEnded m) {
+      taskEnded(m, now, effects);
+    } else if (event instanceof Received r && r.message() instanceof TaskNotStarted m) {
+      taskNotStarted(m, now);
+    } else if (event instanceof JobCancelled c) {
+      cancelled(c, now, effects);
+    } else if (event instanceof JobStateAsked a) {
+      effects.add(new TellJobState(a.caller(), state(new JobId(a.customer(), a.key()))));
+    } else if (event instanceof CallerGone g) {
+      running.values().forEach(j -> j.callers().remove(g.caller()));
+    } else if (event instanceof MinionsChanged m) {
+      minionsChanged(m, now, effects);
+    } else if (event instanceof ConfigurationChanged c) {
+      configuration = c.configuration();
+    } else if (event instanceof Tick) {
+      tick(now, effects);
+    } else {
+      return effects;
+    }
+    dispatchAll(now, effects);
+    return effects;
+  }
+
+  private void submitted(JobSubmitted s, Instant now, List<Effect> effects) {
+    Job job = s.job();
+    JobDigest digest = JobDigest.of(job);
+    Refusal refusal = refusalOf(job, digest, now);
+    if (refusal != null) {
+      effects.add(new AnswerCaller(s.caller(), JobAnswer.failed(job.key(), refusal)));
+      return;
+    }
+    Retained kept = retained.find(JobId.of(job));
+    if (kept != null) {
+      effects.add(new AnswerCaller(s.caller(), kept.answer()));
+      return;
+    }
+    RunningJob j = running.get(JobId.of(job));
+    if (j == null) {
+      j = new RunningJob(job, digest, now);
+      running.put(j.id(), j);
+      for (Task t : job.tasks()) {
+        queue.addLast(j, t);
+      }
+    }
+    j.callers().add(s.caller());
+  }
+
+  private @Nullable Refusal refusalOf(Job job, JobDigest digest, Instant now) {
+    JobId id = JobId.of(job);
+    JobDigest known = knownDigest(id);
+    if (known != null) {
+      return known.equals(digest) ? null : Refusals.keyReused(job.key());
+    }
+    if (job.key().issuedAt().isBefore(now.minus(retained.retention()))) {
+      return Refusals.keyExpired(job.key(), retained.retention());
+    }
+    return loads.serves(job.service(), configuration) ? null : Refusals.noMinion(job.service());
+  }
+
+  private @Nullable JobDigest knownDigest(JobId id) {
+    RunningJob j = running.get(id);
+    if (j != null) {
+      return j.digest();
+    }
+    Retained kept = retained.find(id);
+    return kept == null ? null : kept.digest();
+  }
+
+  private void taskEnded(TaskEnded m, Instant now, List<Effect> effects) {
+    Assignment a = assignments.remove(m.task());
+    RunningJob j = a == null ? null : running.get(a.job());
+    if (j == null) {
+      return;
+    }
+    if (m.code() != ResultCode.COMPLETE) {
+      Refusal refusal =
+          m.code() == ResultCode.TASK_FAILED
+              ? Refusals.taskFailed(m.task())
+              : Refusals.minionLost(m.task());
+      fail(j, refusal, now, effects);
+      return;
+    }
+    j.taskEnded(TaskResult.complete(m.task().index(), m.output()));
+    if (j.isDone()) {
+      finish(j, j.completeAnswer(), now, effects);
+    }
+  }
+
+  private void taskNotStarted(TaskNotStarted m, Instant now) {
+    Assignment a = assignments.remove(m.task());
+    if (a == null) {
+      return;
+    }
+    a.load().pauseUntil(now.plus(PAUSE_AFTER_REFUSAL));
+    RunningJob j = running.get(a.job());
+    if (j != null) {
+      j.taskNotStarted();
+      queue.addFirst(j, j.job().tasks().get(m.task().index()));
+    }
+  }
+
+  private void cancelled(JobCancelled c, Instant now, List<Effect> effects) {
+    JobId id = new JobId(c.customer(), c.key());
+    RunningJob j = running.get(id);
+    if (j != null) {
+      j.callers().add(c.caller());
+      fail(j, Refusals.cancelled(c.key(), j.mayHaveRun()), now, effects);
+      return;
+    }
+    Retained kept = retained.find(id);
+    JobAnswer answer =
+        kept != null ? kept.answer() : JobAnswer.failed(c.key(), Refusals.unknownJob(c.key()));
+    effects.add(new AnswerCaller(c.caller(), answer));
+  }
+
+  private JobState state(JobId id) {
+    RunningJob j = running.get(id);
+    if (j != null) {
+      return new JobState(id.key(), j.job().tasks().size(), j.ended(), null);
+    }
+    Retained kept = retained.find(id);
+    if (kept == null) {
+      return new JobState(
+          id.key(), 0, 0, JobAnswer.failed(id.key(), Refusals.unknownJob(id.key())));
+    }
+    int tasks = kept.answer().results().size();
+    return new JobState(id.key(), tasks, tasks, kept.answer());
+  }
+
+  private void minionsChanged(MinionsChanged m, Instant now, List<Effect> effects) {
+    agents = m.agents();
+    loads.replace(m.available());
+    for (Assignment a : assignments.matching(this::isLost)) {
+      assignments.remove(a.dispatch().task());
+      RunningJob j = running.get(a.job());
+      if (j != null) {
+        fail(j, Refusals.agentLost(a.dispatch().task()), now, effects);
+      }
+    }
+  }
+
+  private boolean isLost(Assignment a) {
+    Incarnation alive = agents.get(a.load().target().agent());
+    return !a.load().target().incarnation().equals(alive);
+  }
+
+  private void tick(Instant now, List<Effect> effects) {
+    retained.expire(now);
+    for (RunningJob j : List.copyOf(running.values())) {
+      if (!now.isBefore(j.deadline())) {
+        fail(j, Refusals.deadline(j.job().key(), j.mayHaveRun()), now, effects);
+      }
+    }
+    Instant resendBefore = now.minus(RESEND_INTERVAL);
+    for (Assignment a : assignments.matching(x -> x.sentAt().isBefore(resendBefore))) {
+      assignments.resent(a, now);
+      effects.add(new Send(a.load().target().agent(), a.dispatch()));
+    }
+  }
+
+  private void fail(RunningJob j, Refusal refusal, Instant now, List<Effect> effects) {
+    queue.removeJob(j);
+    Map<NodeId, List<TaskId>> withdrawn = new LinkedHashMap<>();
+    for (Assignment a : assignments.matching(x -> x.job().equals(j.id()))) {
+      NodeId agent = a.load().target().agent();
+      withdrawn.computeIfAbsent(agent, x -> new ArrayList<>()).add(a.dispatch().task());
+    }
+    withdrawn.forEach((to, tasks) -> effects.add(new Send(to, new CancelTasks(tasks, epoch))));
+    finish(j, JobAnswer.failed(j.job().key(), refusal), now, effects);
+  }
+
+  private void finish(RunningJob j, JobAnswer answer, Instant now, List<Effect> effects) {
+    running.remove(j.id());
+    retained.put(j.id(), j.digest(), answer, now);
+    for (CallerId caller : j.callers()) {
+      effects.add(new AnswerCaller(caller, answer));
+    }
+  }
+
+  private void dispatchAll(Instant now, List<Effect> effects) {
+    for (ServiceName service : queue.services()) {
+      Waiting next = queue.peek(service);
+      while (next != null) {
+        MinionLoad load = picker.pick(loads.candidates(service, configuration, now), now);
+        if (load == null) {
+          break;
+        }
+        queue.takeFirst(service);
+        dispatch(next, load, now, effects);
+        next = queue.peek(service);
+      }
+    }
+  }
+
+  private void dispatch(Waiting next, MinionLoad load, Instant now, List<Effect> effects) {
+    RunningJob j = next.job();
+    Dispatch message =
+        new Dispatch(
+            new TaskId(j.id(), next.task().index()),
+            epoch,
+            load.target().incarnation(),
+            load.target().minion().id(),
+            next.task().payload(),
+            Duration.between(now, j.deadline()));
+    j.taskHandedOver();
+    assignments.add(new Assignment(j.id(), load, message, now));
+    effects.add(new Send(load.target().agent(), message));
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/Assignments.java
@@ -0,0 +1,59 @@
+package org.cassiastack.job.internal;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.cassiastack.model.JobId;
+import org.cassiastack.model.TaskId;
+import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.routing.MinionLoad;
+import org.jspecify.annotations.Nullable;
+
+/** Tasks that were handed to agents and have neither ended nor been proved not started. */
+public final class Assignments {
+  private final Map<TaskId, Assignment> byTask = new LinkedHashMap<>();
+
+  /** Adds an assignment and counts it at its minion. */
+  public void add(Assignment a) {
+    byTask.put(a.dispatch().task(), a);
+    a.load().taskHandedOver();
+  }
+
+  /** Removes the assignment of a task and uncounts it, or returns null. */
+  public @Nullable Assignment remove(TaskId task) {
+    Assignment a = byTask.remove(task);
+    if (a != null) {
+      a.load().taskReturned();
+    }
+    return a;
+  }
+
+  /** Returns the assignments that meet a condition. */
+  public List<Assignment> matching(Predicate<Assignment> condition) {
+    List<Assignment> found = new ArrayList<>();
+    for (Assignment a : byTask.values()) {
+      if (condition.test(a)) {
+        found.add(a);
+      }
+    }
+    return found;
+  }
+
+  /** Replaces an assignment by one sent at a later time. */
+  public void resent(Assignment a, Instant now) {
+    byTask.put(a.dispatch().task(), new Assignment(a.job(), a.load(), a.dispatch(), now));
+  }
+
+  /**
+   * One task at one agent.
+   *
+   * @param job the job of the task
+   * @param load load of the minion that it was given to
+   * @param dispatch the message that handed it over
+   * @param sentAt when it was last sent
+   */
+  public record Assignment(JobId job, MinionLoad load, Dispatch dispatch, Instant sentAt) {}
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/RunningJob.java
@@ -0,0 +1,110 @@
+package org.cassiastack.job.internal;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.cassiastack.job.CallerId;
+import org.cassiastack.model.Job;
+import org.cassiastack.model.JobAnswer;
+import org.cassiastack.model.JobId;
+import org.cassiastack.model.TaskResult;
+import org.jspecify.annotations.Nullable;
+
+/** A job that has no answer yet. */
+public final class RunningJob {
+  private final Job job;
+  private final JobDigest digest;
+  private final Instant deadline;
+  private final @Nullable TaskResult[] results;
+  private final Set<CallerId> callers = new LinkedHashSet<>();
+  private int ended;
+  private int handedOver;
+
+  /**
+   * Starts to track a job.
+   *
+   * @param job the job
+   * @param digest digest of its content
+   * @param now the present time, from which its timeout counts
+   */
+  public RunningJob(Job job, JobDigest digest, Instant now) {
+    this.job = job;
+    this.digest = digest;
+    this.deadline = now.plus(job.timeout());
+    this.results = new TaskResult[job.tasks().size()];
+  }
+
+  /** Returns the job as it was submitted. */
+  public Job job() {
+    return job;
+  }
+
+  /** Returns the identity of the job. */
+  public JobId id() {
+    return JobId.of(job);
+  }
+
+  /** Returns the digest of its content. */
+  public JobDigest digest() {
+    return digest;
+  }
+
+  /** Returns the time after which the job fails. */
+  public Instant deadline() {
+    return deadline;
+  }
+
+  /** Returns who waits for the answer, in order of arrival. */
+  public Set<CallerId> callers() {
+    return callers;
+  }
+
+  /** Returns the number of tasks that ended. */
+  public int ended() {
+    return ended;
+  }
+
+  /** Counts a task that was handed to an agent. */
+  public void taskHandedOver() {
+    handedOver++;
+  }
+
+  /** Counts a task whose agent proved that it did not start. */
+  public void taskNotStarted() {
+    handedOver--;
+  }
+
+  /** Tells whether any task was handed over without a proof that it did not start. */
+  public boolean mayHaveRun() {
+    return handedOver > 0;
+  }
+
+  /**
+   * Keeps the result of a task.
+   *
+   * @return whether this was its first result
+   */
+  public boolean taskEnded(TaskResult result) {
+    if (results[result.index()] != null) {
+      return false;
+    }
+    results[result.index()] = result;
+    ended++;
+    return true;
+  }
+
+  /** Tells whether every task has a result. */
+  public boolean isDone() {
+    return ended == results.length;
+  }
+
+  /** Returns the complete answer; every task must have a result. */
+  public JobAnswer completeAnswer() {
+    List<TaskResult> all = new ArrayList<>(results.length);
+    Arrays.stream(results).filter(r -> r != null).forEach(all::add);
+    return JobAnswer.complete(job.key(), all);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/package-info.java
@@ -0,0 +1,5 @@
+/** Coordination of jobs: dispatch of tasks, assembly of answers, retention. */
+@NullMarked
+package org.cassiastack.job;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/membership/MembershipController.java
@@ -0,0 +1,106 @@
+package org.cassiastack.membership;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.cassiastack.controller.Controller;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.Minion;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.protocol.Announce;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.protocol.Welcome;
+
+/**
+ * Knows which agents are alive and which minions they stand for.
+ *
+ * <ol>
+ *   <li>Each announcement renews the lease of its agent and is answered by a welcome.
+ *   <li>An agent whose lease has lapsed is forgotten with its minions.
+ *   <li>A later incarnation replaces an earlier one; an earlier one is ignored.
+ *   <li>Each change of the view gives one {@link MinionsChanged}.
+ * </ol>
+ *
+ * @since 0.1
+ */
+public final class MembershipController implements Controller {
+  private final NodeId self;
+  private final Duration lease;
+  private final Map<NodeId, Member> members = new TreeMap<>(NodeId.BY_NAME);
+
+  private MembershipController(NodeId self, Duration lease) {
+    this.self = self;
+    this.lease = lease;
+  }
+
+  /**
+   * Makes a controller.
+   *
+   * @param self the process that it runs in
+   * @param lease how long an agent is known after its last announcement
+   */
+  public static MembershipController create(NodeId self, Duration lease) {
+    return new MembershipController(self, lease);
+  }
+
+  @Override
+  public List<Effect> on(Event event, Instant now) {
+    if (event instanceof Received r && r.message() instanceof Announce a) {
+      return announced(r.from(), a, now);
+    }
+    if (event instanceof Tick) {
+      return expire(now);
+    }
+    return List.of();
+  }
+
+  private List<Effect> announced(NodeId from, Announce a, Instant now) {
+    Member known = members.get(a.agent());
+    if (known != null && a.incarnation().isBefore(known.incarnation)) {
+      return List.of();
+    }
+    List<Effect> effects = new ArrayList<>();
+    effects.add(new Send(from, new Welcome(self, a.serial())));
+    Member member = new Member(a.incarnation(), a.leaving(), a.minions(), now.plus(lease));
+    members.put(a.agent(), member);
+    if (known == null || !known.sameView(member)) {
+      effects.add(view());
+    }
+    return effects;
+  }
+
+  private List<Effect> expire(Instant now) {
+    boolean changed = members.values().removeIf(m -> !now.isBefore(m.leaseEnd));
+    return changed ? List.of(view()) : List.of();
+  }
+
+  private MinionsChanged view() {
+    List<AvailableMinion> available = new ArrayList<>();
+    Map<NodeId, Incarnation> agents = new HashMap<>();
+    members.forEach(
+        (agent, m) -> {
+          agents.put(agent, m.incarnation);
+          if (!m.leaving) {
+            m.minions.forEach(x -> available.add(new AvailableMinion(agent, m.incarnation, x)));
+          }
+        });
+    return new MinionsChanged(available, agents);
+  }
+
+  private record Member(
+      Incarnation incarnation, boolean leaving, List<Minion> minions, Instant leaseEnd) {
+    boolean sameView(Member other) {
+      return incarnation.equals(other.incarnation)
+          && leaving == other.leaving
+          && minions.equals(other.minions);
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/membership/MinionsChanged.java
@@ -0,0 +1,24 @@
+package org.cassiastack.membership;
+
+import java.util.List;
+import java.util.Map;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.NodeId;
+
+/**
+ * A new immutable view of the minions; handed from the control loop to traffic.
+ *
+ * @param available the minions that take new work
+ * @param agents the agents whose lease is live, leaving ones included
+ * @since 0.1
+ */
+public record MinionsChanged(List<AvailableMinion> available, Map<NodeId, Incarnation> agents)
+    implements Event, Effect {
+  /** Makes a view; the collections are copied. */
+  public MinionsChanged {
+    available = List.copyOf(available);
+    agents = Map.copyOf(agents);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/Epoch.java
@@ -0,0 +1,29 @@
+package org.cassiastack.model;
+
+/**
+ * Generation of the primary of a job partition; a higher epoch fences every lower one.
+ *
+ * @param value number of the generation, from 1
+ * @since 0.1
+ */
+public record Epoch(long value) implements Comparable<Epoch> {
+  /** Returns the epoch that follows this one. */
+  public Epoch next() {
+    return new Epoch(value + 1);
+  }
+
+  /** Tells whether this epoch is fenced by another. */
+  public boolean isBefore(Epoch other) {
+    return value < other.value;
+  }
+
+  @Override
+  public int compareTo(Epoch other) {
+    return Long.compare(value, other.value);
+  }
+
+  @Override
+  public String toString() {
+    return Long.toString(value);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/NodeId.java
@@ -0,0 +1,19 @@
+package org.cassiastack.model;
+
+import java.util.Comparator;
+
+/**
+ * Identity of one process of the system, stable over its restarts.
+ *
+ * @param name name as given in the settings of the process
+ * @since 0.1
+ */
+public record NodeId(String name) {
+  /** Orders nodes by name. */
+  public static final Comparator<NodeId> BY_NAME = Comparator.comparing(NodeId::name);
+
+  @Override
+  public String toString() {
+    return name;
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/Refusals.java
@@ -0,0 +1,154 @@
+package org.cassiastack.model;
+
+import java.time.Duration;
+
+/**
+ * Words every refusal and failure that callers see: what happened, the likely cause, what to do.
+ *
+ * @since 0.1
+ */
+public final class Refusals {
+  private Refusals() {}
+
+  /** A body or header that could not be read. */
+  public static Refusal malformed(String detail) {
+    return new Refusal(
+        ResultCode.MALFORMED,
+        "The request could not be read: " + detail + ". Nothing was run. Correct it and resend.");
+  }
+
+  /** A missing or wrong idempotency key. */
+  public static Refusal invalidKey(String text) {
+    return new Refusal(
+        ResultCode.INVALID_KEY,
+        ("Idempotency-Key '%s' is no UUID of version 7. Nothing was run. Make one key for "
+                + "each job and resend it with the same job only.")
+            .formatted(abbreviated(text)));
+  }
+
+  /** A service that is not declared. */
+  public static Refusal unknownService(ServiceName service) {
+    return new Refusal(
+        ResultCode.UNKNOWN_SERVICE,
+        ("Service '%s' is not declared in the configuration in force. Nothing was run. "
+                + "Check the name, or apply a configuration that declares it.")
+            .formatted(abbreviated(service.name())));
+  }
+
+  /** A customer that is not declared. */
+  public static Refusal unknownCustomer(Customer customer) {
+    return new Refusal(
+        ResultCode.UNKNOWN_CUSTOMER,
+        ("Customer '%s' is not declared in the configuration in force. Nothing was run. "
+                + "Check header Cassia-Customer, or apply a configuration that declares it.")
+            .formatted(abbreviated(customer.name())));
+  }
+
+  /** A job with too few or too many tasks. */
+  public static Refusal invalidTaskCount(int count) {
+    return new Refusal(
+        ResultCode.INVALID_TASK_COUNT,
+        "The job has %d tasks; 1 to %d are allowed. Nothing was run. Split it into several jobs."
+            .formatted(count, Job.MAX_TASKS));
+  }
+
+  /** A body or payload that is too large. */
+  public static Refusal tooLarge(long bytes, long limit) {
+    return new Refusal(
+        ResultCode.TOO_LARGE,
+        "The request holds %d bytes; at most %d are allowed. Nothing was run. Send less in one job."
+            .formatted(bytes, limit));
+  }
+
+  /** A key that came before with other content. */
+  public static Refusal keyReused(JobKey key) {
+    return new Refusal(
+        ResultCode.KEY_REUSED,
+        "Key %s was used for another job. This one was not run. Make a new key for each job."
+            .formatted(key));
+  }
+
+  /** A service none of whose minions can take work. */
+  public static Refusal noMinion(ServiceName service) {
+    return new Refusal(
+        ResultCode.NO_MINION,
+        ("No minion of service '%s' can take work at present. Nothing was run. Try again "
+                + "later; operators see the minions with 'cassia status'.")
+            .formatted(service));
+  }
+
+  /** A process that is about to stop. */
+  public static Refusal stopping() {
+    return new Refusal(
+        ResultCode.STOPPING,
+        "This entry is stopping. Nothing was run. Send the request to another entry.");
+  }
+
+  /** A job that is not known here. */
+  public static Refusal unknownJob(JobKey key) {
+    return new Refusal(
+        ResultCode.UNKNOWN_JOB, "Job %s is not known here. Check the key.".formatted(key));
+  }
+
+  /** A key that is older than answers are kept. */
+  public static Refusal keyExpired(JobKey key, Duration retention) {
+    return new Refusal(
+        ResultCode.KEY_EXPIRED,
+        ("Key %s was issued more than %d s ago, longer than answers are kept. Whether its "
+                + "job ran is not known. Check the effects, then use a new key.")
+            .formatted(key, retention.toSeconds()));
+  }
+
+  /** A deadline that passed; the code depends on whether any task may have started. */
+  public static Refusal deadline(JobKey key, boolean mayHaveRun) {
+    ResultCode code = mayHaveRun ? ResultCode.DEADLINE_MAY_HAVE_RUN : ResultCode.DEADLINE_NOT_RUN;
+    return new Refusal(code, "Job %s passed its deadline. %s".formatted(key, known(mayHaveRun)));
+  }
+
+  /** A cancellation; the code depends on whether any task may have started. */
+  public static Refusal cancelled(JobKey key, boolean mayHaveRun) {
+    ResultCode code = mayHaveRun ? ResultCode.CANCELLED_MAY_HAVE_RUN : ResultCode.CANCELLED_NOT_RUN;
+    return new Refusal(code, "Job %s was cancelled. %s".formatted(key, known(mayHaveRun)));
+  }
+
+  /** A task that was handed to an agent whose lease has lapsed. */
+  public static Refusal agentLost(TaskId task) {
+    return new Refusal(
+        ResultCode.AGENT_LOST,
+        "The agent that held task %s has gone silent. %s".formatted(task, known(true)));
+  }
+
+  /** A task whose minion broke off. */
+  public static Refusal minionLost(TaskId task) {
+    return new Refusal(
+        ResultCode.MINION_LOST,
+        "The minion that ran task %s went away. %s".formatted(task, known(true)));
+  }
+
+  /** A task that ran and reported an error. */
+  public static Refusal taskFailed(TaskId task) {
+    return new Refusal(
+        ResultCode.TASK_FAILED,
+        "Task %s ran and its minion reported an error. See the minion's log.".formatted(task));
+  }
+
+  /** A fault of the system itself. */
+  public static Refusal internalError() {
+    return new Refusal(
+        ResultCode.INTERNAL_ERROR,
+        "The entry failed on this request. "
+            + known(true)
+            + " Resubmit with the same key to learn what became of the job.");
+  }
+
+  private static String known(boolean mayHaveRun) {
+    return mayHaveRun
+        ? "Some of its tasks may have run. Check the effects before you send the work again."
+        : "Nothing was run.";
+  }
+
+  private static String abbreviated(String text) {
+    int limit = 64;
+    return text.length() <= limit ? text : text.substring(0, limit) + "...";
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/ResultCode.java
@@ -0,0 +1,113 @@
+package org.cassiastack.model;
+
+/**
+ * Numbered outcome of a job, a task or an operators' change.
+ *
+ * <p>The hundreds tell what is known:
+ *
+ * <ol>
+ *   <li>1xx: complete.
+ *   <li>2xx: refused and not run; no task can have started.
+ *   <li>3xx: failed and may have run.
+ *   <li>4xx: failed after it ran.
+ *   <li>5xx: an operators' change was refused and nothing changed.
+ * </ol>
+ *
+ * @since 0.1
+ */
+public enum ResultCode {
+  /** Every task completed. */
+  COMPLETE(100),
+  /** The change was accepted. */
+  ACCEPTED(101),
+
+  /** The body or a header could not be read. */
+  MALFORMED(200),
+  /** The idempotency key is missing or is no UUID of version 7. */
+  INVALID_KEY(201),
+  /** The configuration in force has no such service. */
+  UNKNOWN_SERVICE(202),
+  /** The configuration in force has no such customer. */
+  UNKNOWN_CUSTOMER(203),
+  /** The number of tasks is out of bounds. */
+  INVALID_TASK_COUNT(204),
+  /** The body or a payload is larger than allowed. */
+  TOO_LARGE(205),
+  /** The key was used for another job. */
+  KEY_REUSED(206),
+  /** No minion of the service is available. */
+  NO_MINION(207),
+  /** The wait is longer than the time that the caller has. */
+  OVERLOADED(208),
+  /** The customer's quota is used up. */
+  QUOTA_EXCEEDED(209),
+  /** The process is stopping. */
+  STOPPING(210),
+  /** The process has not heard of the configuration in force for too long. */
+  STALE(211),
+  /** The deadline passed before any task started. */
+  DEADLINE_NOT_RUN(212),
+  /** The job was cancelled before any task started. */
+  CANCELLED_NOT_RUN(213),
+  /** There is no such job here. */
+  UNKNOWN_JOB(214),
+  /** The failure domain is out of service. */
+  DOMAIN_OUT(215),
+  /** No worker is large enough for a task of the job. */
+  FITS_NO_WORKER(216),
+  /** The coordinator that has to take the job cannot be reached; it has not been given the job. */
+  NO_COORDINATOR(217),
+  /** The start guard has no room to remember one more start. */
+  GUARD_FULL(218),
+
+  /** The key is older than the time that answers are kept; whether its job ran is not known. */
+  KEY_EXPIRED(300),
+  /** A task was handed to an agent that has gone silent. */
+  AGENT_LOST(301),
+  /** The deadline passed after tasks had started. */
+  DEADLINE_MAY_HAVE_RUN(302),
+  /** The job was cancelled after tasks had started. */
+  CANCELLED_MAY_HAVE_RUN(303),
+  /** The coordinator of the job was lost with all its replicas. */
+  COORDINATOR_LOST(304),
+  /** The minion went away while it ran a task. */
+  MINION_LOST(305),
+  /** The system failed on the request in a way that it does not know. */
+  INTERNAL_ERROR(306),
+
+  /** A task ran and reported an error. */
+  TASK_FAILED(400),
+
+  /** A file of the set does not hold what it should. */
+  INVALID_CONFIGURATION(500),
+  /** The change was based on a revision that is no longer in force. */
+  STALE_BASE(501),
+  /** The control members have no leader at present. */
+  NO_LEADER(502),
+  /** The change id was used for another change. */
+  CHANGE_ID_REUSED(503),
+  /** Whether the change was accepted is not known yet; asking again with the same id tells. */
+  CHANGE_UNRESOLVED(504),
+  /** A setting of the process is missing or wrong. */
+  INVALID_SETTINGS(505),
+  /** The operators' token is missing or wrong. */
+  UNAUTHORIZED(506);
+
+  private static final int CLASS_SIZE = 100;
+
+  private final int number;
+
+  ResultCode(int number) {
+    this.number = number;
+  }
+
+  /** Returns the number, as in docs/RESULT-CODES.md. */
+  public int number() {
+    return number;
+  }
+
+  /** Tells whether the code says that nothing ran. */
+  public boolean isNotRun() {
+    return number / CLASS_SIZE == 2;
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * Immutable types that every part shares: jobs, tasks, minions, workers, failure domains and result
+ * codes.
+ */
+@NullMarked
+package org.cassiastack.model;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/protocol/PeerConnected.java
@@ -0,0 +1,12 @@
+package org.cassiastack.protocol;
+
+import org.cassiastack.controller.Event;
+import org.cassiastack.model.NodeId;
+
+/**
+ * A connection to another process was established.
+ *
+ * @param peer the other process
+ * @since 0.1
+ */
+public record PeerConnected(NodeId peer) implements Event {}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/internal/LeastLoadedPicker.java
@@ -0,0 +1,21 @@
+package org.cassiastack.routing.internal;
+
+import java.time.Instant;
+import java.util.List;
+import org.cassiastack.routing.MinionLoad;
+import org.cassiastack.routing.MinionPicker;
+import org.jspecify.annotations.Nullable;
+
+/** Picks the candidate with the smallest share of its slots in use; the first of equals. */
+public final class LeastLoadedPicker implements MinionPicker {
+  @Override
+  public @Nullable MinionLoad pick(List<MinionLoad> candidates, Instant now) {
+    MinionLoad best = null;
+    for (MinionLoad c : candidates) {
+      if (best == null || c.utilization() < best.utilization()) {
+        best = c;
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/internal/RandomPicker.java
@@ -0,0 +1,23 @@
+package org.cassiastack.routing.internal;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.cassiastack.routing.MinionLoad;
+import org.cassiastack.routing.MinionPicker;
+import org.jspecify.annotations.Nullable;
+
+/** Picks any candidate with the same chance. */
+public final class RandomPicker implements MinionPicker {
+  private final RandomGenerator random;
+
+  /** Makes a picker that draws from the given source. */
+  public RandomPicker(RandomGenerator random) {
+    this.random = random;
+  }
+
+  @Override
+  public @Nullable MinionLoad pick(List<MinionLoad> candidates, Instant now) {
+    return candidates.isEmpty() ? null : candidates.get(random.nextInt(candidates.size()));
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/job/JobCoordinatorTest.java
@@ -0,0 +1,237 @@
+package org.cassiastack.job;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.configuration.ConfigurationChanged;
+import org.cassiastack.configuration.FailureDomainSpec;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.membership.AvailableMinion;
+import org.cassiastack.membership.MinionsChanged;
+import org.cassiastack.model.Customer;
+import org.cassiastack.model.Epoch;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.Job;
+import org.cassiastack.model.JobAnswer;
+import org.cassiastack.model.JobKey;
+import org.cassiastack.model.Minion;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.Revision;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.model.Task;
+import org.cassiastack.model.Worker;
+import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.protocol.TaskEnded;
+import org.cassiastack.protocol.TaskNotStarted;
+import org.cassiastack.routing.MinionPickers;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class JobCoordinatorTest {
+  private static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
+  private static final Duration RETENTION = Duration.ofMinutes(10);
+  private static final NodeId AGENT = new NodeId("agent-1");
+  private static final ServiceName ICE = new ServiceName("ice");
+  private static final FailureDomain NORTH = new FailureDomain("north");
+  private static final CallerId FIRST = new CallerId(1);
+  private static final CallerId SECOND = new CallerId(2);
+
+  private final JobCoordinator coordinator =
+      JobCoordinator.create(new Epoch(1), MinionPickers.leastLoaded(), RETENTION);
+  private Instant now = START;
+
+  @BeforeEach
+  void one_minion_of_two_slots_is_in_service() {
+    FailureDomainSpec in = new FailureDomainSpec(NORTH, "steppe", true);
+    on(
+        new ConfigurationChanged(
+            new Configuration(new Revision(1), Map.of(), Map.of(NORTH, in), Map.of())));
+    on(minions(new Incarnation(5)));
+  }
+
+  @Test
+  void answers_in_task_order_when_results_come_out_of_order() {
+    List<Dispatch> sent = dispatches(on(new JobSubmitted(FIRST, job(2))));
+
+    on(ended(sent.get(1), "second"));
+    List<Effect> effects = on(ended(sent.get(0), "first"));
+
+    JobAnswer answer = onlyAnswer(effects);
+    assertThat(answer.code()).isEqualTo(ResultCode.COMPLETE);
+    assertThat(answer.results())
+        .extracting(r -> r.output().toText())
+        .containsExactly("first", "second");
+  }
+
+  @Test
+  void hands_over_no_more_tasks_than_there_are_slots() {
+    List<Dispatch> sent = dispatches(on(new JobSubmitted(FIRST, job(5))));
+
+    assertThat(sent).hasSize(2);
+  }
+
+  @Test
+  void attaches_a_caller_that_submits_the_same_job_again() {
+    Job job = job(1);
+    Dispatch sent = dispatches(on(new JobSubmitted(FIRST, job))).get(0);
+
+    List<Effect> again = on(new JobSubmitted(SECOND, job));
+    List<Effect> effects = on(ended(sent, "done"));
+
+    assertThat(dispatches(again)).isEmpty();
+    assertThat(answers(effects)).extracting(AnswerCaller::caller).containsExactly(FIRST, SECOND);
+  }
+
+  @Test
+  void gives_the_kept_answer_to_a_caller_that_submits_again() {
+    Job job = job(1);
+    Dispatch sent = dispatches(on(new JobSubmitted(FIRST, job))).get(0);
+    on(ended(sent, "done"));
+
+    List<Effect> effects = on(new JobSubmitted(SECOND, job));
+
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.COMPLETE);
+    assertThat(dispatches(effects)).isEmpty();
+  }
+
+  @Test
+  void refuses_a_key_that_was_used_for_other_content() {
+    on(new JobSubmitted(FIRST, job(1)));
+
+    List<Effect> effects = on(new JobSubmitted(SECOND, job(2)));
+
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.KEY_REUSED);
+  }
+
+  @Test
+  void refuses_a_key_older_than_the_retention_as_may_have_run() {
+    Job job = job(1);
+    now = START.plus(RETENTION).plusMillis(1);
+
+    List<Effect> effects = on(new JobSubmitted(FIRST, job));
+
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.KEY_EXPIRED);
+  }
+
+  @Test
+  void moves_a_task_only_with_the_proof_that_it_did_not_start() {
+    Dispatch sent = dispatches(on(new JobSubmitted(FIRST, job(1)))).get(0);
+
+    on(new Received(AGENT, new TaskNotStarted(sent.task(), sent.epoch(), ResultCode.STOPPING)));
+    now = now.plusSeconds(1);
+    List<Dispatch> second = dispatches(on(new Tick()));
+
+    assertThat(second).extracting(Dispatch::task).containsExactly(sent.task());
+  }
+
+  @Test
+  void fails_the_job_when_the_agent_that_held_a_task_is_lost() {
+    on(new JobSubmitted(FIRST, job(1)));
+
+    List<Effect> effects = on(new MinionsChanged(List.of(), Map.of()));
+
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.AGENT_LOST);
+  }
+
+  @Test
+  void fails_the_job_when_its_agent_came_back_as_another_incarnation() {
+    on(new JobSubmitted(FIRST, job(1)));
+
+    List<Effect> effects = on(minions(new Incarnation(6)));
+
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.AGENT_LOST);
+  }
+
+  @Test
+  void says_not_run_when_the_deadline_passes_before_any_task_was_handed_over() {
+    on(new JobSubmitted(FIRST, job(2)));
+    on(new JobSubmitted(SECOND, otherJob()));
+    now = now.plusSeconds(60);
+
+    List<Effect> effects = on(new Tick());
+
+    assertThat(answers(effects))
+        .extracting(a -> a.answer().code())
+        .containsExactly(ResultCode.DEADLINE_MAY_HAVE_RUN, ResultCode.DEADLINE_NOT_RUN);
+  }
+
+  @Test
+  void starts_nothing_in_a_failure_domain_that_is_out() {
+    FailureDomainSpec out = new FailureDomainSpec(NORTH, "steppe", false);
+    on(
+        new ConfigurationChanged(
+            new Configuration(new Revision(2), Map.of(), Map.of(NORTH, out), Map.of())));
+
+    List<Effect> effects = on(new JobSubmitted(FIRST, job(1)));
+
+    assertThat(dispatches(effects)).isEmpty();
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.NO_MINION);
+  }
+
+  private List<Effect> on(Event event) {
+    return coordinator.on(event, now);
+  }
+
+  private static MinionsChanged minions(Incarnation incarnation) {
+    Worker worker = new Worker("worker-1", "rack-1", NORTH, 32, 65_536);
+    Minion minion = new Minion(new MinionId("minion-1"), ICE, worker, 2, 64);
+    return new MinionsChanged(
+        List.of(new AvailableMinion(AGENT, incarnation, minion)), Map.of(AGENT, incarnation));
+  }
+
+  private static Job job(int tasks) {
+    return jobOf(JobKey.of(START, 1, 1), tasks);
+  }
+
+  private static Job otherJob() {
+    return jobOf(JobKey.of(START, 2, 2), 1);
+  }
+
+  private static Job jobOf(JobKey key, int count) {
+    List<Task> tasks = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      tasks.add(new Task(i, Payload.ofText("task " + i)));
+    }
+    return new Job(key, new Customer("ayaz"), ICE, Duration.ofSeconds(60), true, tasks);
+  }
+
+  private static Received ended(Dispatch d, String output) {
+    return new Received(
+        AGENT, new TaskEnded(d.task(), d.epoch(), ResultCode.COMPLETE, Payload.ofText(output)));
+  }
+
+  private static List<Dispatch> dispatches(List<Effect> effects) {
+    List<Dispatch> found = new ArrayList<>();
+    for (Effect e : effects) {
+      if (e instanceof Send s && s.message() instanceof Dispatch d) {
+        found.add(d);
+      }
+    }
+    return found;
+  }
+
+  private static List<AnswerCaller> answers(List<Effect> effects) {
+    return effects.stream()
+        .filter(AnswerCaller.class::isInstance)
+        .map(AnswerCaller.class::cast)
+        .toList();
+  }
+
+  private static JobAnswer onlyAnswer(List<Effect> effects) {
+    assertThat(answers(effects)).hasSize(1);
+    return answers(effects).get(0).answer();
+  }
+}
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/Agent.java
@@ -0,0 +1,173 @@
+package org.cassiastack.daemon.agent;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.cassiastack.controller.Controller;
+import org.cassiastack.controller.ControllerLoop;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.TimeSource;
+import org.cassiastack.daemon.settings.AgentSettings;
+import org.cassiastack.daemon.settings.AgentSettings.MinionSettings;
+import org.cassiastack.guard.GuardDrained;
+import org.cassiastack.guard.StartGuard;
+import org.cassiastack.guard.StartTask;
+import org.cassiastack.guard.TaskStopped;
+import org.cassiastack.membership.AnnouncementController;
+import org.cassiastack.membership.LeaveRequested;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.Minion;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.protocol.Hello;
+import org.cassiastack.protocol.Message;
+import org.cassiastack.protocol.PeerConnected;
+import org.cassiastack.protocol.PeerDisconnected;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.transport.codec.MessageCodec;
+import org.cassiastack.transport.http.MinionClient;
+import org.cassiastack.transport.peer.PeerListener;
+import org.cassiastack.transport.peer.PeerNetwork;
+import org.tinylog.Logger;
+
+/**
+ * A running agent.
+ *
+ * <ol>
+ *   <li>The control loop announces the agent's minions to every entry.
+ *   <li>The guard's loop, a traffic thread, admits each task once.
+ *   <li>Input threads call the minions and bring back what became of the tasks.
+ * </ol>
+ *
+ * <pre>{@code
+ * Agent agent = Agent.start(settings, TimeSource.system());
+ * agent.stop(Duration.ofSeconds(30));
+ * }</pre>
+ *
+ * @since 0.1
+ */
+public final class Agent {
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration HEARTBEAT = Duration.ofSeconds(1);
+
+  private final NodeId self;
+  private final TimeSource time;
+  private final PeerNetwork network;
+  private final ControllerLoop control;
+  private final ControllerLoop traffic;
+  private final StartGuard guard;
+  private final Map<MinionId, MinionClient> clients = new HashMap<>();
+  private final CountDownLatch drained = new CountDownLatch(1);
+
+  private Agent(AgentSettings settings, TimeSource time) {
+    this.self = settings.node();
+    this.time = time;
+    Incarnation incarnation = Incarnation.startedAt(time.now());
+    Hello hello = new Hello(Hello.PROTOCOL_VERSION, self, incarnation);
+    network = PeerNetwork.create(hello, MessageCodec.create(), new Listener());
+    List<Minion> minions = settings.minions().stream().map(MinionSettings::minion).toList();
+    for (MinionSettings m : settings.minions()) {
+      clients.put(m.minion().id(), MinionClient.create(m.url(), m.minion().connections()));
+    }
+    guard = StartGuard.create(incarnation, minions, settings.retention(), settings.capacity());
+    control = loop("control", AnnouncementController.create(self, incarnation, minions, HEARTBEAT));
+    traffic = loop("guard", guard);
+    settings.entries().forEach(network::dial);
+  }
+
+  /**
+   * Starts an agent.
+   *
+   * @param settings its settings
+   * @param time tells the present time
+   */
+  public static Agent start(AgentSettings settings, TimeSource time) {
+    Agent agent = new Agent(settings, time);
+    agent.control.tickEvery(TICK);
+    agent.traffic.tickEvery(TICK);
+    Logger.info(
+        "event=agent_started node={} worker={} failure_domain={} minions={}",
+        agent.self,
+        settings.worker().name(),
+        settings.worker().failureDomain(),
+        agent.clients.size());
+    return agent;
+  }
+
+  /**
+   * Stops the agent: announces that it leaves, lets its tasks end, then closes.
+   *
+   * @param patience longest wait for tasks
+   */
+  public void stop(Duration patience) {
+    Logger.info("event=agent_stopping node={}", self);
+    control.post(new LeaveRequested());
+    traffic.post(new LeaveRequested());
+    try {
+      boolean done = drained.await(patience.toMillis(), TimeUnit.MILLISECONDS);
+      Logger.info("event=agent_stopped node={} drained={}", self, done);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    network.close();
+    control.close();
+    traffic.close();
+  }
+
+  private ControllerLoop loop(String name, Controller controller) {
+    return ControllerLoop.start(
+        name,
+        List.of(controller),
+        this::carryOut,
+        time,
+        e -> Logger.error(e, "event=controller_failed loop={}", name));
+  }
+
+  private void carryOut(Effect effect) {
+    if (effect instanceof Send s) {
+      network.send(s.to(), s.message());
+    } else if (effect instanceof StartTask s) {
+      runTask(s.dispatch());
+    } else if (effect instanceof GuardDrained) {
+      drained.countDown();
+    }
+  }
+
+  private void runTask(Dispatch d) {
+    MinionClient client = clients.get(d.minion());
+    if (client == null) {
+      post(new TaskStopped(d.task(), ResultCode.NO_MINION, Payload.EMPTY));
+      return;
+    }
+    client.run(d).subscribe(this::post);
+  }
+
+  private void post(Event event) {
+    traffic.post(event);
+  }
+
+  private final class Listener implements PeerListener {
+    @Override
+    public void connected(NodeId peer) {
+      control.post(new PeerConnected(peer));
+    }
+
+    @Override
+    public void disconnected(NodeId peer) {
+      control.post(new PeerDisconnected(peer));
+    }
+
+    @Override
+    public void received(NodeId peer, Message message) {
+      traffic.post(new Received(peer, message));
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/package-info.java
@@ -0,0 +1,5 @@
+/** The agent daemon. */
+@NullMarked
+package org.cassiastack.daemon.agent;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/command/Addresses.java
@@ -0,0 +1,28 @@
+package org.cassiastack.daemon.command;
+
+import java.net.InetSocketAddress;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.cassiastack.model.CassiaException;
+import org.cassiastack.model.Refusals;
+
+/** Arguments that name an address. */
+final class Addresses {
+  private Addresses() {}
+
+  static void declare(Subparser parser, String name, String otherwise, String help) {
+    parser.addArgument("--" + name).setDefault(otherwise).metavar("HOST:PORT").help(help);
+  }
+
+  static InetSocketAddress of(Namespace arguments, String name) throws CassiaException {
+    String text = arguments.getString(name);
+    int colon = text.lastIndexOf(':');
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      return new InetSocketAddress(text.substring(0, Math.max(colon, 0)), port);
+    } catch (IllegalArgumentException e) {
+      throw CassiaException.of(
+          Refusals.malformed("--" + name + " is '" + text + "', not HOST:PORT"));
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/command/CancelCommand.java
@@ -0,0 +1,35 @@
+package org.cassiastack.daemon.command;
+
+import java.io.PrintStream;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.cassiastack.model.CassiaException;
+import org.cassiastack.model.Customer;
+import org.cassiastack.model.JobAnswer;
+import org.cassiastack.model.JobKey;
+import org.cassiastack.transport.http.CallerClient;
+
+/** Cancels a job. */
+public final class CancelCommand implements Command {
+  @Override
+  public String name() {
+    return "cancel";
+  }
+
+  @Override
+  public void declare(Subparser parser) {
+    parser.help("cancel a job");
+    Addresses.declare(parser, "entry", "127.0.0.1:7000", "callers' address of an entry");
+    parser.addArgument("--customer").required(true).help("whom the job is for");
+    parser.addArgument("key").metavar("KEY").help("key of the job");
+  }
+
+  @Override
+  public int run(Namespace arguments, PrintStream out) throws CassiaException {
+    Customer customer = new Customer(arguments.getString("customer"));
+    JobKey key = JobKey.parse(arguments.getString("key"));
+    JobAnswer answer =
+        CallerClient.create(Addresses.of(arguments, "entry")).cancel(customer, key).block();
+    return AnswerPrinter.refused(answer, out);
+  }
+}
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/command/SubmitCommand.java
@@ -0,0 +1,90 @@
+package org.cassiastack.daemon.command;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.cassiastack.model.CassiaException;
+import org.cassiastack.model.Customer;
+import org.cassiastack.model.Job;
+import org.cassiastack.model.JobAnswer;
+import org.cassiastack.model.JobKey;
+import org.cassiastack.model.Payload;
+import org.cassiastack.model.Refusals;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.model.Task;
+import org.cassiastack.model.TaskResult;
+import org.cassiastack.transport.http.CallerClient;
+import org.jspecify.annotations.Nullable;
+
+/** Submits a job whose tasks are the lines of a file, and prints the outputs in order. */
+public final class SubmitCommand implements Command {
+  @Override
+  public String name() {
+    return "submit";
+  }
+
+  @Override
+  public void declare(Subparser parser) {
+    parser.help("submit a job and wait for its answer");
+    Addresses.declare(parser, "entry", "127.0.0.1:7000", "callers' address of an entry");
+    parser.addArgument("--customer").required(true).help("whom the job is for");
+    parser.addArgument("--service").required(true).help("the service that runs the tasks");
+    parser.addArgument("--key").help("idempotency key, a UUID of version 7; a new one if missing");
+    parser.addArgument("--timeout-millis").type(Long.class).setDefault(60_000L);
+    parser.addArgument("--non-idempotent").action(Arguments.storeTrue());
+    parser.addArgument("file").metavar("FILE").help("one task a line");
+  }
+
+  @Override
+  public int run(Namespace arguments, PrintStream out) throws CassiaException {
+    Job job = job(arguments, lines(Path.of(arguments.getString("file"))));
+    out.println("key " + job.key());
+    JobAnswer answer = CallerClient.create(Addresses.of(arguments, "entry")).submit(job).block();
+    if (answer == null || !answer.isComplete()) {
+      return AnswerPrinter.refused(answer, out);
+    }
+    for (TaskResult r : answer.results()) {
+      out.println(r.output().toText());
+    }
+    return ExitCodes.OK;
+  }
+
+  private static Job job(Namespace arguments, List<String> lines) throws CassiaException {
+    List<Task> tasks = new ArrayList<>();
+    for (String line : lines) {
+      tasks.add(new Task(tasks.size(), Payload.ofText(line)));
+    }
+    return new Job(
+        key(arguments.getString("key")),
+        new Customer(arguments.getString("customer")),
+        new ServiceName(arguments.getString("service")),
+        Duration.ofMillis(arguments.getLong("timeout_millis")),
+        !arguments.getBoolean("non_idempotent"),
+        tasks);
+  }
+
+  private static JobKey key(@Nullable String text) throws CassiaException {
+    if (text != null) {
+      return JobKey.parse(text);
+    }
+    ThreadLocalRandom random = ThreadLocalRandom.current();
+    return JobKey.of(Instant.now(), random.nextLong(), random.nextLong());
+  }
+
+  private static List<String> lines(Path file) throws CassiaException {
+    try {
+      return Files.readAllLines(file);
+    } catch (IOException e) {
+      throw CassiaException.of(Refusals.malformed("file " + file + " cannot be read"));
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
@@ -0,0 +1,218 @@
+package org.cassiastack.daemon.entry;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.configuration.ConfigurationChanged;
+import org.cassiastack.controller.Controller;
+import org.cassiastack.controller.ControllerLoop;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.TimeSource;
+import org.cassiastack.daemon.settings.ConfigurationFiles;
+import org.cassiastack.daemon.settings.EntrySettings;
+import org.cassiastack.filter.FilterChain;
+import org.cassiastack.filter.Filters;
+import org.cassiastack.job.AnswerCaller;
+import org.cassiastack.job.JobCoordinator;
+import org.cassiastack.job.TellJobState;
+import org.cassiastack.membership.MembershipController;
+import org.cassiastack.membership.MinionsChanged;
+import org.cassiastack.model.CassiaException;
+import org.cassiastack.model.Epoch;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Revision;
+import org.cassiastack.protocol.Announce;
+import org.cassiastack.protocol.Hello;
+import org.cassiastack.protocol.Message;
+import org.cassiastack.protocol.PeerConnected;
+import org.cassiastack.protocol.PeerDisconnected;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.routing.MinionPickers;
+import org.cassiastack.transport.codec.MessageCodec;
+import org.cassiastack.transport.http.CallerApi;
+import org.cassiastack.transport.http.HttpReply;
+import org.cassiastack.transport.http.OperatorApi;
+import org.cassiastack.transport.peer.PeerListener;
+import org.cassiastack.transport.peer.PeerNetwork;
+import org.tinylog.Logger;
+import reactor.netty.DisposableServer;
+
+/**
+ * A running entry.
+ *
+ * <ol>
+ *   <li>Callers' requests pass the filter chain on the input threads and end at the coordinator.
+ *   <li>The coordinator's loop, a traffic thread, dispatches tasks and assembles answers.
+ *   <li>The control loop owns membership and configuration and hands views to the coordinator.
+ * </ol>
+ *
+ * <pre>{@code
+ * Entry entry = Entry.start(settings, TimeSource.system());
+ * entry.stop(Duration.ofSeconds(30));
+ * }</pre>
+ *
+ * @since 0.1
+ */
+public final class Entry {
+  private static final Duration TICK = Duration.ofMillis(50);
+
+  private final TimeSource time;
+  private final NodeId self;
+  private final PeerNetwork network;
+  private final ControllerLoop control;
+  private final ControllerLoop coordinator;
+  private final CallerDesk desk;
+  private final InetSocketAddress peerAddress;
+  private final DisposableServer callers;
+  private final DisposableServer operators;
+  private volatile Configuration inForce = Configuration.EMPTY;
+  private volatile MinionsChanged minions = new MinionsChanged(List.of(), Map.of());
+  private volatile boolean stopping;
+
+  private Entry(EntrySettings settings, TimeSource time) {
+    this.time = time;
+    self = settings.node();
+    Incarnation incarnation = Incarnation.startedAt(time.now());
+    Hello hello = new Hello(Hello.PROTOCOL_VERSION, self, incarnation);
+    network = PeerNetwork.create(hello, MessageCodec.create(), new Listener());
+    JobCoordinator jobs =
+        JobCoordinator.create(new Epoch(1), MinionPickers.leastLoaded(), settings.retention());
+    coordinator = loop("coordinator", List.of(jobs));
+    MembershipController membership = MembershipController.create(self, settings.lease());
+    control = loop("control", List.of(membership));
+    desk = new CallerDesk(coordinator::post);
+    FilterChain chain =
+        FilterChain.of(
+            List.of(
+                Filters.admission(() -> stopping),
+                Filters.taskCount(),
+                Filters.customer(() -> inForce),
+                Filters.service(() -> inForce)),
+            (request, now) -> desk.submit(request));
+    peerAddress = network.listen(settings.peers());
+    callers = CallerApi.serve(settings.callers(), chain, desk, time);
+    operators = OperatorApi.serve(settings.operators(), pages());
+  }
+
+  /**
+   * Starts an entry.
+   *
+   * @param settings its settings
+   * @param time tells the present time
+   * @throws CassiaException when the configuration in its folder is not valid
+   */
+  public static Entry start(EntrySettings settings, TimeSource time) throws CassiaException {
+    Configuration configuration =
+        ConfigurationFiles.parse(
+            ConfigurationFiles.texts(settings.configuration()), Revision.NONE.next());
+    Entry entry = new Entry(settings, time);
+    entry.carryOut(new ConfigurationChanged(configuration));
+    entry.control.tickEvery(TICK);
+    entry.coordinator.tickEvery(TICK);
+    Logger.info(
+        "event=entry_started node={} callers={} operators={} peers={}",
+        entry.self,
+        entry.callerAddress(),
+        entry.operatorAddress(),
+        entry.peerAddress);
+    return entry;
+  }
+
+  /** Returns where callers are served. */
+  public InetSocketAddress callerAddress() {
+    return (InetSocketAddress) callers.address();
+  }
+
+  /** Returns where operators are served. */
+  public InetSocketAddress operatorAddress() {
+    return (InetSocketAddress) operators.address();
+  }
+
+  /** Returns where agents connect. */
+  public InetSocketAddress peerAddress() {
+    return peerAddress;
+  }
+
+  /** Returns the minions that take work at present. */
+  public MinionsChanged minions() {
+    return minions;
+  }
+
+  /**
+   * Stops the entry: refuses new jobs, waits for the ones in flight, then closes.
+   *
+   * @param patience longest wait for jobs in flight
+   */
+  public void stop(Duration patience) {
+    Logger.info("event=entry_stopping node={} waiting={}", self, desk.waiting());
+    stopping = true;
+    callers.disposeNow(patience);
+    operators.disposeNow();
+    network.close();
+    control.close();
+    coordinator.close();
+    Logger.info("event=entry_stopped node={}", self);
+  }
+
+  private ControllerLoop loop(String name, List<Controller> controllers) {
+    return ControllerLoop.start(
+        name,
+        controllers,
+        this::carryOut,
+        time,
+        e -> Logger.error(e, "event=controller_failed loop={}", name));
+  }
+
+  private void carryOut(Effect effect) {
+    if (effect instanceof Send s) {
+      network.send(s.to(), s.message());
+    } else if (effect instanceof AnswerCaller a) {
+      desk.answer(a);
+    } else if (effect instanceof TellJobState t) {
+      desk.tell(t);
+    } else if (effect instanceof MinionsChanged m) {
+      minions = m;
+      Logger.info("event=minions_changed available={}", m.available().size());
+      coordinator.post(m);
+    } else if (effect instanceof ConfigurationChanged c) {
+      inForce = c.configuration();
+      Logger.info("event=configuration_in_force revision={}", inForce.revision());
+      coordinator.post(c);
+    }
+  }
+
+  private Map<String, Supplier<HttpReply>> pages() {
+    return Map.of(
+        "/healthz", () -> new HttpReply(200, "text/plain", "ok\n"),
+        "/readyz",
+            () ->
+                stopping
+                    ? new HttpReply(503, "text/plain", "stopping\n")
+                    : new HttpReply(200, "text/plain", "ok\n"),
+        "/v1/status",
+            () -> new HttpReply(200, "application/json", StatusJson.write(self, inForce, minions)));
+  }
+
+  private final class Listener implements PeerListener {
+    @Override
+    public void connected(NodeId peer) {
+      control.post(new PeerConnected(peer));
+    }
+
+    @Override
+    public void disconnected(NodeId peer) {
+      control.post(new PeerDisconnected(peer));
+    }
+
+    @Override
+    public void received(NodeId peer, Message message) {
+      ControllerLoop loop = message instanceof Announce ? control : coordinator;
+      loop.post(new Received(peer, message));
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/package-info.java
@@ -0,0 +1,5 @@
+/** The entry daemon. */
+@NullMarked
+package org.cassiastack.daemon.entry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageCodec.java
@@ -0,0 +1,111 @@
+package org.cassiastack.transport.codec;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.ObjectWriter;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Map;
+import org.cassiastack.protocol.Message;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+import org.msgpack.jackson.dataformat.JsonArrayFormat;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+
+/**
+ * Turns messages into bytes and back.
+ *
+ * <p>A message is two bytes of type number, then the components of its record as a MessagePack
+ * array in order of declaration.
+ *
+ * <pre>{@code
+ * byte[] bytes = codec.encode(message);
+ * Message same = codec.decode(bytes);
+ * }</pre>
+ *
+ * @since 0.1
+ */
+public final class MessageCodec {
+  private static final int TYPE_BYTES = 2;
+
+  private final Map<Integer, ObjectReader> readers = new HashMap<>();
+  private final Map<Class<?>, ObjectWriter> writers = new HashMap<>();
+
+  private MessageCodec() {
+    ObjectMapper mapper = new MessagePackMapper();
+    mapper.setAnnotationIntrospector(new JsonArrayFormat());
+    mapper.registerModule(ValueTypes.module());
+    mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+    for (MessageType t : MessageType.values()) {
+      readers.put(t.number(), mapper.readerFor(t.type()));
+      writers.put(t.type(), mapper.writerFor(t.type()));
+    }
+  }
+
+  /** Makes a codec for every message of {@link MessageType}; it is safe for several threads. */
+  public static MessageCodec create() {
+    return new MessageCodec();
+  }
+
+  /**
+   * Encodes a message.
+   *
+   * @throws MalformedMessageException when the type of the message is not registered
+   */
+  public byte[] encode(Message message) throws MalformedMessageException {
+    ObjectWriter writer = writers.get(message.getClass());
+    if (writer == null) {
+      throw new MalformedMessageException("message type not registered: " + message.getClass());
+    }
+    try {
+      byte[] body = writer.writeValueAsBytes(message);
+      ByteBuffer all = ByteBuffer.allocate(TYPE_BYTES + body.length);
+      all.putShort((short) MessageType.numberOf(message.getClass()));
+      all.put(body);
+      return all.array();
+    } catch (IOException e) {
+      throw new MalformedMessageException("message cannot be encoded", e);
+    }
+  }
+
+  /**
+   * Decodes a message.
+   *
+   * @param bytes what {@link #encode} gave
+   * @throws MalformedMessageException when the bytes are no message
+   */
+  public Message decode(byte[] bytes) throws MalformedMessageException {
+    if (bytes.length < TYPE_BYTES) {
+      throw new MalformedMessageException("message of " + bytes.length + " bytes");
+    }
+    int number = ByteBuffer.wrap(bytes).getShort();
+    ObjectReader reader = readers.get(number);
+    if (reader == null) {
+      throw new MalformedMessageException("unknown message type " + number);
+    }
+    try {
+      checkLength(bytes);
+      Message m = reader.readValue(bytes, TYPE_BYTES, bytes.length - TYPE_BYTES);
+      if (m == null) {
+        throw new MalformedMessageException("empty message of type " + number);
+      }
+      return m;
+    } catch (IOException | MessagePackException e) {
+      throw new MalformedMessageException("message of type " + number + " cannot be read", e);
+    }
+  }
+
+  /** Refuses bytes behind the one value; the parser leaves them unread without a word. */
+  private static void checkLength(byte[] bytes) throws IOException {
+    int length = bytes.length - TYPE_BYTES;
+    try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes, TYPE_BYTES, length)) {
+      unpacker.skipValue();
+      if (unpacker.getTotalReadBytes() != length) {
+        throw new MalformedMessageException("bytes behind the message");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
@@ -0,0 +1,71 @@
+package org.cassiastack.transport.codec;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.cassiastack.protocol.Announce;
+import org.cassiastack.protocol.CancelTasks;
+import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.protocol.Hello;
+import org.cassiastack.protocol.Message;
+import org.cassiastack.protocol.Ping;
+import org.cassiastack.protocol.TaskEnded;
+import org.cassiastack.protocol.TaskNotStarted;
+import org.cassiastack.protocol.Welcome;
+
+/**
+ * Numbers of the message types on the wire. A number is never given to another type.
+ *
+ * @since 0.1
+ */
+public enum MessageType {
+  /** First message of each connection. */
+  HELLO(1, Hello.class),
+  /** Sent on an idle connection. */
+  PING(2, Ping.class),
+  /** Agent to entry. */
+  ANNOUNCE(10, Announce.class),
+  /** Entry to agent. */
+  WELCOME(11, Welcome.class),
+  /** Coordinator to agent. */
+  DISPATCH(20, Dispatch.class),
+  /** Agent to coordinator. */
+  TASK_ENDED(21, TaskEnded.class),
+  /** Agent to coordinator. */
+  TASK_NOT_STARTED(22, TaskNotStarted.class),
+  /** Coordinator to agent. */
+  CANCEL_TASKS(23, CancelTasks.class);
+
+  private static final Map<Class<?>, MessageType> BY_TYPE = new HashMap<>();
+
+  static {
+    for (MessageType t : values()) {
+      BY_TYPE.put(t.type, t);
+    }
+  }
+
+  private final int number;
+  private final Class<? extends Message> type;
+
+  MessageType(int number, Class<? extends Message> type) {
+    this.number = number;
+    this.type = type;
+  }
+
+  /** Returns the number on the wire. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns the record that the number stands for. */
+  public Class<? extends Message> type() {
+    return type;
+  }
+
+  static int numberOf(Class<?> type) {
+    MessageType t = BY_TYPE.get(type);
+    if (t == null) {
+      throw new IllegalArgumentException("not registered: " + type);
+    }
+    return t.number;
+  }
+}
--- /dev/null
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/http/OperatorApi.java
@@ -0,0 +1,38 @@
+package org.cassiastack.transport.http;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.function.Supplier;
+import reactor.core.publisher.Mono;
+import reactor.netty.DisposableServer;
+import reactor.netty.http.server.HttpServer;
+
+/**
+ * The operators' API over HTTP, on a listener of its own.
+ *
+ * @since 0.1
+ */
+public final class OperatorApi {
+  private OperatorApi() {}
+
+  /**
+   * Starts to serve.
+   *
+   * @param address where to listen; port 0 takes any free one
+   * @param pages what is answered to {@code GET}, by path
+   */
+  public static DisposableServer serve(
+      InetSocketAddress address, Map<String, Supplier<HttpReply>> pages) {
+    return HttpServer.create()
+        .bindAddress(() -> address)
+        .route(
+            routes ->
+                pages.forEach(
+                    (path, page) ->
+                        routes.get(
+                            path,
+                            (request, response) ->
+                                HttpReply.respond(request, response, Mono.fromSupplier(page)))))
+        .bindNow();
+  }
+}
--- /dev/null
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -0,0 +1,95 @@
+package org.cassiastack.transport.codec;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Stream;
+import org.cassiastack.model.Customer;
+import org.cassiastack.model.Epoch;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.JobId;
+import org.cassiastack.model.JobKey;
+import org.cassiastack.model.Minion;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.model.TaskId;
+import org.cassiastack.model.Worker;
+import org.cassiastack.protocol.Announce;
+import org.cassiastack.protocol.CancelTasks;
+import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.protocol.Hello;
+import org.cassiastack.protocol.Message;
+import org.cassiastack.protocol.Ping;
+import org.cassiastack.protocol.TaskEnded;
+import org.cassiastack.protocol.TaskNotStarted;
+import org.cassiastack.protocol.Welcome;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class MessageCodecTest {
+  private static final Instant ISSUED = Instant.parse("2026-12-04T08:00:00Z");
+  private static final TaskId TASK =
+      new TaskId(new JobId(new Customer("ayaz"), JobKey.of(ISSUED, 1, 2)), 7);
+  private static final Epoch EPOCH = new Epoch(3);
+  private static final Incarnation INCARNATION = new Incarnation(1_700_000_000_000_000L);
+
+  private final MessageCodec codec = MessageCodec.create();
+
+  static Stream<Message> messages() {
+    Worker worker = new Worker("w1", "r1", new FailureDomain("north"), 32, 65_536);
+    Minion minion = new Minion(new MinionId("m1"), new ServiceName("ice"), worker, 8, 64);
+    Payload payload = Payload.wrap(new byte[] {0, 1, (byte) 0xFF});
+    return Stream.of(
+        new Hello(Hello.PROTOCOL_VERSION, new NodeId("e1"), INCARNATION),
+        new Ping(9),
+        new Announce(new NodeId("a1"), INCARNATION, 4, false, List.of(minion)),
+        new Welcome(new NodeId("e1"), 4),
+        new Dispatch(TASK, EPOCH, INCARNATION, new MinionId("m1"), payload, Duration.ofMillis(250)),
+        new TaskEnded(TASK, EPOCH, ResultCode.COMPLETE, payload),
+        new TaskNotStarted(TASK, EPOCH, ResultCode.NO_MINION),
+        new CancelTasks(List.of(TASK), EPOCH));
+  }
+
+  @ParameterizedTest
+  @MethodSource("messages")
+  void reads_back_what_it_wrote(Message message) throws Exception {
+    assertThat(codec.decode(codec.encode(message))).isEqualTo(message);
+  }
+
+  @Test
+  void has_a_test_message_for_each_type() {
+    assertThat(messages().map(Object::getClass))
+        .containsExactlyInAnyOrderElementsOf(
+            Stream.of(MessageType.values()).<Class<?>>map(MessageType::type).toList());
+  }
+
+  @Test
+  void refuses_bytes_that_are_no_message() {
+    assertThatThrownBy(() -> codec.decode(new byte[] {0, 1, 2, 3}))
+        .isInstanceOf(MalformedMessageException.class);
+  }
+
+  @Test
+  void refuses_an_unknown_type_number() {
+    assertThatThrownBy(() -> codec.decode(new byte[] {99, 99, 0}))
+        .isInstanceOf(MalformedMessageException.class)
+        .hasMessageContaining("unknown message type");
+  }
+
+  @Test
+  void refuses_trailing_bytes() throws Exception {
+    byte[] bytes = codec.encode(new Ping(1));
+    byte[] longer = Arrays.copyOf(bytes, bytes.length + 1);
+
+    assertThatThrownBy(() -> codec.decode(longer)).isInstanceOf(MalformedMessageException.class);
+  }
+}
