--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/Agent.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/Agent.java
@@ -36,6 +36,7 @@
 import org.cassiastack.transport.http.MinionClient;
 import org.cassiastack.transport.peer.PeerListener;
 import org.cassiastack.transport.peer.PeerNetwork;
+import org.cassiastack.transport.peer.PeerTimings;
 import org.tinylog.Logger;
 
 /**
@@ -72,7 +73,8 @@
     this.time = time;
     Incarnation incarnation = Incarnation.startedAt(time.now());
     Hello hello = new Hello(Hello.PROTOCOL_VERSION, self, incarnation);
-    network = PeerNetwork.create(hello, MessageCodec.create(), new Listener());
+    network =
+        PeerNetwork.create(hello, MessageCodec.create(), PeerTimings.STANDARD, new Listener());
     List<Minion> minions = settings.minions().stream().map(MinionSettings::minion).toList();
     for (MinionSettings m : settings.minions()) {
       clients.put(m.minion().id(), MinionClient.create(m.url(), m.minion().connections()));
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
@@ -39,6 +39,7 @@
 import org.cassiastack.transport.http.OperatorApi;
 import org.cassiastack.transport.peer.PeerListener;
 import org.cassiastack.transport.peer.PeerNetwork;
+import org.cassiastack.transport.peer.PeerTimings;
 import org.tinylog.Logger;
 import reactor.netty.DisposableServer;
 
@@ -79,7 +80,8 @@
     self = settings.node();
     Incarnation incarnation = Incarnation.startedAt(time.now());
     Hello hello = new Hello(Hello.PROTOCOL_VERSION, self, incarnation);
-    network = PeerNetwork.create(hello, MessageCodec.create(), new Listener());
+    network =
+        PeerNetwork.create(hello, MessageCodec.create(), PeerTimings.STANDARD, new Listener());
     JobCoordinator jobs =
         JobCoordinator.create(new Epoch(1), MinionPickers.leastLoaded(), settings.retention());
     coordinator = loop("coordinator", List.of(jobs));
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerConnection.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerConnection.java
@@ -35,8 +35,8 @@
 
   /** Greets the other end and reads until the connection ends. */
   Publisher<Void> run() {
-    connection.onReadIdle(PeerNetwork.SILENCE_LIMIT.toMillis(), this::silent);
-    connection.onWriteIdle(PeerNetwork.PING_INTERVAL.toMillis(), this::ping);
+    connection.onReadIdle(network.timings().silenceLimit().toMillis(), this::silent);
+    connection.onWriteIdle(network.timings().pingInterval().toMillis(), this::ping);
     send(network.hello());
     return in.receive()
         .asByteArray()
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -48,20 +47,18 @@
   private static final int LENGTH_BYTES = 4;
   private static final int MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
   private static final int FLUSH_AFTER_WRITES = 64;
-  static final Duration PING_INTERVAL = Duration.ofSeconds(1);
-  static final Duration SILENCE_LIMIT = Duration.ofSeconds(3);
-  private static final Duration FIRST_RETRY = Duration.ofMillis(50);
-  private static final Duration LAST_RETRY = Duration.ofSeconds(2);
 
   private final Hello hello;
   private final MessageCodec codec;
+  private final PeerTimings timings;
   private final PeerListener listener;
   private final Map<NodeId, CopyOnWriteArrayList<PeerConnection>> connections =
       new ConcurrentHashMap<>();
   private final Disposable.Composite resources = Disposables.composite();
   private final Set<PeerConnection> open = ConcurrentHashMap.newKeySet();
 
-  private PeerNetwork(Hello hello, MessageCodec codec, PeerListener listener) {
+  private PeerNetwork(Hello hello, MessageCodec codec, PeerTimings timings, PeerListener listener) {
+    this.timings = timings;
     this.hello = hello;
     this.codec = codec;
     this.listener = listener;
@@ -72,10 +69,12 @@
    *
    * @param hello first message on each connection
    * @param codec encodes messages
+   * @param timings how long connections may be idle
    * @param listener is told what happens
    */
-  public static PeerNetwork create(Hello hello, MessageCodec codec, PeerListener listener) {
-    return new PeerNetwork(hello, codec, listener);
+  public static PeerNetwork create(
+      Hello hello, MessageCodec codec, PeerTimings timings, PeerListener listener) {
+    return new PeerNetwork(hello, codec, timings, listener);
   }
 
   /**
@@ -98,8 +97,8 @@
   /** Keeps a connection to an address open until the network is closed. */
   public void dial(InetSocketAddress address) {
     Retry retry =
-        Retry.backoff(Long.MAX_VALUE, FIRST_RETRY)
-            .maxBackoff(LAST_RETRY)
+        Retry.backoff(Long.MAX_VALUE, timings.firstRetry())
+            .maxBackoff(timings.lastRetry())
             .transientErrors(true)
             .doBeforeRetry(s -> Logger.debug("event=dial_retry address={}", address));
     resources.add(
@@ -135,6 +134,10 @@
     return codec;
   }
 
+  PeerTimings timings() {
+    return timings;
+  }
+
   PeerListener listener() {
     return listener;
   }
