--- /dev/null
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/local/LocalSystem.java
@@ -0,0 +1,187 @@
+package org.cassiastack.bench.local;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cassiastack.bench.local.SettingsFiles.EntryAddresses;
+import org.cassiastack.bench.minion.Loopback;
+import org.cassiastack.bench.minion.StandInMinion;
+import org.cassiastack.bench.minion.TaskBehavior;
+import org.cassiastack.controller.TimeSource;
+import org.cassiastack.daemon.AgentMain;
+import org.cassiastack.daemon.EntryMain;
+import org.cassiastack.daemon.agent.Agent;
+import org.cassiastack.daemon.entry.Entry;
+import org.cassiastack.daemon.settings.AgentSettings;
+import org.cassiastack.daemon.settings.EntrySettings;
+import org.cassiastack.model.CassiaException;
+import org.cassiastack.model.Refusals;
+import org.cassiastack.model.ServiceName;
+import org.jspecify.annotations.Nullable;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.client.HttpClient;
+
+/**
+ * Entries, agents and stand-in minions on loopback ports that are free.
+ *
+ * <ol>
+ *   <li>{@link #start} starts the daemons, in this process or each in its own.
+ *   <li>{@link #awaitMinions} returns once every entry knows every minion.
+ *   <li>{@link #node} gives a daemon by its name, such as {@code agent-3}, to stop or kill it.
+ * </ol>
+ *
+ * @since 0.1
+ */
+public final class LocalSystem implements AutoCloseable {
+  private static final Duration STOP_PATIENCE = Duration.ofSeconds(5);
+  private static final Duration POLL = Duration.ofMillis(20);
+  private static final ObjectMapper MAPPER = new ObjectMapper();
+
+  private final LocalShape shape;
+  private final SettingsFiles files;
+  private final List<EntryAddresses> addresses = new ArrayList<>();
+  private final Map<String, Node> nodes = new LinkedHashMap<>();
+  private final List<StandInMinion> minions = new ArrayList<>();
+
+  private LocalSystem(LocalShape shape) {
+    this.shape = shape;
+    this.files = new SettingsFiles(shape);
+  }
+
+  /**
+   * Starts a system.
+   *
+   * @throws CassiaException when a daemon refuses its settings
+   */
+  public static LocalSystem start(LocalShape shape) throws CassiaException {
+    LocalSystem system = new LocalSystem(shape);
+    for (int i = 0; i < shape.entries(); i++) {
+      system.addEntry("entry-" + i);
+    }
+    for (int i = 0; i < shape.speeds().size(); i++) {
+      system.addAgent(i);
+    }
+    for (Node node : system.nodes.values()) {
+      node.start();
+    }
+    return system;
+  }
+
+  /** Returns the service that the minions offer. */
+  public ServiceName service() {
+    return new ServiceName(shape.service());
+  }
+
+  /** Returns the callers' address of each entry. */
+  public List<InetSocketAddress> entries() {
+    return addresses.stream().map(EntryAddresses::callers).toList();
+  }
+
+  /** Returns the operators' address of each entry. */
+  public List<InetSocketAddress> operators() {
+    return addresses.stream().map(EntryAddresses::operators).toList();
+  }
+
+  /** Returns the stand-in minions. */
+  public List<StandInMinion> minions() {
+    return List.copyOf(minions);
+  }
+
+  /** Returns the folder with the settings and, for daemons in processes of their own, the logs. */
+  public Path folder() {
+    return files.folder();
+  }
+
+  /**
+   * Finds a daemon.
+   *
+   * @param name its name, such as {@code entry-0} or {@code agent-3}
+   */
+  public Node node(String name) throws CassiaException {
+    Node node = nodes.get(name);
+    if (node == null) {
+      throw CassiaException.of(
+          Refusals.malformed("no process '" + name + "'; there are " + nodes.keySet()));
+    }
+    return node;
+  }
+
+  /** Waits until every entry knows every minion. */
+  public void awaitMinions() throws InterruptedException {
+    for (EntryAddresses a : addresses) {
+      while (minionsKnownTo(a.operators()) < minions.size()) {
+        Thread.sleep(POLL.toMillis());
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    nodes.values().forEach(Node::close);
+    minions.forEach(StandInMinion::close);
+  }
+
+  private void addEntry(String name) {
+    EntryAddresses at = EntryAddresses.free();
+    addresses.add(at);
+    Path settings = files.entry(name, at);
+    nodes.put(name, shape.processes() ? process(EntryMain.class, settings) : entry(settings));
+  }
+
+  private void addAgent(int number) {
+    TaskBehavior behavior = TaskBehavior.namedByInput().atSpeed(shape.speeds().get(number));
+    StandInMinion minion = StandInMinion.start(Loopback.port(0), behavior);
+    minions.add(minion);
+    Path settings = files.agent(number, minion.url(), addresses);
+    nodes.put(
+        "agent-" + number,
+        shape.processes() ? process(AgentMain.class, settings) : agent(settings));
+  }
+
+  private static Node process(Class<?> main, Path settings) {
+    return ProcessNode.of(main, settings, List.of());
+  }
+
+  private static Node entry(Path settings) {
+    return new EmbeddedNode(
+        () -> {
+          Entry e = Entry.start(EntrySettings.read(settings), TimeSource.system());
+          return () -> e.stop(STOP_PATIENCE);
+        });
+  }
+
+  private static Node agent(Path settings) {
+    return new EmbeddedNode(
+        () -> {
+          Agent a = Agent.start(AgentSettings.read(settings), TimeSource.system());
+          return () -> a.stop(STOP_PATIENCE);
+        });
+  }
+
+  private static int minionsKnownTo(InetSocketAddress operators) {
+    String url = "http://" + operators.getHostString() + ":" + operators.getPort() + "/v1/status";
+    String json =
+        HttpClient.create()
+            .get()
+            .uri(url)
+            .responseSingle((response, body) -> body.asString())
+            // An entry in a process of its own may not listen yet.
+            .onErrorResume(e -> Mono.just("{}"))
+            .block();
+    return countMinions(json);
+  }
+
+  private static int countMinions(@Nullable String json) {
+    try {
+      return MAPPER.readTree(json == null ? "{}" : json).path("minions").size();
+    } catch (JsonProcessingException e) {
+      return 0;
+    }
+  }
+}
--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/minion/StandInMinion.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/minion/StandInMinion.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
 import org.cassiastack.transport.http.MinionClient;
 import org.reactivestreams.Publisher;
 import reactor.core.publisher.Mono;
@@ -28,6 +29,7 @@
 public final class StandInMinion implements AutoCloseable {
   private final TaskBehavior behavior;
   private final Map<String, AtomicInteger> starts = new ConcurrentHashMap<>();
+  private final LongAdder startCount = new LongAdder();
   private final AtomicInteger running = new AtomicInteger();
   private final AtomicInteger mostRunning = new AtomicInteger();
   private final DisposableServer server;
@@ -64,6 +66,11 @@
     return copy;
   }
 
+  /** Returns the number of starts of all tasks. */
+  public long startCount() {
+    return startCount.sum();
+  }
+
   /** Returns the largest number of tasks that ran at a time. */
   public int mostRunning() {
     return mostRunning.get();
@@ -87,6 +94,7 @@
 
   private Mono<TaskBehavior.Outcome> run(String task, String input) {
     starts.computeIfAbsent(task, t -> new AtomicInteger()).incrementAndGet();
+    startCount.increment();
     int now = running.incrementAndGet();
     mostRunning.accumulateAndGet(now, Math::max);
     TaskBehavior.Outcome outcome = behavior.decide(input);
--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/minion/TaskBehavior.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/minion/TaskBehavior.java
@@ -25,6 +25,19 @@
     return input -> new Outcome(Duration.ZERO, Outcome.FAILED, "failed");
   }
 
+  /**
+   * The same behavior on a machine of another speed.
+   *
+   * @param speed run times are divided by it
+   */
+  default TaskBehavior atSpeed(double speed) {
+    return input -> {
+      Outcome o = decide(input);
+      Duration runTime = Duration.ofNanos((long) (o.runTime().toNanos() / speed));
+      return new Outcome(runTime, o.status(), o.output());
+    };
+  }
+
   private static Duration runTime(String input) {
     String prefix = "run_ms=";
     if (!input.startsWith(prefix)) {
--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/quickstart/QuickstartCommand.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/quickstart/QuickstartCommand.java
@@ -8,6 +8,8 @@
 import java.util.SplittableRandom;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
+import org.cassiastack.bench.local.LocalShape;
+import org.cassiastack.bench.local.LocalSystem;
 import org.cassiastack.daemon.command.Command;
 import org.cassiastack.daemon.command.ExitCodes;
 import org.cassiastack.model.CassiaException;
@@ -16,6 +18,7 @@
 import org.cassiastack.model.JobAnswer;
 import org.cassiastack.model.JobKey;
 import org.cassiastack.model.Payload;
+import org.cassiastack.model.ServiceName;
 import org.cassiastack.model.Task;
 import org.cassiastack.transport.http.CallerClient;
 import org.jspecify.annotations.Nullable;
@@ -46,7 +49,7 @@
 
   @Override
   public int run(Namespace arguments, PrintStream out) throws CassiaException {
-    try (LocalSystem system = LocalSystem.start(AGENTS, SLOTS)) {
+    try (LocalSystem system = LocalSystem.start(LocalShape.small(AGENTS, SLOTS))) {
       system.awaitMinions();
       out.printf(
           "An entry and %d agents are up, with %d minions of %d slots.%n", AGENTS, AGENTS, SLOTS);
@@ -59,8 +62,8 @@
 
   private static int runJob(LocalSystem system, PrintStream out) {
     List<Duration> runTimes = runTimes();
-    Job job = job(runTimes);
-    CallerClient client = CallerClient.create(system.entry().callerAddress());
+    Job job = job(system.service(), runTimes);
+    CallerClient client = CallerClient.create(system.entries().get(0));
     out.printf("Job %s: %d tasks of 50 ms to 1 s.%n", job.key(), TASKS);
     Disposable progress =
         Flux.interval(PROGRESS_INTERVAL)
@@ -98,12 +101,12 @@
     return runTimes;
   }
 
-  private static Job job(List<Duration> runTimes) {
+  private static Job job(ServiceName service, List<Duration> runTimes) {
     List<Task> tasks = new ArrayList<>();
     for (Duration t : runTimes) {
       tasks.add(new Task(tasks.size(), Payload.ofText("run_ms=" + t.toMillis())));
     }
     JobKey key = JobKey.of(Instant.now(), System.nanoTime(), System.nanoTime());
-    return new Job(key, CUSTOMER, LocalSystem.SERVICE, TIMEOUT, true, tasks);
+    return new Job(key, CUSTOMER, service, TIMEOUT, true, tasks);
   }
 }
