Slopes of cost by agents, tasks, jobs, starts and customers

docs/CAPACITY.md needs figures that grow with something. Each slope is a small class behind one interface; processor time is read for whole processes and heap after collections, so that a busy machine distorts neither much. Elapsed time was ruled out as a measure for the same reason.

--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/load/LoadCommand.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/load/LoadCommand.java
@@ -13,6 +13,7 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import org.cassiastack.bench.local.LocalShape;
+import org.cassiastack.bench.local.LocalShape.Processes;
 import org.cassiastack.bench.local.LocalSystem;
 import org.cassiastack.daemon.command.Command;
 import org.cassiastack.daemon.command.ExitCodes;
@@ -142,7 +143,7 @@
                 preset.failureDomains(),
                 preset.slots(),
                 preset.speeds(),
-                a.getBoolean("processes")));
+                a.getBoolean("processes") ? Processes.ALL : Processes.NONE));
     system.awaitMinions();
     return new LocalSystemUnderLoad(system);
   }
--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/local/LocalShape.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/local/LocalShape.java
@@ -12,7 +12,7 @@
  * @param failureDomains number of failure domains; agents are put into them in turn
  * @param slots slots of each minion
  * @param speeds speed of each minion, one agent for each
- * @param processes whether each daemon gets a process of its own
+ * @param processes which daemons get a process of their own
  * @since 0.1
  */
 public record LocalShape(
@@ -22,10 +22,20 @@
     int failureDomains,
     int slots,
     List<Double> speeds,
-    boolean processes) {
+    Processes processes) {
   /** One entry and minions of equal speed in two failure domains, all in this process. */
   public static LocalShape small(int agents, int slots) {
     List<Double> speeds = Collections.nCopies(agents, 1.0);
-    return new LocalShape(1, "ice", List.of("ayaz"), 2, slots, speeds, false);
+    return new LocalShape(1, "ice", List.of("ayaz"), 2, slots, speeds, Processes.NONE);
+  }
+
+  /** Which daemons get a process of their own. */
+  public enum Processes {
+    /** All daemons run in this process. */
+    NONE,
+    /** Each entry gets a process, agents run in this one. */
+    ENTRIES,
+    /** Each daemon gets a process. */
+    ALL
   }
 }
--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/local/LocalSystem.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/local/LocalSystem.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.cassiastack.bench.local.LocalShape.Processes;
 import org.cassiastack.bench.local.SettingsFiles.EntryAddresses;
 import org.cassiastack.bench.minion.Loopback;
 import org.cassiastack.bench.minion.StandInMinion;
@@ -112,6 +113,11 @@
     return node;
   }
 
+  /** Returns the id of a daemon's own process. */
+  public long processId(String name) throws CassiaException {
+    return node(name) instanceof ProcessNode p ? p.pid() : ProcessHandle.current().pid();
+  }
+
   /** Waits until every entry knows every minion. */
   public void awaitMinions() throws InterruptedException {
     for (EntryAddresses a : addresses) {
@@ -131,7 +137,9 @@
     EntryAddresses at = EntryAddresses.free();
     addresses.add(at);
     Path settings = files.entry(name, at);
-    nodes.put(name, shape.processes() ? process(EntryMain.class, settings) : entry(settings));
+    nodes.put(
+        name,
+        shape.processes() != Processes.NONE ? process(EntryMain.class, settings) : entry(settings));
   }
 
   private void addAgent(int number) {
@@ -141,7 +149,7 @@
     Path settings = files.agent(number, minion.url(), addresses);
     nodes.put(
         "agent-" + number,
-        shape.processes() ? process(AgentMain.class, settings) : agent(settings));
+        shape.processes() == Processes.ALL ? process(AgentMain.class, settings) : agent(settings));
   }
 
   private static Node process(Class<?> main, Path settings) {
--- /dev/null
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/slopes/HeapUse.java
@@ -0,0 +1,17 @@
+package org.cassiastack.bench.slopes;
+
+/** Heap in use after garbage collection. */
+final class HeapUse {
+  private static final int COLLECTIONS = 4;
+
+  private HeapUse() {}
+
+  /** Returns the bytes that are reachable. */
+  static long bytes() {
+    for (int i = 0; i < COLLECTIONS; i++) {
+      System.gc();
+    }
+    Runtime r = Runtime.getRuntime();
+    return r.totalMemory() - r.freeMemory();
+  }
+}
