Counters at /metrics of entry and agent, readiness of the agent

Operators had no counters at all. The first filter of the chain counts and times every submission by its result code, so refusals are in the count; effects and received messages are counted where they pass the edge, so the core knows nothing of Prometheus. Each daemon has a registry of its own, since several run in one process in tests. The agent serves its pages only where '[operators] listen' is set, so that agents on one host need no ports by default.

--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/slopes/JobsSlope.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/slopes/JobsSlope.java
@@ -7,12 +7,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.configuration.ConfigurationChanged;
 import org.cassiastack.controller.Effect;
+import org.cassiastack.daemon.settings.ConfigurationFiles;
 import org.cassiastack.job.CallerId;
 import org.cassiastack.job.JobCoordinator;
 import org.cassiastack.job.JobSubmitted;
 import org.cassiastack.membership.AvailableMinion;
 import org.cassiastack.membership.MinionsChanged;
+import org.cassiastack.model.CassiaException;
 import org.cassiastack.model.Customer;
 import org.cassiastack.model.Epoch;
 import org.cassiastack.model.FailureDomain;
@@ -24,6 +29,7 @@
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Payload;
 import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.Revision;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.model.Task;
 import org.cassiastack.model.Worker;
@@ -42,15 +48,16 @@
   private static final NodeId AGENT = new NodeId("agent-1");
 
   @Override
-  public void measure(PrintStream out) {
+  public void measure(PrintStream out) throws CassiaException {
     for (int jobs : JOBS) {
       point(jobs, out);
     }
   }
 
-  private static void point(int jobs, PrintStream out) {
+  private static void point(int jobs, PrintStream out) throws CassiaException {
     Instant now = Instant.now();
     JobCoordinator c = JobCoordinator.create(new Epoch(1), MinionPickers.leastLoaded(), RETENTION);
+    c.on(new ConfigurationChanged(configuration()), now);
     c.on(minions(now), now);
     long empty = HeapUse.bytes();
     List<Dispatch> sent = new ArrayList<>();
@@ -83,6 +90,11 @@
     c.on(minions(now), now);
   }
 
+  private static Configuration configuration() throws CassiaException {
+    String text = "[failure-domain domain-1]\n[service ice]\n[customer ayaz]\n";
+    return ConfigurationFiles.parse(new TreeMap<>(Map.of("all.ini", text)), Revision.NONE.next());
+  }
+
   private static void take(List<Effect> effects, List<Dispatch> sent) {
     for (Effect e : effects) {
       if (e instanceof Send s && s.message() instanceof Dispatch d) {
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/Agent.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/Agent.java
@@ -11,6 +11,7 @@
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.TimeSource;
+import org.cassiastack.daemon.metrics.DaemonMetrics;
 import org.cassiastack.daemon.settings.AgentSettings;
 import org.cassiastack.daemon.settings.AgentSettings.MinionSettings;
 import org.cassiastack.guard.GuardDrained;
@@ -58,6 +59,7 @@
   private static final Duration TICK = Duration.ofMillis(50);
   private static final Duration HEARTBEAT = Duration.ofSeconds(1);
 
+  private final DaemonMetrics metrics = DaemonMetrics.create();
   private final NodeId self;
   private final TimeSource time;
   private final PeerNetwork network;
@@ -66,6 +68,7 @@
   private final StartGuard guard;
   private final Map<MinionId, MinionClient> clients = new HashMap<>();
   private final CountDownLatch drained = new CountDownLatch(1);
+  private final AgentPages pages;
 
   private Agent(AgentSettings settings, TimeSource time) {
     this.self = settings.node();
@@ -81,6 +84,7 @@
     control = loop("control", AnnouncementController.create(self, incarnation, minions, HEARTBEAT));
     traffic = loop("guard", guard);
     settings.entries().forEach(network::dial);
+    pages = AgentPages.serve(settings.operators(), metrics);
   }
 
   /**
@@ -109,6 +113,7 @@
    */
   public void stop(Duration patience) {
     Logger.info("event=agent_stopping node={}", self);
+    pages.stopping();
     control.post(new LeaveRequested());
     traffic.post(new LeaveRequested());
     try {
@@ -117,6 +122,7 @@
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
+    pages.close();
     network.close();
     control.close();
     traffic.close();
@@ -132,6 +138,7 @@
   }
 
   private void carryOut(Effect effect) {
+    metrics.effect(effect);
     if (effect instanceof Send s) {
       network.send(s.to(), s.message());
     } else if (effect instanceof StartTask s) {
@@ -167,6 +174,7 @@
 
     @Override
     public void received(NodeId peer, Message message) {
+      metrics.received(message);
       traffic.post(new Received(peer, message));
     }
   }
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/AgentPages.java
@@ -0,0 +1,50 @@
+package org.cassiastack.daemon.agent;
+
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.cassiastack.daemon.metrics.DaemonMetrics;
+import org.cassiastack.transport.http.HttpReply;
+import org.cassiastack.transport.http.OperatorApi;
+import org.jspecify.annotations.Nullable;
+import reactor.netty.DisposableServer;
+
+/** What operators see of an agent: health, readiness and counters, where a listener is set. */
+final class AgentPages {
+  private static final String PLAIN = "text/plain";
+
+  private final @Nullable DisposableServer server;
+  private volatile boolean stopping;
+
+  private AgentPages(@Nullable InetSocketAddress address, DaemonMetrics metrics) {
+    server = address == null ? null : OperatorApi.serve(address, pages(metrics));
+  }
+
+  /** Serves the pages, or none when there is no address. */
+  static AgentPages serve(@Nullable InetSocketAddress address, DaemonMetrics metrics) {
+    return new AgentPages(address, metrics);
+  }
+
+  /** Makes the agent not ready; it still answers. */
+  void stopping() {
+    stopping = true;
+  }
+
+  void close() {
+    DisposableServer s = server;
+    if (s != null) {
+      s.disposeNow();
+    }
+  }
+
+  private Map<String, Supplier<HttpReply>> pages(DaemonMetrics metrics) {
+    return Map.of(
+        "/healthz", () -> new HttpReply(200, PLAIN, "ok\n"),
+        "/readyz", this::readiness,
+        "/metrics", () -> new HttpReply(200, DaemonMetrics.CONTENT_TYPE, metrics.text()));
+  }
+
+  private HttpReply readiness() {
+    return stopping ? new HttpReply(503, PLAIN, "stopping\n") : new HttpReply(200, PLAIN, "ok\n");
+  }
+}
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
@@ -11,6 +11,7 @@
 import org.cassiastack.controller.ControllerLoop;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.TimeSource;
+import org.cassiastack.daemon.metrics.DaemonMetrics;
 import org.cassiastack.daemon.settings.ConfigurationFiles;
 import org.cassiastack.daemon.settings.EntrySettings;
 import org.cassiastack.filter.FilterChain;
@@ -61,6 +62,7 @@
 public final class Entry {
   private static final Duration TICK = Duration.ofMillis(50);
 
+  private final DaemonMetrics metrics = DaemonMetrics.create();
   private final TimeSource time;
   private final NodeId self;
   private final PeerNetwork network;
@@ -86,9 +88,11 @@
     MembershipController membership = MembershipController.create(self, settings.lease());
     control = loop("control", List.of(membership));
     desk = new CallerDesk(coordinator::post);
+    metrics.waitingCallers(desk::waiting);
     FilterChain chain =
         FilterChain.of(
             List.of(
+                metrics.requests(time),
                 Filters.admission(() -> stopping),
                 Filters.taskCount(),
                 Filters.customer(() -> inForce),
@@ -169,6 +173,7 @@
   }
 
   private void carryOut(Effect effect) {
+    metrics.effect(effect);
     if (effect instanceof Send s) {
       network.send(s.to(), s.message());
     } else if (effect instanceof AnswerCaller a) {
@@ -188,6 +193,7 @@
 
   private Map<String, Supplier<HttpReply>> pages() {
     return Map.of(
+        "/metrics", () -> new HttpReply(200, DaemonMetrics.CONTENT_TYPE, metrics.text()),
         "/healthz", () -> new HttpReply(200, "text/plain", "ok\n"),
         "/readyz",
             () ->
@@ -211,6 +217,7 @@
 
     @Override
     public void received(NodeId peer, Message message) {
+      metrics.received(message);
       ControllerLoop loop = message instanceof Announce ? control : coordinator;
       loop.post(new Received(peer, message));
     }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/AgentSettings.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/AgentSettings.java
@@ -14,12 +14,14 @@
 import org.cassiastack.model.ResultCode;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.model.Worker;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Settings of an agent.
  *
  * @param node identity of the process
  * @param worker the worker that it runs on
+ * @param operators where operators are served, or null for nowhere
  * @param entries the entries that it announces itself to
  * @param minions the minions that it stands for
  * @param retention how long it remembers a task that ended
@@ -29,6 +31,7 @@
 public record AgentSettings(
     NodeId node,
     Worker worker,
+    @Nullable InetSocketAddress operators,
     List<InetSocketAddress> entries,
     List<MinionSettings> minions,
     Duration retention,
@@ -69,6 +72,7 @@
         new AgentSettings(
             new NodeId(f.text("node", "name")),
             worker,
+            f.optionalAddress("operators", "listen"),
             f.addresses("entries", "addresses"),
             minions,
             f.duration("tasks", "retention", DEFAULT_RETENTION),
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/IniFile.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/IniFile.java
@@ -106,6 +106,13 @@
     return value.trim();
   }
 
+  /** Reads an address to listen on, or null when the key is missing. */
+  public @Nullable InetSocketAddress optionalAddress(String section, String key)
+      throws CassiaException {
+    String value = find(section, key);
+    return value == null ? null : parseAddress(section, key, value.trim(), 0);
+  }
+
   /** Reads a text, or the default when the key is missing. */
   public String text(String section, String key, String otherwise) {
     String value = find(section, key);
