--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/MemberId.java
@@ -0,0 +1,24 @@
+package org.cassiastack.consensus;
+
+import java.util.Comparator;
+import java.util.UUID;
+import org.cassiastack.model.NodeId;
+
+/**
+ * Identity of a member of the replicated log: a node together with its data folder. A node that
+ * comes back with an empty disk has a new folder and so is a new member.
+ *
+ * @param node the node
+ * @param folder identity of the data folder
+ * @since 0.1
+ */
+public record MemberId(NodeId node, UUID folder) {
+  /** Orders members by node, then by folder. */
+  public static final Comparator<MemberId> ORDER =
+      Comparator.comparing(MemberId::node, NodeId.BY_NAME).thenComparing(MemberId::folder);
+
+  @Override
+  public String toString() {
+    return node + "/" + folder;
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/RaftSettings.java
@@ -0,0 +1,42 @@
+package org.cassiastack.consensus;
+
+import java.time.Duration;
+import java.util.List;
+import org.cassiastack.model.NodeId;
+
+/**
+ * Settings of a member.
+ *
+ * @param nodes the nodes whose members are admitted, this one included
+ * @param heartbeat time between the heartbeats of a leader
+ * @param electionTimeout shortest silence of a leader before another is elected
+ * @param batch most entries in one message
+ * @param window most unanswered messages with entries to one follower
+ * @param snapshotEntries number of applied entries after which a snapshot is wanted
+ * @since 0.1
+ */
+public record RaftSettings(
+    List<NodeId> nodes,
+    Duration heartbeat,
+    Duration electionTimeout,
+    int batch,
+    int window,
+    long snapshotEntries) {
+  private static final int LEASE_NUMERATOR = 3;
+  private static final int LEASE_DENOMINATOR = 4;
+
+  /** Makes settings; the list is copied and sorted. */
+  public RaftSettings {
+    nodes = nodes.stream().sorted(NodeId.BY_NAME).toList();
+  }
+
+  /** Settings for members of one region. */
+  public static RaftSettings of(List<NodeId> nodes) {
+    return new RaftSettings(nodes, Duration.ofMillis(100), Duration.ofMillis(1_000), 256, 8, 4_096);
+  }
+
+  /** Returns how long a lease lasts; the rest of the election timeout covers clock rates. */
+  public Duration lease() {
+    return electionTimeout.multipliedBy(LEASE_NUMERATOR).dividedBy(LEASE_DENOMINATOR);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Admission.java
@@ -0,0 +1,141 @@
+package org.cassiastack.consensus.internal;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.cassiastack.consensus.LogEntry;
+import org.cassiastack.consensus.MemberGreeting;
+import org.cassiastack.consensus.MemberId;
+import org.cassiastack.consensus.MemberSet;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.protocol.Send;
+
+/**
+ * Founds the log and admits new members, one change at a time.
+ *
+ * <p>The node with the lowest name founds the log once every node has answered it, in this life,
+ * that its log is empty. A new folder is admitted as a learner; once caught up it takes the place
+ * of the voter that its node was before: first that voter is removed, then the learner votes.
+ */
+final class Admission {
+  private static final long MICROS_PER_SECOND = 1_000_000;
+  private static final long NANOS_PER_MICRO = 1_000;
+
+  private final RaftState state;
+  private final Leadership leadership;
+  private final Map<NodeId, MemberId> emptyNodes = new HashMap<>();
+  private final Map<NodeId, MemberId> greeted = new HashMap<>();
+  private final Map<NodeId, MemberId> wanting = new HashMap<>();
+  private Instant nextGreeting = Instant.MIN;
+
+  Admission(RaftState state, Leadership leadership) {
+    this.state = state;
+    this.leadership = leadership;
+  }
+
+  void tick(Instant now) {
+    if (state.leads()) {
+      changeMembers(now);
+      return;
+    }
+    wanting.clear();
+    if (!state.isVoter() && !state.isLeaderRecent(now) && !now.isBefore(nextGreeting)) {
+      nextGreeting = now.plus(state.settings.electionTimeout());
+      greetAll();
+      found(now);
+    }
+  }
+
+  void greeted(MemberGreeting g, Instant now) {
+    MemberId from = g.from();
+    greeted.put(from.node(), from);
+    if (g.answerTo() == null) {
+      state.emit(greeting(from, from));
+      if (state.leads() && state.settings.nodes().contains(from.node())) {
+        wanting.put(from.node(), from);
+      }
+    } else if (state.self.equals(g.answerTo())) {
+      if (g.empty()) {
+        emptyNodes.put(from.node(), from);
+      } else {
+        emptyNodes.remove(from.node());
+      }
+      found(now);
+    }
+  }
+
+  /**
+   * Tells whether a message comes from a folder that its node has since lost. An empty log cannot
+   * tell that by the term, and would take over entries that were never committed.
+   */
+  boolean isOutdated(MemberId from) {
+    MemberId latest = greeted.get(from.node());
+    return state.log.isEmpty() && latest != null && !latest.equals(from);
+  }
+
+  private void greetAll() {
+    for (NodeId n : state.settings.nodes()) {
+      if (!n.equals(state.self.node())) {
+        state.emit(new Send(n, new MemberGreeting(state.self, state.log.isEmpty(), null)));
+      }
+    }
+  }
+
+  private Effect greeting(MemberId to, MemberId answerTo) {
+    return new Send(to.node(), new MemberGreeting(state.self, state.log.isEmpty(), answerTo));
+  }
+
+  private void found(Instant now) {
+    boolean lowest = state.settings.nodes().get(0).equals(state.self.node());
+    emptyNodes.put(state.self.node(), state.self);
+    if (!lowest || !state.log.isEmpty() || emptyNodes.size() < state.settings.nodes().size()) {
+      return;
+    }
+    // The time as first term: a log that was founded and lost before can hold no such term.
+    long term = Math.max(state.term() + 1, micros(now));
+    state.writeVote(term, null, null);
+    LogEntry first = LogEntry.members(1, term, MemberSet.ofVoters(foundingVoters()));
+    state.log.append(first);
+    state.emit(state.disk.entries(List.of(first)));
+    state.resetElectionDeadline(now);
+  }
+
+  private List<MemberId> foundingVoters() {
+    return state.settings.nodes().stream().map(emptyNodes::get).toList();
+  }
+
+  private static long micros(Instant now) {
+    return now.getEpochSecond() * MICROS_PER_SECOND + now.getNano() / NANOS_PER_MICRO;
+  }
+
+  private void changeMembers(Instant now) {
+    MemberSet members = state.log.members();
+    if (state.log.membersIndex() > state.commit || !state.isReady()) {
+      return;
+    }
+    wanting.values().removeIf(members::contains);
+    MemberId next = wanting.values().stream().findFirst().orElse(null);
+    if (next != null) {
+      wanting.remove(next.node());
+      leadership.changeMembers(members.withLearner(next), now);
+      return;
+    }
+    for (MemberId l : members.learners()) {
+      if (leadership.isCaughtUp(l, now)) {
+        promote(l, members, now);
+        return;
+      }
+    }
+  }
+
+  private void promote(MemberId learner, MemberSet members, Instant now) {
+    MemberId former = members.voterOf(learner.node());
+    if (former == null) {
+      leadership.changeMembers(members.withVoter(learner), now);
+    } else if (!former.equals(state.self)) {
+      leadership.changeMembers(members.withoutVoter(former), now);
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Leadership.java
@@ -0,0 +1,201 @@
+package org.cassiastack.consensus.internal;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Function;
+import org.cassiastack.consensus.AppendReply;
+import org.cassiastack.consensus.AppendRequest;
+import org.cassiastack.consensus.InstallSnapshot;
+import org.cassiastack.consensus.LeaseExtended;
+import org.cassiastack.consensus.LogEntry;
+import org.cassiastack.consensus.MemberId;
+import org.cassiastack.consensus.MemberSet;
+import org.cassiastack.consensus.ProposeCommand;
+import org.cassiastack.consensus.Snapshot;
+
+/** Replicates the log, commits what a quorum has synced, and gives up without a quorum. */
+final class Leadership {
+  private final RaftState state;
+  private final Map<MemberId, Progress> followers = new TreeMap<>(MemberId.ORDER);
+  private Instant electedAt = Instant.MIN;
+  private Instant nextHeartbeat = Instant.MIN;
+  private Instant leaseUntil = Instant.MIN;
+
+  Leadership(RaftState state) {
+    this.state = state;
+  }
+
+  void begin(Instant now) {
+    state.lead();
+    followers.clear();
+    electedAt = now;
+    leaseUntil = Instant.MIN;
+    append(LogEntry.noOp(state.log.lastIndex() + 1, state.term()), now);
+    heartbeat(now);
+  }
+
+  void tick(Instant now) {
+    if (!state.leads()) {
+      return;
+    }
+    if (quorumAnswered(now).plus(state.settings.electionTimeout()).isBefore(now)) {
+      state.follow(state.term(), null, now);
+    } else if (!now.isBefore(nextHeartbeat)) {
+      heartbeat(now);
+      extendLease(now);
+    }
+  }
+
+  void propose(ProposeCommand p, Instant now) {
+    long index = state.log.lastIndex() + 1;
+    append(LogEntry.command(index, state.term(), p.proposal(), p.command()), now);
+  }
+
+  void changeMembers(MemberSet members, Instant now) {
+    append(LogEntry.members(state.log.lastIndex() + 1, state.term(), members), now);
+  }
+
+  void answered(AppendReply r, Instant now) {
+    if (r.term() > state.term()) {
+      state.follow(r.term(), null, now);
+    }
+    Progress p = followers.get(r.from());
+    if (!state.leads() || r.term() != state.term() || p == null) {
+      return;
+    }
+    if (r.success()) {
+      p.succeeded(r.match(), r.sentAt());
+      advance(now);
+      sendEntries(r.from(), p, now);
+    } else if (p.failed(r.match(), r.sentAt())) {
+      sendEntries(r.from(), p, now);
+    }
+    extendLease(now);
+  }
+
+  /** Commits entries of this term that a quorum has synced. */
+  void advance(Instant now) {
+    if (!state.leads()) {
+      return;
+    }
+    long synced = quorumValue(m -> matchOf(m));
+    if (synced > state.commit && state.log.termAt(synced) == state.term()) {
+      state.commitTo(synced);
+      followers.forEach((m, p) -> sendOne(m, p, List.of(), now));
+    }
+  }
+
+  /** Tells whether a member holds all that is committed and has answered lately. */
+  boolean isCaughtUp(MemberId member, Instant now) {
+    Progress p = followers.get(member);
+    return p != null
+        && p.match >= state.commit
+        && p.answered.plus(state.settings.electionTimeout()).isAfter(now);
+  }
+
+  private void append(LogEntry entry, Instant now) {
+    state.log.append(entry);
+    state.emit(state.disk.entries(List.of(entry)));
+    followMembers();
+    followers.forEach((m, p) -> sendEntries(m, p, now));
+  }
+
+  private void followMembers() {
+    List<MemberId> all = state.log.members().all();
+    followers.keySet().retainAll(all);
+    for (MemberId m : all) {
+      if (!m.equals(state.self)) {
+        followers.computeIfAbsent(m, x -> new Progress(state.log.lastIndex()));
+      }
+    }
+  }
+
+  private void heartbeat(Instant now) {
+    nextHeartbeat = now.plus(state.settings.heartbeat());
+    Instant late = now.minus(state.settings.heartbeat().multipliedBy(2));
+    followers.forEach(
+        (m, p) -> {
+          if (p.inFlight > 0 && p.answered.isBefore(late)) {
+            p.resend();
+          }
+          sendOne(m, p, List.of(), now);
+          sendEntries(m, p, now);
+        });
+  }
+
+  private void sendEntries(MemberId to, Progress p, Instant now) {
+    int window = p.probing ? 1 : state.settings.window();
+    while (p.inFlight < window && p.next <= state.log.lastIndex()) {
+      if (p.next <= state.log.baseIndex()) {
+        sendSnapshot(to, p, now);
+        return;
+      }
+      List<LogEntry> entries = state.log.slice(p.next, state.settings.batch());
+      sendOne(to, p, entries, now);
+      p.next += entries.size();
+      p.inFlight++;
+    }
+  }
+
+  private void sendOne(MemberId to, Progress p, List<LogEntry> entries, Instant now) {
+    long prev = Math.max(p.next - 1, state.log.baseIndex());
+    state.send(
+        new AppendRequest(
+            state.self,
+            to,
+            state.term(),
+            now,
+            prev,
+            state.log.termAt(prev),
+            state.commit,
+            entries));
+  }
+
+  private void sendSnapshot(MemberId to, Progress p, Instant now) {
+    Snapshot s = state.log.snapshot();
+    if (s != null && p.snapshotSent.plus(state.settings.electionTimeout()).isBefore(now)) {
+      p.snapshotSent = now;
+      state.send(new InstallSnapshot(state.self, to, state.term(), now, s));
+    }
+  }
+
+  private void extendLease(Instant now) {
+    Instant answered = quorumValue(m -> answeredBy(m, now));
+    if (!state.isReady() || answered.equals(Instant.MIN)) {
+      return;
+    }
+    Instant until = answered.plus(state.settings.lease());
+    if (until.isAfter(leaseUntil)) {
+      leaseUntil = until;
+      state.raise(new LeaseExtended(state.term(), until));
+    }
+  }
+
+  private Instant quorumAnswered(Instant now) {
+    Instant answered = quorumValue(m -> answeredBy(m, now));
+    return answered.isBefore(electedAt) ? electedAt : answered;
+  }
+
+  private Instant answeredBy(MemberId member, Instant now) {
+    Progress p = followers.get(member);
+    return member.equals(state.self) ? now : p == null ? Instant.MIN : p.answered;
+  }
+
+  private long matchOf(MemberId member) {
+    Progress p = followers.get(member);
+    return member.equals(state.self) ? state.disk.durableIndex() : p == null ? 0 : p.match;
+  }
+
+  /** Returns the highest value that a quorum of the voters has reached. */
+  private <T extends Comparable<T>> T quorumValue(Function<MemberId, T> value) {
+    List<T> values = new ArrayList<>();
+    MemberSet members = state.log.members();
+    members.voters().forEach(m -> values.add(value.apply(m)));
+    values.sort(Comparator.reverseOrder());
+    return values.get(members.quorum() - 1);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftMember.java
@@ -0,0 +1,145 @@
+package org.cassiastack.consensus.internal;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.cassiastack.consensus.AppendReply;
+import org.cassiastack.consensus.AppendRequest;
+import org.cassiastack.consensus.InstallSnapshot;
+import org.cassiastack.consensus.LeaderChanged;
+import org.cassiastack.consensus.MemberGreeting;
+import org.cassiastack.consensus.Persisted;
+import org.cassiastack.consensus.ProposalRefused;
+import org.cassiastack.consensus.ProposeCommand;
+import org.cassiastack.consensus.RaftMessage;
+import org.cassiastack.consensus.RaftSettings;
+import org.cassiastack.consensus.RecoveredLog;
+import org.cassiastack.consensus.Snapshot;
+import org.cassiastack.consensus.SnapshotRestored;
+import org.cassiastack.consensus.SnapshotTaken;
+import org.cassiastack.consensus.StorageFailed;
+import org.cassiastack.consensus.VoteReply;
+import org.cassiastack.consensus.VoteRequest;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Raise;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.protocol.Received;
+
+/** Hands each event to the part of the member that it concerns. */
+public final class RaftMember {
+  private final RaftState state;
+  private final Election election;
+  private final Follower follower;
+  private final Leadership leadership;
+  private final Admission admission;
+  private boolean started;
+  private boolean failed;
+
+  private RaftMember(RaftState state) {
+    this.state = state;
+    this.election = new Election(state);
+    this.follower = new Follower(state);
+    this.leadership = new Leadership(state);
+    this.admission = new Admission(state, leadership);
+  }
+
+  /** Makes a member from its settings, the content of its data folder and its random numbers. */
+  public static RaftMember create(
+      RaftSettings settings, RecoveredLog recovered, RandomGenerator random) {
+    return new RaftMember(new RaftState(settings, recovered, random));
+  }
+
+  /** Decides on one event. */
+  public List<Effect> on(Event event, Instant now) {
+    if (failed) {
+      return List.of();
+    }
+    if (event instanceof StorageFailed) {
+      failed = true;
+      return List.of(new Raise(new LeaderChanged(state.term(), null, false)));
+    }
+    if (!started) {
+      start(now);
+    }
+    decide(event, now);
+    election.advance(now);
+    if (election.isWon()) {
+      leadership.begin(now);
+    }
+    return state.drain();
+  }
+
+  private void start(Instant now) {
+    started = true;
+    // A member that was down may have answered a leader whose lease still runs.
+    state.leaderContact = now;
+    state.resetElectionDeadline(now);
+    Snapshot s = state.log.snapshot();
+    if (s != null) {
+      state.raise(new SnapshotRestored(s.index(), s.state()));
+    }
+  }
+
+  private void decide(Event event, Instant now) {
+    if (event instanceof Tick) {
+      tick(now);
+    } else if (event instanceof Received r && r.message() instanceof RaftMessage m) {
+      received(m, now);
+    } else if (event instanceof Received r && r.message() instanceof MemberGreeting g) {
+      admission.greeted(g, now);
+    } else if (event instanceof Persisted p) {
+      state.disk.synced(p.sync()).forEach(state::emit);
+      follower.synced();
+      leadership.advance(now);
+    } else if (event instanceof ProposeCommand p) {
+      propose(p, now);
+    } else if (event instanceof SnapshotTaken s) {
+      compact(s);
+    }
+  }
+
+  private void tick(Instant now) {
+    leadership.tick(now);
+    election.tick(now);
+    admission.tick(now);
+  }
+
+  private void received(RaftMessage m, Instant now) {
+    if (!m.to().equals(state.self) || admission.isOutdated(m.from())) {
+      return;
+    }
+    if (m instanceof AppendRequest r) {
+      follower.append(r, now);
+    } else if (m instanceof AppendReply r) {
+      leadership.answered(r, now);
+    } else if (m instanceof VoteRequest r) {
+      election.asked(r, now);
+    } else if (m instanceof VoteReply r) {
+      election.answered(r, now);
+    } else if (m instanceof InstallSnapshot r) {
+      follower.install(r, now);
+    }
+  }
+
+  private void propose(ProposeCommand p, Instant now) {
+    if (state.leads()) {
+      leadership.propose(p, now);
+    } else {
+      NodeId leader = state.leader() == null ? null : state.leader().node();
+      state.raise(new ProposalRefused(p.proposal(), leader));
+    }
+  }
+
+  private void compact(SnapshotTaken taken) {
+    long index = taken.index();
+    if (index <= state.log.baseIndex() || index > state.commit) {
+      return;
+    }
+    Snapshot s =
+        new Snapshot(index, state.log.termAt(index), state.log.membersAt(index), taken.state());
+    state.log.compact(s);
+    state.emit(state.disk.snapshot(s, false));
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeCluster.java
@@ -0,0 +1,197 @@
+package org.cassiastack.consensus;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.BooleanSupplier;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.jspecify.annotations.Nullable;
+
+/** Members on a fake network in virtual time, watched by {@link Invariants}. */
+final class FakeCluster {
+  static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
+  private static final Duration STEP = Duration.ofMillis(10);
+
+  private final Random random;
+  private final RaftSettings settings;
+  private final Invariants invariants = new Invariants();
+  private final List<FakeMember> members = new ArrayList<>();
+  private final PriorityQueue<Scheduled> queue =
+      new PriorityQueue<>(
+          Comparator.comparing(Scheduled::at).thenComparingLong(Scheduled::sequence));
+  private final Set<String> cut = new HashSet<>();
+  private Duration elapsed = Duration.ZERO;
+  private long sequence;
+  private int dropPercent;
+  private int duplicatePercent;
+  private int jitterMillis = 1;
+
+  private FakeCluster(long seed, List<Double> clockRates) {
+    random = new Random(seed);
+    List<NodeId> nodes = new ArrayList<>();
+    for (int i = 0; i < clockRates.size(); i++) {
+      nodes.add(new NodeId("c" + i));
+    }
+    settings = new RaftSettings(nodes, Duration.ofMillis(100), Duration.ofMillis(500), 3, 2, 10);
+    for (int i = 0; i < nodes.size(); i++) {
+      Random own = new Random(random.nextLong());
+      members.add(new FakeMember(this, nodes.get(i), own, clockRates.get(i)));
+    }
+    members.forEach(FakeMember::start);
+  }
+
+  static FakeCluster ofThree(long seed) {
+    return new FakeCluster(seed, List.of(1.0, 1.0, 1.0));
+  }
+
+  static FakeCluster withClockRates(long seed, List<Double> rates) {
+    return new FakeCluster(seed, rates);
+  }
+
+  /** Makes the network lose, double and delay messages. */
+  void disturb(int drop, int duplicate, int jitter) {
+    dropPercent = drop;
+    duplicatePercent = duplicate;
+    jitterMillis = Math.max(1, jitter);
+  }
+
+  void cutOff(FakeMember member) {
+    members.forEach(m -> cutOneWay(m, member));
+    members.forEach(m -> cutOneWay(member, m));
+  }
+
+  void cutOneWay(FakeMember from, FakeMember to) {
+    cut.add(link(from.node(), to.node()));
+  }
+
+  void healNetwork() {
+    cut.clear();
+    disturb(0, 0, 1);
+  }
+
+  void send(FakeMember from, Send send) {
+    if (send.message() instanceof RaftMessage m) {
+      invariants.sent(m);
+    }
+    FakeMember to = member(send.to());
+    int copies = random.nextInt(100) < duplicatePercent ? 2 : 1;
+    int meantLife = to.life();
+    for (int i = 0; i < copies; i++) {
+      boolean lost =
+          random.nextInt(100) < dropPercent || cut.contains(link(from.node(), to.node()));
+      Duration delay = Duration.ofMillis(1 + random.nextInt(jitterMillis));
+      if (!lost) {
+        after(delay, () -> deliver(from, to, meantLife, send));
+      }
+    }
+  }
+
+  private void deliver(FakeMember from, FakeMember to, int meantLife, Send send) {
+    if (!cut.contains(link(from.node(), to.node()))) {
+      to.on(new Received(from.node(), send.message()), meantLife);
+    }
+  }
+
+  UUID propose(FakeMember at) {
+    UUID proposal = new UUID(random.nextLong(), random.nextLong());
+    at.on(new ProposeCommand(proposal, Payload.ofText(proposal.toString())));
+    return proposal;
+  }
+
+  void after(Duration delay, Runnable action) {
+    sequence++;
+    queue.add(new Scheduled(elapsed.plus(delay), sequence, action));
+  }
+
+  void run(Duration time) {
+    Duration end = elapsed.plus(time);
+    for (Scheduled s = queue.peek(); s != null && s.at.compareTo(end) <= 0; s = queue.peek()) {
+      queue.remove();
+      elapsed = s.at;
+      s.action.run();
+    }
+    elapsed = end;
+  }
+
+  /** Runs until a condition holds; tells whether it came to hold in time. */
+  boolean runUntil(BooleanSupplier condition, Duration most) {
+    Duration end = elapsed.plus(most);
+    while (!condition.getAsBoolean() && elapsed.compareTo(end) < 0) {
+      run(STEP);
+    }
+    return condition.getAsBoolean();
+  }
+
+  /** Returns the leader with the highest term among the members that are up, or null. */
+  @Nullable FakeMember leader() {
+    return members.stream()
+        .filter(m -> m.isUp() && m.view().self())
+        .max(Comparator.comparingLong(m -> m.view().term()))
+        .orElse(null);
+  }
+
+  /** Runs until there is a leader that every member that is up knows. */
+  FakeMember awaitLeader() {
+    runUntil(this::isLeaderKnown, Duration.ofSeconds(30));
+    FakeMember leader = leader();
+    if (leader == null) {
+      throw new AssertionError("no leader within 30 s");
+    }
+    return leader;
+  }
+
+  private boolean isLeaderKnown() {
+    FakeMember leader = leader();
+    return leader != null
+        && members.stream()
+            .filter(FakeMember::isUp)
+            .allMatch(m -> leader.node().equals(m.view().leader()));
+  }
+
+  /** Tells whether the folders of all nodes agree that exactly they vote. */
+  boolean isWhole() {
+    MemberSet whole = MemberSet.ofVoters(members.stream().map(m -> m.disk().self()).toList());
+    return members.stream().allMatch(m -> m.disk().members().equals(whole));
+  }
+
+  FakeMember other(FakeMember... not) {
+    List<FakeMember> excluded = List.of(not);
+    return members.stream().filter(m -> !excluded.contains(m)).findFirst().orElseThrow();
+  }
+
+  FakeMember member(NodeId node) {
+    return members.stream().filter(m -> m.node().equals(node)).findFirst().orElseThrow();
+  }
+
+  List<FakeMember> members() {
+    return members;
+  }
+
+  RaftSettings settings() {
+    return settings;
+  }
+
+  Invariants invariants() {
+    return invariants;
+  }
+
+  Duration elapsed() {
+    return elapsed;
+  }
+
+  private static String link(NodeId from, NodeId to) {
+    return from + ">" + to;
+  }
+
+  private record Scheduled(Duration at, long sequence, Runnable action) {}
+}
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeMember.java
@@ -0,0 +1,207 @@
+package org.cassiastack.consensus;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.Random;
+import java.util.UUID;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Raise;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
+import org.cassiastack.protocol.Send;
+import org.jspecify.annotations.Nullable;
+
+/** A control process in memory: a member, a state machine, a clock and a disk. */
+final class FakeMember {
+  private static final Duration TICK = Duration.ofMillis(20);
+  private static final LeaderChanged NO_LEADER = new LeaderChanged(0, null, false);
+
+  private final FakeCluster cluster;
+  private final NodeId node;
+  private final Random random;
+  private final double clockRate;
+  private final List<UUID> refused = new ArrayList<>();
+  private final List<Event> missed = new ArrayList<>();
+  private FakeDisk disk;
+  private @Nullable RaftController controller;
+  private int life;
+  private boolean frozen;
+  private boolean syncing;
+  private String state = "";
+  private LeaderChanged view = NO_LEADER;
+  private Instant leaseUntil = Instant.MIN;
+
+  FakeMember(FakeCluster cluster, NodeId node, Random random, double clockRate) {
+    this.cluster = cluster;
+    this.node = node;
+    this.random = random;
+    this.clockRate = clockRate;
+    this.disk = newDisk();
+  }
+
+  void start() {
+    if (controller != null) {
+      return;
+    }
+    life++;
+    state = "";
+    view = NO_LEADER;
+    leaseUntil = Instant.MIN;
+    syncing = false;
+    frozen = false;
+    missed.clear();
+    controller =
+        RaftController.create(cluster.settings(), disk.recover(), new Random(random.nextLong()));
+    scheduleTick(life);
+  }
+
+  void crash() {
+    controller = null;
+    disk.crash(random.nextInt(disk.unsyncedWrites() + 1));
+  }
+
+  void loseDisk() {
+    crash();
+    disk = newDisk();
+  }
+
+  void freeze() {
+    frozen = true;
+  }
+
+  void thaw() {
+    frozen = false;
+    List<Event> events = List.copyOf(missed);
+    missed.clear();
+    events.forEach(this::on);
+  }
+
+  /** Hands an event to the member unless it is down; a frozen one gets it once thawed. */
+  void on(Event first) {
+    if (frozen) {
+      missed.add(first);
+      return;
+    }
+    Queue<Event> events = new ArrayDeque<>(List.of(first));
+    for (Event e = events.poll(); e != null && controller != null; e = events.poll()) {
+      stateMachine(e, events);
+      for (Effect f : controller.on(e, localNow())) {
+        carryOut(f, events);
+      }
+    }
+  }
+
+  /** Hands an event to the life that it was meant for. */
+  void on(Event event, int meantLife) {
+    if (life == meantLife) {
+      on(event);
+    }
+  }
+
+  private void carryOut(Effect effect, Queue<Event> events) {
+    if (effect instanceof Raise r) {
+      events.add(r.event());
+    } else if (effect instanceof Send s) {
+      cluster.send(this, s);
+    } else if (effect instanceof Persist p) {
+      disk.write(p);
+      startSync();
+    }
+  }
+
+  private void startSync() {
+    if (syncing) {
+      return;
+    }
+    syncing = true;
+    int started = life;
+    cluster.after(
+        Duration.ofMillis(1 + random.nextInt(8)),
+        () -> {
+          if (life == started && controller != null) {
+            syncing = false;
+            on(new Persisted(disk.sync()), started);
+          }
+        });
+  }
+
+  private void stateMachine(Event event, Queue<Event> events) {
+    if (event instanceof CommandCommitted c) {
+      state = Integer.toHexString((state + c.proposal()).hashCode());
+      cluster.invariants().applied(c.index(), c.proposal(), state);
+      if (view.self()) {
+        cluster.invariants().noOtherLease(this, cluster.members());
+      }
+    } else if (event instanceof SnapshotRestored s) {
+      state = s.state().toText();
+    } else if (event instanceof SnapshotWanted w) {
+      events.add(new SnapshotTaken(w.index(), Payload.ofText(state)));
+    } else if (event instanceof LeaderChanged c) {
+      view = c;
+    } else if (event instanceof LeaseExtended l) {
+      leaseUntil = l.until();
+    } else if (event instanceof ProposalRefused r) {
+      refused.add(r.proposal());
+    }
+  }
+
+  private void scheduleTick(int meantLife) {
+    cluster.after(
+        TICK,
+        () -> {
+          if (life == meantLife && controller != null) {
+            if (!frozen) {
+              on(new Tick());
+            }
+            scheduleTick(meantLife);
+          }
+        });
+  }
+
+  private FakeDisk newDisk() {
+    return new FakeDisk(node, new UUID(random.nextLong(), random.nextLong()));
+  }
+
+  Instant localNow() {
+    long nanos = Math.round(cluster.elapsed().toNanos() * clockRate);
+    return FakeCluster.START.plusNanos(nanos);
+  }
+
+  NodeId node() {
+    return node;
+  }
+
+  FakeDisk disk() {
+    return disk;
+  }
+
+  int life() {
+    return life;
+  }
+
+  boolean isUp() {
+    return controller != null;
+  }
+
+  String state() {
+    return state;
+  }
+
+  LeaderChanged view() {
+    return view;
+  }
+
+  Instant leaseUntil() {
+    return leaseUntil;
+  }
+
+  List<UUID> refused() {
+    return refused;
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/Invariants.java
@@ -0,0 +1,61 @@
+package org.cassiastack.consensus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+
+/** What must hold over all members at all times. */
+final class Invariants {
+  private final Map<Long, MemberId> leaders = new HashMap<>();
+  private final Map<String, LogEntry> entries = new HashMap<>();
+  private final TreeMap<Long, UUID> committed = new TreeMap<>();
+  private final Map<Long, String> states = new HashMap<>();
+
+  void sent(RaftMessage message) {
+    if (message instanceof AppendRequest r) {
+      assertThat(leaders.computeIfAbsent(r.term(), t -> r.from()))
+          .as("one leader in term %s", r.term())
+          .isEqualTo(r.from());
+      r.entries().forEach(this::matches);
+    }
+  }
+
+  void applied(long index, UUID proposal, String state) {
+    assertThat(committed.computeIfAbsent(index, i -> proposal))
+        .as("committed at index %s", index)
+        .isEqualTo(proposal);
+    assertThat(states.computeIfAbsent(index, i -> state))
+        .as("state at index %s", index)
+        .isEqualTo(state);
+  }
+
+  /** A lease keeps every other leader from committing. */
+  void noOtherLease(FakeMember leader, Iterable<FakeMember> members) {
+    for (FakeMember m : members) {
+      Instant local = m.localNow();
+      boolean holds = m.isUp() && m.view().self() && local.isBefore(m.leaseUntil());
+      if (m != leader && holds) {
+        assertThat(m.view().term())
+            .as("lease of %s while %s commits", m.node(), leader.node())
+            .isGreaterThanOrEqualTo(leader.view().term());
+      }
+    }
+  }
+
+  boolean isCommitted(UUID proposal) {
+    return committed.containsValue(proposal);
+  }
+
+  int commands() {
+    return committed.size();
+  }
+
+  private void matches(LogEntry e) {
+    String key = e.index() + "/" + e.term();
+    assertThat(entries.computeIfAbsent(key, k -> e)).as("entry %s", key).isEqualTo(e);
+  }
+}
