--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftClusterTest.java
@@ -0,0 +1,145 @@
+package org.cassiastack.consensus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.UUID;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class RaftClusterTest {
+  private static final Duration LONG = Duration.ofSeconds(20);
+
+  private final FakeCluster cluster = FakeCluster.ofThree(42);
+
+  @BeforeEach
+  void three_empty_folders_found_a_log() {
+    cluster.awaitLeader();
+    assertThat(cluster.runUntil(cluster::isWhole, LONG)).isTrue();
+  }
+
+  @Test
+  void a_leader_that_is_cut_off_silently_steps_down_and_its_proposals_revert_nothing() {
+    FakeMember old = cluster.awaitLeader();
+    UUID before = commit(old);
+    cluster.cutOff(old);
+    UUID lost = cluster.propose(old);
+
+    assertThat(cluster.runUntil(() -> !old.view().self(), LONG)).isTrue();
+    assertThat(cluster.runUntil(() -> hasOtherLeader(old), LONG)).isTrue();
+    UUID after = commit(cluster.leader());
+    cluster.healNetwork();
+    assertThat(cluster.runUntil(() -> allEqual(), LONG)).isTrue();
+
+    assertThat(cluster.invariants().isCommitted(before)).isTrue();
+    assertThat(cluster.invariants().isCommitted(after)).isTrue();
+    assertThat(cluster.invariants().isCommitted(lost)).isFalse();
+  }
+
+  @Test
+  void a_frozen_leader_that_wakes_commits_nothing() {
+    FakeMember old = cluster.awaitLeader();
+    old.freeze();
+    assertThat(cluster.runUntil(() -> hasOtherLeader(old), LONG)).isTrue();
+    commit(cluster.leader());
+    UUID late = cluster.propose(old);
+
+    boolean believed = old.view().self();
+    old.thaw();
+    assertThat(cluster.runUntil(() -> allEqual(), LONG)).isTrue();
+
+    assertThat(believed).isTrue();
+    assertThat(old.localNow()).isAfter(old.leaseUntil());
+    assertThat(cluster.invariants().isCommitted(late)).isFalse();
+  }
+
+  @Test
+  void a_lost_disk_is_replaced_and_then_a_second_member_may_be_lost() {
+    FakeMember leader = cluster.awaitLeader();
+    UUID before = commit(leader);
+    FakeMember replaced = cluster.other(leader);
+    replaced.loseDisk();
+    replaced.start();
+
+    assertThat(cluster.runUntil(cluster::isWhole, LONG)).isTrue();
+    cluster.awaitLeader().crash();
+    FakeMember next = cluster.awaitLeader();
+    UUID after = commit(next);
+
+    assertThat(cluster.invariants().isCommitted(before)).isTrue();
+    assertThat(cluster.invariants().isCommitted(after)).isTrue();
+    assertThat(next.state()).isNotEmpty();
+  }
+
+  @Test
+  void a_lost_disk_does_not_vote_before_it_is_admitted() {
+    FakeMember leader = cluster.awaitLeader();
+    FakeMember emptied = cluster.other(leader);
+    FakeMember third = cluster.other(leader, emptied);
+    commit(leader);
+    emptied.loseDisk();
+    leader.crash();
+    emptied.start();
+
+    boolean elected = cluster.runUntil(() -> third.view().self(), LONG);
+
+    assertThat(elected).isFalse();
+    assertThat(emptied.view().self()).isFalse();
+  }
+
+  @Test
+  void a_member_that_rejoins_does_not_disturb_the_leader() {
+    FakeMember leader = cluster.awaitLeader();
+    FakeMember away = cluster.other(leader);
+    long term = leader.view().term();
+    cluster.cutOff(away);
+    cluster.run(LONG);
+
+    cluster.healNetwork();
+    cluster.run(LONG);
+
+    assertThat(leader.view().self()).isTrue();
+    assertThat(leader.view().term()).isEqualTo(term);
+    assertThat(away.view()).isEqualTo(new LeaderChanged(term, leader.node(), false));
+  }
+
+  @Test
+  void a_proposal_to_a_follower_is_refused_with_the_leader() {
+    FakeMember leader = cluster.awaitLeader();
+    FakeMember follower = cluster.other(leader);
+
+    UUID proposal = cluster.propose(follower);
+
+    assertThat(follower.refused()).containsExactly(proposal);
+    assertThat(follower.view().leader()).isEqualTo(leader.node());
+  }
+
+  @Test
+  void a_member_that_missed_hundreds_of_entries_catches_up_by_snapshot() {
+    FakeMember leader = cluster.awaitLeader();
+    FakeMember away = cluster.other(leader);
+    away.crash();
+    for (int i = 0; i < 300; i++) {
+      commit(leader);
+    }
+
+    away.start();
+
+    assertThat(cluster.runUntil(() -> allEqual(), LONG)).isTrue();
+    assertThat(away.disk().recover().snapshot()).isNotNull();
+  }
+
+  private UUID commit(FakeMember leader) {
+    UUID proposal = cluster.propose(leader);
+    assertThat(cluster.runUntil(() -> cluster.invariants().isCommitted(proposal), LONG)).isTrue();
+    return proposal;
+  }
+
+  private boolean hasOtherLeader(FakeMember than) {
+    return cluster.members().stream().anyMatch(m -> m != than && m.view().self());
+  }
+
+  private boolean allEqual() {
+    return cluster.members().stream().map(FakeMember::state).distinct().count() == 1;
+  }
+}
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
@@ -2,6 +2,12 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import org.cassiastack.consensus.AppendReply;
+import org.cassiastack.consensus.AppendRequest;
+import org.cassiastack.consensus.InstallSnapshot;
+import org.cassiastack.consensus.MemberGreeting;
+import org.cassiastack.consensus.VoteReply;
+import org.cassiastack.consensus.VoteRequest;
 import org.cassiastack.protocol.Announce;
 import org.cassiastack.protocol.CancelTasks;
 import org.cassiastack.protocol.Dispatch;
@@ -33,7 +39,19 @@
   /** Agent to coordinator. */
   TASK_NOT_STARTED(22, TaskNotStarted.class),
   /** Coordinator to agent. */
-  CANCEL_TASKS(23, CancelTasks.class);
+  CANCEL_TASKS(23, CancelTasks.class),
+  /** Candidate to control member. */
+  VOTE_REQUEST(40, VoteRequest.class),
+  /** Control member to candidate. */
+  VOTE_REPLY(41, VoteReply.class),
+  /** Leader to control member. */
+  APPEND_REQUEST(42, AppendRequest.class),
+  /** Control member to leader. */
+  APPEND_REPLY(43, AppendReply.class),
+  /** Leader to control member. */
+  INSTALL_SNAPSHOT(44, InstallSnapshot.class),
+  /** Between control members. */
+  MEMBER_GREETING(45, MemberGreeting.class);
 
   private static final Map<Class<?>, MessageType> BY_TYPE = new HashMap<>();
 
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -7,7 +7,18 @@
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
+import java.util.UUID;
 import java.util.stream.Stream;
+import org.cassiastack.consensus.AppendReply;
+import org.cassiastack.consensus.AppendRequest;
+import org.cassiastack.consensus.InstallSnapshot;
+import org.cassiastack.consensus.LogEntry;
+import org.cassiastack.consensus.MemberGreeting;
+import org.cassiastack.consensus.MemberId;
+import org.cassiastack.consensus.MemberSet;
+import org.cassiastack.consensus.Snapshot;
+import org.cassiastack.consensus.VoteReply;
+import org.cassiastack.consensus.VoteRequest;
 import org.cassiastack.model.Customer;
 import org.cassiastack.model.Epoch;
 import org.cassiastack.model.FailureDomain;
@@ -40,6 +51,9 @@
   private static final TaskId TASK =
       new TaskId(new JobId(new Customer("ayaz"), JobKey.of(ISSUED, 1, 2)), 7);
   private static final Epoch EPOCH = new Epoch(3);
+  private static final MemberId FIRST = new MemberId(new NodeId("c1"), new UUID(1, 1));
+  private static final MemberId SECOND = new MemberId(new NodeId("c2"), new UUID(-1, -2));
+  private static final MemberSet MEMBERS = new MemberSet(List.of(FIRST), List.of(SECOND));
   private static final Incarnation INCARNATION = new Incarnation(1_700_000_000_000_000L);
 
   private final MessageCodec codec = MessageCodec.create();
@@ -56,7 +70,21 @@
         new Dispatch(TASK, EPOCH, INCARNATION, new MinionId("m1"), payload, Duration.ofMillis(250)),
         new TaskEnded(TASK, EPOCH, ResultCode.COMPLETE, payload),
         new TaskNotStarted(TASK, EPOCH, ResultCode.NO_MINION),
-        new CancelTasks(List.of(TASK), EPOCH));
+        new CancelTasks(List.of(TASK), EPOCH),
+        new VoteRequest(FIRST, SECOND, 5, 7, 4, true),
+        new VoteReply(SECOND, FIRST, 5, true, false),
+        new AppendRequest(FIRST, SECOND, 5, ISSUED, 7, 4, 6, entries(payload)),
+        new AppendReply(SECOND, FIRST, 5, ISSUED, true, 10),
+        new InstallSnapshot(FIRST, SECOND, 5, ISSUED, new Snapshot(7, 4, MEMBERS, payload)),
+        new MemberGreeting(FIRST, true, null),
+        new MemberGreeting(SECOND, false, FIRST));
+  }
+
+  private static List<LogEntry> entries(Payload payload) {
+    return List.of(
+        LogEntry.noOp(8, 5),
+        LogEntry.command(9, 5, new UUID(1, 2), payload),
+        LogEntry.members(10, 5, MEMBERS));
   }
 
   @ParameterizedTest
@@ -67,7 +95,7 @@
 
   @Test
   void has_a_test_message_for_each_type() {
-    assertThat(messages().map(Object::getClass))
+    assertThat(messages().map(Object::getClass).distinct())
         .containsExactlyInAnyOrderElementsOf(
             Stream.of(MessageType.values()).<Class<?>>map(MessageType::type).toList());
   }
