--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/quickstart/LocalSystem.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/quickstart/LocalSystem.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.cassiastack.bench.minion.Loopback;
 import org.cassiastack.bench.minion.StandInMinion;
 import org.cassiastack.bench.minion.TaskBehavior;
@@ -118,7 +119,14 @@
       Path folder = Files.createTempDirectory("cassiastack");
       Files.writeString(folder.resolve("all.ini"), CONFIGURATION);
       return new EntrySettings(
-          new NodeId("entry-1"), anyPort(), anyPort(), anyPort(), folder, RETENTION, LEASE);
+          new NodeId("entry-1"),
+          anyPort(),
+          anyPort(),
+          anyPort(),
+          folder,
+          RETENTION,
+          LEASE,
+          Map.of());
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationCodec.java
@@ -0,0 +1,23 @@
+package org.cassiastack.configuration;
+
+import org.cassiastack.model.Payload;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Encodes what the replicated log and its snapshots hold of configurations.
+ *
+ * @since 0.1
+ */
+public interface ConfigurationCodec {
+  /** Encodes a command. */
+  Payload encode(ConfigurationCommand command);
+
+  /** Decodes a command, or returns null when the bytes are the command of another controller. */
+  @Nullable ConfigurationCommand decodeCommand(Payload bytes);
+
+  /** Encodes a state. */
+  Payload encode(ConfigurationState state);
+
+  /** Decodes a state. */
+  ConfigurationState decodeState(Payload bytes);
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationController.java
@@ -0,0 +1,124 @@
+package org.cassiastack.configuration;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import org.cassiastack.consensus.CommandCommitted;
+import org.cassiastack.consensus.LeaderChanged;
+import org.cassiastack.consensus.ProposalRefused;
+import org.cassiastack.consensus.ProposeCommand;
+import org.cassiastack.consensus.SnapshotRestored;
+import org.cassiastack.consensus.SnapshotTaken;
+import org.cassiastack.consensus.SnapshotWanted;
+import org.cassiastack.controller.Controller;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Raise;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.Revision;
+
+/**
+ * Takes operators' changes through the replicated log of the control members.
+ *
+ * <ol>
+ *   <li>A request becomes a proposal; it is decided once the log has committed it.
+ *   <li>A member that does not lead answers {@link ResultCode#NO_LEADER}: nothing was proposed.
+ *   <li>A member that loses the lead, or waits too long, answers {@link
+ *       ResultCode#CHANGE_UNRESOLVED}: asking again with the same change id tells.
+ *   <li>Each accepted change raises {@link ConfigurationChanged}.
+ * </ol>
+ *
+ * @since 0.1
+ */
+public final class ConfigurationController implements Controller {
+  /** Longest wait for the log to commit a proposal. */
+  public static final Duration COMMIT_TIMEOUT = Duration.ofSeconds(5);
+
+  private final ConfigurationCodec codec;
+  private final ConfigurationStore store;
+  private final Map<UUID, Instant> waiting = new LinkedHashMap<>();
+
+  private ConfigurationController(ConfigurationCodec codec, ConfigurationStore store) {
+    this.codec = codec;
+    this.store = store;
+  }
+
+  /** Makes a controller with nothing in force. */
+  public static ConfigurationController create(ConfigurationCodec codec) {
+    return new ConfigurationController(codec, ConfigurationStore.create());
+  }
+
+  @Override
+  public List<Effect> on(Event event, Instant now) {
+    if (event instanceof ApplyRequested r) {
+      return propose(r, now);
+    }
+    if (event instanceof CommandCommitted c) {
+      return committed(c);
+    }
+    if (event instanceof ProposalRefused r) {
+      return answer(r.proposal(), ResultCode.NO_LEADER);
+    }
+    if (event instanceof LeaderChanged l && !l.self()) {
+      return unresolved(Instant.MAX);
+    }
+    if (event instanceof SnapshotWanted w) {
+      return List.of(new Raise(new SnapshotTaken(w.index(), codec.encode(store.state()))));
+    }
+    if (event instanceof SnapshotRestored r) {
+      return restored(r);
+    }
+    return event instanceof Tick ? unresolved(now) : List.of();
+  }
+
+  private List<Effect> propose(ApplyRequested r, Instant now) {
+    waiting.put(r.request(), now.plus(COMMIT_TIMEOUT));
+    ConfigurationCommand command = new ConfigurationCommand(r.change(), r.base(), r.content());
+    return List.of(new Raise(new ProposeCommand(r.request(), codec.encode(command))));
+  }
+
+  private List<Effect> committed(CommandCommitted c) {
+    ConfigurationCommand command = codec.decodeCommand(c.command());
+    if (command == null) {
+      return List.of();
+    }
+    Revision before = store.inForce().revision();
+    ApplyResult result = store.apply(command);
+    List<Effect> effects = new ArrayList<>();
+    if (before.isBefore(store.inForce().revision())) {
+      effects.add(new Raise(new ConfigurationChanged(store.inForce())));
+    }
+    if (waiting.remove(c.proposal()) != null) {
+      effects.add(new Raise(new ApplyAnswered(c.proposal(), result)));
+    }
+    return effects;
+  }
+
+  private List<Effect> restored(SnapshotRestored r) {
+    store.restore(codec.decodeState(r.state()));
+    return List.of(new Raise(new ConfigurationChanged(store.inForce())));
+  }
+
+  private List<Effect> unresolved(Instant until) {
+    List<Effect> effects = new ArrayList<>();
+    for (Map.Entry<UUID, Instant> e : List.copyOf(waiting.entrySet())) {
+      if (!e.getValue().isAfter(until)) {
+        effects.addAll(answer(e.getKey(), ResultCode.CHANGE_UNRESOLVED));
+      }
+    }
+    return effects;
+  }
+
+  private List<Effect> answer(UUID request, ResultCode code) {
+    if (waiting.remove(request) == null) {
+      return List.of();
+    }
+    ApplyResult result = new ApplyResult(code, store.inForce().revision());
+    return List.of(new Raise(new ApplyAnswered(request, result)));
+  }
+}
--- a/cassiastack-core/src/main/java/org/cassiastack/guard/StartGuard.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/guard/StartGuard.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.cassiastack.configuration.StartsAllowed;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
@@ -14,6 +15,7 @@
 import org.cassiastack.guard.internal.GuardedTasks;
 import org.cassiastack.guard.internal.MinionSlots;
 import org.cassiastack.membership.LeaveRequested;
+import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.Minion;
 import org.cassiastack.model.MinionId;
@@ -34,6 +36,8 @@
  *   <li>A first dispatch is queued and starts when its minion has a free slot.
  *   <li>The same dispatch again attaches to the running task or repeats what is known of it.
  *   <li>A withdrawn task that has not started becomes a tombstone: the proof that it never will.
+ *   <li>Right before each start it asks whether the configuration in force allows it and is fresh
+ *       enough; a task that may not start becomes a tombstone, queued ones too.
  *   <li>A task is remembered until its retention has passed; while there is no room to remember one
  *       more, new tasks are refused.
  * </ol>
@@ -43,12 +47,15 @@
 public final class StartGuard implements Controller {
   private final Incarnation incarnation;
   private final Map<MinionId, MinionSlots> minions = new HashMap<>();
+  private final Map<MinionId, FailureDomain> domains = new HashMap<>();
   private final GuardedTasks tasks;
+  private StartsAllowed allowed = StartsAllowed.NONE;
   private boolean leaving;
 
   private StartGuard(Incarnation incarnation, List<Minion> minions, GuardedTasks tasks) {
     this.incarnation = incarnation;
     minions.forEach(m -> this.minions.put(m.id(), new MinionSlots(m.slots())));
+    minions.forEach(m -> domains.put(m.id(), m.failureDomain()));
     this.tasks = tasks;
   }
 
@@ -74,10 +81,14 @@
       c.tasks().forEach(t -> withdrawn(r.from(), t, c, now, effects));
     } else if (event instanceof TaskStopped s) {
       stopped(s, now, effects);
+    } else if (event instanceof StartsAllowed a) {
+      allowed = a;
+      entombForbidden(now, effects);
     } else if (event instanceof LeaveRequested) {
       leaving = true;
     } else if (event instanceof Tick) {
       tasks.expire(now);
+      entombForbidden(now, effects);
       // Told at a tick, not at the last task, so that its report has left before.
       if (leaving && active() == 0) {
         effects.add(new GuardDrained());
@@ -106,6 +117,12 @@
     }
     GuardedTask t = GuardedTask.queued(d, from, now.plus(d.timeout()));
     tasks.add(t);
+    ResultCode forbidden = forbidden(d.minion(), now);
+    if (forbidden != null) {
+      // A tombstone, since this dispatch may come again once starts are allowed here.
+      entomb(t, forbidden, now, effects);
+      return;
+    }
     slots.enqueue(t);
     startNext(slots, now, effects);
   }
@@ -154,15 +171,43 @@
 
   private void startNext(MinionSlots slots, Instant now, List<Effect> effects) {
     for (GuardedTask t = slots.next(); t != null; t = slots.next()) {
-      if (now.isBefore(t.startBefore())) {
+      ResultCode refusal = startRefusal(t, now);
+      if (refusal == null) {
         slots.occupy();
         t.start();
         effects.add(new StartTask(t.dispatch()));
       } else {
-        t.entomb(ResultCode.DEADLINE_NOT_RUN);
-        tasks.ended(t, now);
-        effects.addAll(t.report());
+        entomb(t, refusal, now, effects);
       }
     }
   }
+
+  private @Nullable ResultCode startRefusal(GuardedTask t, Instant now) {
+    if (!now.isBefore(t.startBefore())) {
+      return ResultCode.DEADLINE_NOT_RUN;
+    }
+    return forbidden(t.dispatch().minion(), now);
+  }
+
+  private @Nullable ResultCode forbidden(MinionId minion, Instant now) {
+    FailureDomain domain = domains.get(minion);
+    return domain == null ? ResultCode.NO_MINION : allowed.refusal(domain, now);
+  }
+
+  /** Gives back what waits at a minion that may start nothing, so that it can run elsewhere. */
+  private void entombForbidden(Instant now, List<Effect> effects) {
+    minions.forEach(
+        (id, slots) -> {
+          ResultCode reason = forbidden(id, now);
+          if (reason != null) {
+            slots.removeWaiting().forEach(t -> entomb(t, reason, now, effects));
+          }
+        });
+  }
+
+  private void entomb(GuardedTask t, ResultCode reason, Instant now, List<Effect> effects) {
+    t.entomb(reason);
+    tasks.ended(t, now);
+    effects.addAll(t.report());
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/guard/internal/MinionSlots.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/guard/internal/MinionSlots.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /** Slots of one minion and the tasks that wait for one. */
@@ -25,6 +26,13 @@
     waiting.remove(task);
   }
 
+  /** Removes every waiting task and returns them in order. */
+  public List<GuardedTask> removeWaiting() {
+    List<GuardedTask> all = List.copyOf(waiting);
+    waiting.clear();
+    return all;
+  }
+
   /** Takes the next task, or returns null while no slot is free or no task waits. */
   public @Nullable GuardedTask next() {
     return running < slots ? waiting.pollFirst() : null;
--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import org.cassiastack.configuration.Configuration;
 import org.cassiastack.configuration.ConfigurationChanged;
+import org.cassiastack.configuration.StartsAllowed;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
@@ -71,6 +72,8 @@
   private final MinionLoads loads = new MinionLoads();
   private final RetainedAnswers retained;
   private Configuration configuration = Configuration.EMPTY;
+  // Before the first renewal there is no configuration, so no service is known either.
+  private Instant freshUntil = Instant.MAX;
   private Map<NodeId, Incarnation> agents = new HashMap<>();
 
   private JobCoordinator(Epoch epoch, MinionPicker picker, Duration retention) {
@@ -109,6 +112,8 @@
       minionsChanged(m, now, effects);
     } else if (event instanceof ConfigurationChanged c) {
       configuration = c.configuration();
+    } else if (event instanceof StartsAllowed a) {
+      freshUntil = a.until();
     } else if (event instanceof Tick) {
       tick(now, effects);
     } else {
@@ -151,6 +156,9 @@
     if (job.key().issuedAt().isBefore(now.minus(retained.retention()))) {
       return Refusals.keyExpired(job.key(), retained.retention());
     }
+    if (!now.isBefore(freshUntil)) {
+      return Refusals.stale();
+    }
     return loads.serves(job.service(), configuration) ? null : Refusals.noMinion(job.service());
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/membership/AnnouncementController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/membership/AnnouncementController.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import org.cassiastack.configuration.StartsAllowed;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
@@ -20,7 +21,7 @@
 
 /**
  * Announces an agent and its minions to every connected entry, at once on connecting and then at
- * each heartbeat.
+ * each heartbeat. It begins once the agent may start work, so that no work comes too early.
  *
  * @since 0.1
  */
@@ -33,6 +34,7 @@
   private Instant nextHeartbeat = Instant.MIN;
   private long serial;
   private boolean leaving;
+  private boolean ready;
 
   private AnnouncementController(
       NodeId self, Incarnation incarnation, List<Minion> minions, Duration interval) {
@@ -59,17 +61,21 @@
   public List<Effect> on(Event event, Instant now) {
     if (event instanceof PeerConnected c) {
       entries.add(c.peer());
-      return List.of(new Send(c.peer(), announcement()));
+      return ready ? List.of(new Send(c.peer(), announcement())) : List.of();
     }
     if (event instanceof PeerDisconnected d) {
       entries.remove(d.peer());
       return List.of();
     }
+    if (event instanceof StartsAllowed a && !ready && !a.isStale(now)) {
+      ready = true;
+      return announceToAll(now);
+    }
     if (event instanceof LeaveRequested) {
       leaving = true;
       return announceToAll(now);
     }
-    if (event instanceof Tick && !now.isBefore(nextHeartbeat)) {
+    if (event instanceof Tick && ready && !now.isBefore(nextHeartbeat)) {
       return announceToAll(now);
     }
     return List.of();
--- a/cassiastack-core/src/main/java/org/cassiastack/model/Refusals.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/Refusals.java
@@ -77,6 +77,41 @@
             .formatted(service));
   }
 
+  /** A process that has not heard of the configuration in force for too long. */
+  public static Refusal stale() {
+    return new Refusal(
+        ResultCode.STALE,
+        "This entry has lost touch with the control members, so it starts nothing. Nothing was "
+            + "run. Send the request to another entry.");
+  }
+
+  /** An operators' change that changed nothing, as far as is known. */
+  public static Refusal notApplied(ResultCode code, Revision inForce) {
+    String words =
+        switch (code) {
+          case STALE_BASE ->
+              "The change was based on another revision than the one in force, which was %s. "
+                  + "Nothing changed. Look at what is in force, then apply with a new change id.";
+          case CHANGE_ID_REUSED ->
+              "The change id was used for another change. Nothing changed; revision %s is in "
+                  + "force. Use a new change id for each change.";
+          case NO_LEADER ->
+              "No control member leads at present. Nothing changed; revision %s is in force here. "
+                  + "Send the same change again with the same change id.";
+          default ->
+              "Whether the change was accepted is not known; revision %s was in force before. "
+                  + "Send it again with the same change id, which tells.";
+        };
+    return new Refusal(code, words.formatted(inForce));
+  }
+
+  /** A revision that is not kept here. */
+  public static Refusal unknownRevision(Revision revision) {
+    return new Refusal(
+        ResultCode.UNKNOWN_REVISION,
+        "Revision %s is not kept here. Ask another entry, or for a newer one.".formatted(revision));
+  }
+
   /** A process that is about to stop. */
   public static Refusal stopping() {
     return new Refusal(
--- a/cassiastack-core/src/main/java/org/cassiastack/model/ResultCode.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/ResultCode.java
@@ -91,7 +91,9 @@
   /** A setting of the process is missing or wrong. */
   INVALID_SETTINGS(505),
   /** The operators' token is missing or wrong. */
-  UNAUTHORIZED(506);
+  UNAUTHORIZED(506),
+  /** The revision is not kept here. */
+  UNKNOWN_REVISION(507);
 
   private static final int CLASS_SIZE = 100;
 
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/spread/FreshnessController.java
@@ -0,0 +1,190 @@
+package org.cassiastack.spread;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.configuration.ConfigurationChanged;
+import org.cassiastack.configuration.ConfigurationDelta;
+import org.cassiastack.configuration.StartsAllowed;
+import org.cassiastack.consensus.LeaderChanged;
+import org.cassiastack.controller.Controller;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Raise;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Revision;
+import org.cassiastack.protocol.PeerConnected;
+import org.cassiastack.protocol.PeerDisconnected;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.spread.internal.RetainedDeltas;
+
+/**
+ * Keeps the configuration of a process in force and knows how old it is.
+ *
+ * <ol>
+ *   <li>It asks its sources at each interval. What it hears is as old as the moment it asked, by
+ *       its own clock, and the age that the source gives; so no clocks need to agree.
+ *   <li>It answers those that ask it, adding its own age, and sends each newer revision on to them
+ *       at once: deltas, or a snapshot for whoever is further behind.
+ *   <li>The control member that leads is its own source; its configuration has age zero.
+ *   <li>{@link StartsAllowed} goes out at each renewal and lapses by itself.
+ * </ol>
+ *
+ * @since 0.1
+ */
+public final class FreshnessController implements Controller {
+  /** Largest number of deltas that are kept for others. */
+  public static final int MAX_DELTAS = 256;
+
+  private final Predicate<NodeId> isSource;
+  private final Duration interval;
+  private final Duration limit;
+  private final Set<NodeId> sources = new LinkedHashSet<>();
+  private final Map<NodeId, Revision> askers = new HashMap<>();
+  private final TreeMap<Long, Instant> asked = new TreeMap<>();
+  private final RetainedDeltas deltas = new RetainedDeltas(MAX_DELTAS);
+  private Configuration held = Configuration.EMPTY;
+  private Instant freshAt = Instant.MIN;
+  private Instant nextAsk = Instant.MIN;
+  private long serial;
+  private boolean leads;
+
+  private FreshnessController(Predicate<NodeId> isSource, Duration interval, Duration limit) {
+    this.isSource = isSource;
+    this.interval = interval;
+    this.limit = limit;
+  }
+
+  /**
+   * Makes a controller that holds nothing yet.
+   *
+   * @param isSource tells which peers are asked
+   * @param interval time between questions
+   * @param limit age beyond which nothing may start
+   */
+  public static FreshnessController create(
+      Predicate<NodeId> isSource, Duration interval, Duration limit) {
+    return new FreshnessController(isSource, interval, limit);
+  }
+
+  @Override
+  public List<Effect> on(Event event, Instant now) {
+    List<Effect> effects = new ArrayList<>();
+    if (event instanceof Received r) {
+      received(r, now, effects);
+    } else if (event instanceof ConfigurationChanged c) {
+      adopt(c.configuration(), effects);
+    } else if (event instanceof LeaderChanged l) {
+      leads = l.self();
+      renewAsLeader(now, effects);
+    } else if (event instanceof PeerConnected c && isSource.test(c.peer())) {
+      sources.add(c.peer());
+      ask(now, effects);
+    } else if (event instanceof PeerDisconnected d) {
+      sources.remove(d.peer());
+      askers.remove(d.peer());
+    } else if (event instanceof Tick && !now.isBefore(nextAsk)) {
+      ask(now, effects);
+      renewAsLeader(now, effects);
+    }
+    return effects;
+  }
+
+  private void received(Received r, Instant now, List<Effect> effects) {
+    if (r.message() instanceof AskConfiguration m) {
+      answer(r.from(), m, now, effects);
+    } else if (r.message() instanceof ConfigurationUpdate m) {
+      effects.addAll(updated(m));
+    } else if (r.message() instanceof ConfigurationAge m) {
+      heard(m, effects);
+    }
+  }
+
+  private void ask(Instant now, List<Effect> effects) {
+    nextAsk = now.plus(interval);
+    serial++;
+    asked.put(serial, now);
+    // An answer to an older question could not make anything fresh any more.
+    asked.values().removeIf(at -> !at.plus(limit).isAfter(now));
+    sources.forEach(s -> effects.add(new Send(s, new AskConfiguration(serial, held.revision()))));
+  }
+
+  private void answer(NodeId from, AskConfiguration m, Instant now, List<Effect> effects) {
+    askers.put(from, m.held());
+    if (m.held().isBefore(held.revision())) {
+      update(from, effects);
+    }
+    Instant at = leads ? now : freshAt;
+    if (at.isAfter(now.minus(limit))) {
+      Duration age = Duration.between(at, now);
+      effects.add(new Send(from, new ConfigurationAge(m.serial(), held.revision(), age)));
+    }
+  }
+
+  private void heard(ConfigurationAge m, List<Effect> effects) {
+    Instant at = asked.get(m.serial());
+    // A newer revision than the one held is still on its way, so the age is not that of ours.
+    if (at == null || held.revision().isBefore(m.revision())) {
+      return;
+    }
+    renew(at.minus(m.age()), effects);
+  }
+
+  private void renewAsLeader(Instant now, List<Effect> effects) {
+    if (leads) {
+      renew(now, effects);
+    }
+  }
+
+  private void renew(Instant at, List<Effect> effects) {
+    if (at.isAfter(freshAt)) {
+      freshAt = at;
+      publish(effects);
+    }
+  }
+
+  private void publish(List<Effect> effects) {
+    Instant until = freshAt.equals(Instant.MIN) ? freshAt : freshAt.plus(limit);
+    effects.add(new StartsAllowed(until, held));
+  }
+
+  private List<Effect> updated(ConfigurationUpdate m) {
+    Configuration c = held;
+    for (ConfigurationDelta d : m.deltas()) {
+      if (d.isSnapshot() || d.from().equals(c.revision())) {
+        c = d.applyTo(c);
+      }
+    }
+    boolean newer = held.revision().isBefore(c.revision());
+    return newer ? List.of(new Raise(new ConfigurationChanged(c))) : List.of();
+  }
+
+  /** Takes over a newer revision; an older one never replaces it. */
+  private void adopt(Configuration c, List<Effect> effects) {
+    if (!held.revision().isBefore(c.revision())) {
+      return;
+    }
+    deltas.add(held, c);
+    held = c;
+    effects.add(new ConfigurationChanged(c));
+    // Traffic learns of it at once; the age of what it may start under has not changed.
+    publish(effects);
+    askers.keySet().forEach(a -> update(a, effects));
+  }
+
+  private void update(NodeId asker, List<Effect> effects) {
+    Revision has = askers.getOrDefault(asker, Revision.NONE);
+    effects.add(new Send(asker, new ConfigurationUpdate(deltas.since(has, held))));
+    askers.put(asker, held.revision());
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/spread/internal/package-info.java
@@ -0,0 +1,5 @@
+/** State behind the spread of configurations. */
+@NullMarked
+package org.cassiastack.spread.internal;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/spread/package-info.java
@@ -0,0 +1,5 @@
+/** Spread of configurations from the control members to every process, and their freshness. */
+@NullMarked
+package org.cassiastack.spread;
+
+import org.jspecify.annotations.NullMarked;
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/Agent.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/Agent.java
@@ -6,6 +6,9 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.configuration.ConfigurationChanged;
+import org.cassiastack.configuration.StartsAllowed;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.ControllerLoop;
 import org.cassiastack.controller.Effect;
@@ -32,6 +35,10 @@
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
+import org.cassiastack.protocol.Welcome;
+import org.cassiastack.spread.ConfigurationAge;
+import org.cassiastack.spread.ConfigurationUpdate;
+import org.cassiastack.spread.FreshnessController;
 import org.cassiastack.transport.codec.MessageCodec;
 import org.cassiastack.transport.http.MinionClient;
 import org.cassiastack.transport.peer.PeerListener;
@@ -56,6 +63,8 @@
  */
 public final class Agent {
   private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration ASK_INTERVAL = Duration.ofMillis(500);
+  private static final Duration FRESHNESS_LIMIT = Duration.ofSeconds(3);
   private static final Duration HEARTBEAT = Duration.ofSeconds(1);
 
   private final NodeId self;
@@ -65,6 +74,7 @@
   private final ControllerLoop traffic;
   private final StartGuard guard;
   private final Map<MinionId, MinionClient> clients = new HashMap<>();
+  private volatile Configuration configuration = Configuration.EMPTY;
   private final CountDownLatch drained = new CountDownLatch(1);
 
   private Agent(AgentSettings settings, TimeSource time) {
@@ -78,8 +88,13 @@
       clients.put(m.minion().id(), MinionClient.create(m.url(), m.minion().connections()));
     }
     guard = StartGuard.create(incarnation, minions, settings.retention(), settings.capacity());
-    control = loop("control", AnnouncementController.create(self, incarnation, minions, HEARTBEAT));
-    traffic = loop("guard", guard);
+    control =
+        loop(
+            "control",
+            List.of(
+                AnnouncementController.create(self, incarnation, minions, HEARTBEAT),
+                FreshnessController.create(peer -> true, ASK_INTERVAL, FRESHNESS_LIMIT)));
+    traffic = loop("guard", List.of(guard));
     settings.entries().forEach(network::dial);
   }
 
@@ -122,10 +137,15 @@
     traffic.close();
   }
 
-  private ControllerLoop loop(String name, Controller controller) {
+  /** Returns the configuration that is in force here. */
+  public Configuration configuration() {
+    return configuration;
+  }
+
+  private ControllerLoop loop(String name, List<Controller> controllers) {
     return ControllerLoop.start(
         name,
-        List.of(controller),
+        controllers,
         this::carryOut,
         time,
         e -> Logger.error(e, "event=controller_failed loop={}", name));
@@ -136,11 +156,23 @@
       network.send(s.to(), s.message());
     } else if (effect instanceof StartTask s) {
       runTask(s.dispatch());
+    } else if (effect instanceof StartsAllowed a) {
+      // To the guard first, so that it is ready before the agent announces itself.
+      traffic.post(a);
+      control.post(a);
+    } else if (effect instanceof ConfigurationChanged c) {
+      configuration = c.configuration();
     } else if (effect instanceof GuardDrained) {
       drained.countDown();
     }
   }
 
+  private static boolean isForControl(Message m) {
+    return m instanceof ConfigurationAge
+        || m instanceof ConfigurationUpdate
+        || m instanceof Welcome;
+  }
+
   private void runTask(Dispatch d) {
     MinionClient client = clients.get(d.minion());
     if (client == null) {
@@ -167,7 +199,8 @@
 
     @Override
     public void received(NodeId peer, Message message) {
-      traffic.post(new Received(peer, message));
+      ControllerLoop loop = isForControl(message) ? control : traffic;
+      loop.post(new Received(peer, message));
     }
   }
 }
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/command/DomainChange.java
@@ -0,0 +1,45 @@
+package org.cassiastack.daemon.command;
+
+import java.io.PrintStream;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.cassiastack.daemon.settings.ConfigurationText;
+import org.cassiastack.model.CassiaException;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.transport.http.ChangeRequest;
+import org.cassiastack.transport.http.OperatorClient;
+import org.cassiastack.transport.http.ShownConfiguration;
+
+/** Changes whether a failure domain is in service and nothing else. */
+final class DomainChange {
+  private static final int MAX_ATTEMPTS = 5;
+
+  private DomainChange() {}
+
+  /** Applies the change on what is in force; when another change came between, on that. */
+  static int run(Namespace arguments, boolean inService, PrintStream out) throws CassiaException {
+    FailureDomain domain = new FailureDomain(arguments.getString("domain"));
+    OperatorClient client = OperatorClient.create(Addresses.of(arguments, "operators"));
+    for (int attempt = 1; attempt < MAX_ATTEMPTS; attempt++) {
+      try {
+        return once(client, domain, inService, out);
+      } catch (CassiaException e) {
+        if (e.refusal().code() != ResultCode.STALE_BASE) {
+          throw e;
+        }
+      }
+    }
+    return once(client, domain, inService, out);
+  }
+
+  private static int once(
+      OperatorClient client, FailureDomain domain, boolean inService, PrintStream out)
+      throws CassiaException {
+    ShownConfiguration shown = Changes.inForce(client);
+    SortedMap<String, String> files = new TreeMap<>();
+    files.put("all.ini", ConfigurationText.withState(shown.text(), domain, inService));
+    return Changes.send(client, new ChangeRequest(Changes.id(null), shown.revision(), files), out);
+  }
+}
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/command/ReturnCommand.java
@@ -0,0 +1,26 @@
+package org.cassiastack.daemon.command;
+
+import java.io.PrintStream;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import org.cassiastack.model.CassiaException;
+
+/** Brings a failure domain back into service. */
+public final class ReturnCommand implements Command {
+  @Override
+  public String name() {
+    return "return";
+  }
+
+  @Override
+  public void declare(Subparser parser) {
+    parser.help("bring a failure domain back into service");
+    Changes.declareAddress(parser);
+    parser.addArgument("domain").metavar("DOMAIN").help("name of the failure domain");
+  }
+
+  @Override
+  public int run(Namespace arguments, PrintStream out) throws CassiaException {
+    return DomainChange.run(arguments, true, out);
+  }
+}
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
@@ -0,0 +1,186 @@
+package org.cassiastack.daemon.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Predicate;
+import org.cassiastack.configuration.ApplyAnswered;
+import org.cassiastack.configuration.ApplyRequested;
+import org.cassiastack.configuration.ApplyResult;
+import org.cassiastack.configuration.ChangeId;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.configuration.ConfigurationChanged;
+import org.cassiastack.configuration.ConfigurationController;
+import org.cassiastack.consensus.LeaderChanged;
+import org.cassiastack.consensus.SingleMemberLog;
+import org.cassiastack.controller.Controller;
+import org.cassiastack.controller.ControllerLoop;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.EffectHandler;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.TimeSource;
+import org.cassiastack.daemon.settings.ConfigurationFiles;
+import org.cassiastack.daemon.settings.ConfigurationText;
+import org.cassiastack.daemon.settings.EntrySettings;
+import org.cassiastack.membership.MembershipController;
+import org.cassiastack.model.CassiaException;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Refusals;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.Revision;
+import org.cassiastack.protocol.Announce;
+import org.cassiastack.protocol.Message;
+import org.cassiastack.spread.ApplyRouter;
+import org.cassiastack.spread.ApplySubmitted;
+import org.cassiastack.spread.AskConfiguration;
+import org.cassiastack.spread.ConfigurationAge;
+import org.cassiastack.spread.ConfigurationUpdate;
+import org.cassiastack.spread.ForwardApply;
+import org.cassiastack.spread.ForwardedApply;
+import org.cassiastack.spread.FreshnessController;
+import org.cassiastack.transport.codec.MessagePackConfigurationCodec;
+import org.cassiastack.transport.http.ChangeRequest;
+import org.cassiastack.transport.http.ConfigurationDesk;
+import org.cassiastack.transport.http.ShownConfiguration;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/** The control side of an entry: membership, configuration and freshness, on the control loop. */
+final class ControlPlane implements ConfigurationDesk, AutoCloseable {
+  private static final Duration TICK = Duration.ofMillis(50);
+  private static final Duration ASK_INTERVAL = Duration.ofMillis(500);
+  private static final Duration FRESHNESS_LIMIT = Duration.ofSeconds(3);
+  private static final Duration BOOTSTRAP_RETRY = Duration.ofMillis(200);
+
+  private final NodeId self;
+  private final boolean member;
+  private final EffectHandler traffic;
+  private final ControllerLoop loop;
+  private final ConfigurationHistory history = new ConfigurationHistory();
+  private final Map<UUID, MonoSink<ApplyResult>> waiting = new ConcurrentHashMap<>();
+
+  private ControlPlane(EntrySettings settings, EffectHandler traffic, TimeSource time) {
+    this.self = settings.node();
+    this.traffic = traffic;
+    // The log in memory has one member: the first that the settings name.
+    NodeId logOwner = settings.members().keySet().stream().findFirst().orElse(self);
+    this.member = logOwner.equals(self);
+    Predicate<NodeId> isMember = logOwner::equals;
+    List<Controller> controllers = new ArrayList<>();
+    controllers.add(MembershipController.create(self, settings.lease()));
+    controllers.add(FreshnessController.create(isMember, ASK_INTERVAL, FRESHNESS_LIMIT));
+    controllers.add(ApplyRouter.create(self, isMember));
+    if (member) {
+      controllers.add(SingleMemberLog.create());
+      controllers.add(ConfigurationController.create(MessagePackConfigurationCodec.create()));
+    }
+    loop =
+        ControllerLoop.start(
+            "control",
+            controllers,
+            this::carryOut,
+            time,
+            e -> Logger.error(e, "event=controller_failed loop=control"));
+  }
+
+  /**
+   * Makes a control plane.
+   *
+   * @param traffic carries out what does not end here, such as messages and views
+   */
+  static ControlPlane create(EntrySettings settings, EffectHandler traffic, TimeSource time) {
+    return new ControlPlane(settings, traffic, time);
+  }
+
+  /** Begins to act on time passing, and applies the files of a trial while nothing is in force. */
+  void start(@Nullable Configuration bootstrap) {
+    loop.tickEvery(TICK);
+    if (!member) {
+      return;
+    }
+    loop.post(new LeaderChanged(1, self, true));
+    if (bootstrap != null) {
+      ChangeId change = new ChangeId(UUID.randomUUID());
+      Mono.defer(() -> apply(change, Revision.NONE, bootstrap))
+          .filter(r -> r.code() != ResultCode.NO_LEADER)
+          .filter(r -> r.code() != ResultCode.CHANGE_UNRESOLVED)
+          .repeatWhenEmpty(empty -> empty.delayElements(BOOTSTRAP_RETRY))
+          .subscribe(
+              r -> Logger.info("event=bootstrap code={} revision={}", r.code(), r.revision()));
+    }
+  }
+
+  /** Tells whether a message is for the control loop. */
+  static boolean takes(Message m) {
+    return m instanceof Announce
+        || m instanceof AskConfiguration
+        || m instanceof ConfigurationAge
+        || m instanceof ConfigurationUpdate
+        || m instanceof ForwardApply
+        || m instanceof ForwardedApply;
+  }
+
+  void post(Event event) {
+    loop.post(event);
+  }
+
+  @Override
+  public Mono<ApplyResult> apply(ChangeRequest request) {
+    try {
+      Configuration content = ConfigurationFiles.parse(request.files(), Revision.NONE);
+      return apply(request.change(), request.base(), content);
+    } catch (CassiaException e) {
+      return Mono.error(e);
+    }
+  }
+
+  @Override
+  public ShownConfiguration show(@Nullable Revision revision) throws CassiaException {
+    if (revision == null) {
+      return shown(history.newest());
+    }
+    Configuration c = history.find(revision);
+    if (c == null) {
+      throw CassiaException.of(Refusals.unknownRevision(revision));
+    }
+    return shown(c);
+  }
+
+  private static ShownConfiguration shown(Configuration c) {
+    return new ShownConfiguration(c.revision(), ConfigurationText.write(c));
+  }
+
+  @Override
+  public void close() {
+    loop.close();
+  }
+
+  private Mono<ApplyResult> apply(ChangeId change, Revision base, Configuration content) {
+    return Mono.create(
+        sink -> {
+          UUID request = UUID.randomUUID();
+          waiting.put(request, sink);
+          sink.onDispose(() -> waiting.remove(request));
+          loop.post(new ApplySubmitted(new ApplyRequested(request, change, base, content)));
+        });
+  }
+
+  private void carryOut(Effect effect) {
+    if (effect instanceof ApplyAnswered a) {
+      MonoSink<ApplyResult> sink = waiting.remove(a.request());
+      if (sink != null) {
+        sink.success(a.result());
+      }
+      return;
+    }
+    if (effect instanceof ConfigurationChanged c) {
+      history.add(c.configuration());
+    }
+    traffic.handle(effect);
+  }
+}
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
@@ -1,12 +1,14 @@
 package org.cassiastack.daemon.entry;
 
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 import org.cassiastack.configuration.Configuration;
 import org.cassiastack.configuration.ConfigurationChanged;
+import org.cassiastack.configuration.StartsAllowed;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.ControllerLoop;
 import org.cassiastack.controller.Effect;
@@ -18,14 +20,12 @@
 import org.cassiastack.job.AnswerCaller;
 import org.cassiastack.job.JobCoordinator;
 import org.cassiastack.job.TellJobState;
-import org.cassiastack.membership.MembershipController;
 import org.cassiastack.membership.MinionsChanged;
 import org.cassiastack.model.CassiaException;
 import org.cassiastack.model.Epoch;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Revision;
-import org.cassiastack.protocol.Announce;
 import org.cassiastack.protocol.Hello;
 import org.cassiastack.protocol.Message;
 import org.cassiastack.protocol.PeerConnected;
@@ -64,7 +64,7 @@
   private final TimeSource time;
   private final NodeId self;
   private final PeerNetwork network;
-  private final ControllerLoop control;
+  private final ControlPlane control;
   private final ControllerLoop coordinator;
   private final CallerDesk desk;
   private final InetSocketAddress peerAddress;
@@ -83,8 +83,7 @@
     JobCoordinator jobs =
         JobCoordinator.create(new Epoch(1), MinionPickers.leastLoaded(), settings.retention());
     coordinator = loop("coordinator", List.of(jobs));
-    MembershipController membership = MembershipController.create(self, settings.lease());
-    control = loop("control", List.of(membership));
+    control = ControlPlane.create(settings, this::carryOut, time);
     desk = new CallerDesk(coordinator::post);
     FilterChain chain =
         FilterChain.of(
@@ -96,7 +95,8 @@
             (request, now) -> desk.submit(request));
     peerAddress = network.listen(settings.peers());
     callers = CallerApi.serve(settings.callers(), chain, desk, time);
-    operators = OperatorApi.serve(settings.operators(), pages());
+    operators = OperatorApi.serve(settings.operators(), pages(), control);
+    settings.members().forEach(this::dial);
   }
 
   /**
@@ -107,12 +107,13 @@
    * @throws CassiaException when the configuration in its folder is not valid
    */
   public static Entry start(EntrySettings settings, TimeSource time) throws CassiaException {
-    Configuration configuration =
-        ConfigurationFiles.parse(
-            ConfigurationFiles.texts(settings.configuration()), Revision.NONE.next());
+    Path folder = settings.configuration();
+    Configuration bootstrap =
+        folder == null
+            ? null
+            : ConfigurationFiles.parse(ConfigurationFiles.texts(folder), Revision.NONE);
     Entry entry = new Entry(settings, time);
-    entry.carryOut(new ConfigurationChanged(configuration));
-    entry.control.tickEvery(TICK);
+    entry.control.start(bootstrap);
     entry.coordinator.tickEvery(TICK);
     Logger.info(
         "event=entry_started node={} callers={} operators={} peers={}",
@@ -138,6 +139,11 @@
     return peerAddress;
   }
 
+  /** Returns the configuration that is in force here. */
+  public Configuration configuration() {
+    return inForce;
+  }
+
   /** Returns the minions that take work at present. */
   public MinionsChanged minions() {
     return minions;
@@ -159,6 +165,12 @@
     Logger.info("event=entry_stopped node={}", self);
   }
 
+  private void dial(NodeId member, InetSocketAddress address) {
+    if (!member.equals(self)) {
+      network.dial(address);
+    }
+  }
+
   private ControllerLoop loop(String name, List<Controller> controllers) {
     return ControllerLoop.start(
         name,
@@ -183,6 +195,8 @@
       inForce = c.configuration();
       Logger.info("event=configuration_in_force revision={}", inForce.revision());
       coordinator.post(c);
+    } else if (effect instanceof StartsAllowed s) {
+      coordinator.post(s);
     }
   }
 
@@ -211,8 +225,12 @@
 
     @Override
     public void received(NodeId peer, Message message) {
-      ControllerLoop loop = message instanceof Announce ? control : coordinator;
-      loop.post(new Received(peer, message));
+      Received received = new Received(peer, message);
+      if (ControlPlane.takes(message)) {
+        control.post(received);
+      } else {
+        coordinator.post(received);
+      }
     }
   }
 }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/EntrySettings.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/EntrySettings.java
@@ -3,9 +3,13 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import org.cassiastack.model.CassiaException;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.ResultCode;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Settings of an entry.
@@ -14,9 +18,11 @@
  * @param callers where callers are served
  * @param operators where operators are served
  * @param peers where agents and other entries connect
- * @param configuration folder of declarative files that is in force from the start
+ * @param configuration folder of declarative files that is applied once while nothing is in force,
+ *     or null
  * @param retention how long answers are kept
  * @param lease how long an agent is known after its last announcement
+ * @param members where the control members' peers connect, in order; none means this entry alone
  * @since 0.1
  */
 public record EntrySettings(
@@ -24,12 +30,18 @@
     InetSocketAddress callers,
     InetSocketAddress operators,
     InetSocketAddress peers,
-    Path configuration,
+    @Nullable Path configuration,
     Duration retention,
-    Duration lease) {
+    Duration lease,
+    Map<NodeId, InetSocketAddress> members) {
   private static final Duration DEFAULT_RETENTION = Duration.ofMinutes(10);
   private static final Duration DEFAULT_LEASE = Duration.ofSeconds(3);
 
+  /** Makes settings; the order of the members is kept. */
+  public EntrySettings {
+    members = Collections.unmodifiableMap(new LinkedHashMap<>(members));
+  }
+
   /**
    * Reads a settings file.
    *
@@ -43,9 +55,10 @@
             f.address("callers", "listen", "127.0.0.1:7000"),
             f.address("operators", "listen", "127.0.0.1:7001"),
             f.address("peers", "listen", "127.0.0.1:7002"),
-            Path.of(f.text("configuration", "folder")),
+            f.has("configuration", "folder") ? Path.of(f.text("configuration", "folder")) : null,
             f.duration("jobs", "retention", DEFAULT_RETENTION),
-            f.duration("agents", "lease", DEFAULT_LEASE));
+            f.duration("agents", "lease", DEFAULT_LEASE),
+            f.nodes("control", "members"));
     f.finish();
     return settings;
   }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/IniFile.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/IniFile.java
@@ -10,12 +10,15 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.SubnodeConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
 import org.cassiastack.model.CassiaException;
+import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Refusal;
 import org.cassiastack.model.ResultCode;
 import org.jspecify.annotations.Nullable;
@@ -172,6 +175,32 @@
     return all;
   }
 
+  /** Tells whether a key is there. */
+  public boolean has(String section, String key) {
+    return find(section, key) != null;
+  }
+
+  /**
+   * Reads nodes such as {@code entry-1@127.0.0.1:7002} with commas between them; none when the key
+   * is missing.
+   */
+  public Map<NodeId, InetSocketAddress> nodes(String section, String key) throws CassiaException {
+    Map<NodeId, InetSocketAddress> all = new LinkedHashMap<>();
+    String value = text(section, key, "");
+    for (String part : value.isEmpty() ? new String[0] : value.split(",", -1)) {
+      String node = part.trim();
+      int at = node.indexOf('@');
+      if (at < 1) {
+        throw refusal(section, key, node, "nodes such as entry-1@127.0.0.1:7002");
+      }
+      InetSocketAddress address = parseAddress(section, key, node.substring(at + 1), 1);
+      if (all.put(new NodeId(node.substring(0, at)), address) != null) {
+        throw refusal(section, key, node, "each node once");
+      }
+    }
+    return all;
+  }
+
   /** Reads an HTTP address that must be there. */
   public URI url(String section, String key) throws CassiaException {
     String value = text(section, key);
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageCodec.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageCodec.java
@@ -35,16 +35,22 @@
   private final Map<Class<?>, ObjectWriter> writers = new HashMap<>();
 
   private MessageCodec() {
-    ObjectMapper mapper = new MessagePackMapper();
-    mapper.setAnnotationIntrospector(new JsonArrayFormat());
-    mapper.registerModule(ValueTypes.module());
-    mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+    ObjectMapper mapper = mapper();
     for (MessageType t : MessageType.values()) {
       readers.put(t.number(), mapper.readerFor(t.type()));
       writers.put(t.type(), mapper.writerFor(t.type()));
     }
   }
 
+  /** Returns what writes records as MessagePack arrays. */
+  static ObjectMapper mapper() {
+    ObjectMapper mapper = new MessagePackMapper();
+    mapper.setAnnotationIntrospector(new JsonArrayFormat());
+    mapper.registerModule(ValueTypes.module());
+    mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+    return mapper;
+  }
+
   /** Makes a codec for every message of {@link MessageType}; it is safe for several threads. */
   public static MessageCodec create() {
     return new MessageCodec();
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
@@ -11,6 +11,11 @@
 import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
 import org.cassiastack.protocol.Welcome;
+import org.cassiastack.spread.AskConfiguration;
+import org.cassiastack.spread.ConfigurationAge;
+import org.cassiastack.spread.ConfigurationUpdate;
+import org.cassiastack.spread.ForwardApply;
+import org.cassiastack.spread.ForwardedApply;
 
 /**
  * Numbers of the message types on the wire. A number is never given to another type.
@@ -33,7 +38,17 @@
   /** Agent to coordinator. */
   TASK_NOT_STARTED(22, TaskNotStarted.class),
   /** Coordinator to agent. */
-  CANCEL_TASKS(23, CancelTasks.class);
+  CANCEL_TASKS(23, CancelTasks.class),
+  /** Any process to one that may hold a newer configuration. */
+  ASK_CONFIGURATION(60, AskConfiguration.class),
+  /** Answer to the question. */
+  CONFIGURATION_AGE(61, ConfigurationAge.class),
+  /** To whoever asked before, at each newer revision. */
+  CONFIGURATION_UPDATE(62, ConfigurationUpdate.class),
+  /** Entry to control member. */
+  FORWARD_APPLY(63, ForwardApply.class),
+  /** Control member to entry. */
+  FORWARDED_APPLY(64, ForwardedApply.class);
 
   private static final Map<Class<?>, MessageType> BY_TYPE = new HashMap<>();
 
--- /dev/null
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/http/ConfigurationApi.java
@@ -0,0 +1,68 @@
+package org.cassiastack.transport.http;
+
+import org.cassiastack.model.CassiaException;
+import org.cassiastack.model.Refusals;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.Revision;
+import org.jspecify.annotations.Nullable;
+import org.reactivestreams.Publisher;
+import reactor.core.publisher.Mono;
+import reactor.netty.http.server.HttpServerRequest;
+import reactor.netty.http.server.HttpServerResponse;
+import reactor.netty.http.server.HttpServerRoutes;
+
+/** The part of the operators' API that applies and shows configurations. */
+final class ConfigurationApi {
+  private static final int MAX_BODY_BYTES = 8 * 1024 * 1024;
+  private static final String PATH = "/v1/configuration";
+
+  private final ConfigurationDesk desk;
+
+  private ConfigurationApi(ConfigurationDesk desk) {
+    this.desk = desk;
+  }
+
+  static void addTo(HttpServerRoutes routes, ConfigurationDesk desk) {
+    ConfigurationApi api = new ConfigurationApi(desk);
+    routes
+        .post(PATH, api::apply)
+        .get(PATH, (request, response) -> api.show(request, response, null))
+        .get(
+            PATH + "/{revision}",
+            (request, response) -> api.show(request, response, request.param("revision")));
+  }
+
+  private Publisher<Void> apply(HttpServerRequest request, HttpServerResponse response) {
+    Mono<HttpReply> reply =
+        Bodies.read(request, MAX_BODY_BYTES)
+            .flatMap(
+                body -> {
+                  try {
+                    return desk.apply(ConfigurationJson.readChange(body));
+                  } catch (CassiaException e) {
+                    return Mono.error(e);
+                  }
+                })
+            .map(r -> HttpReply.of(r.code(), ConfigurationJson.writeResult(r)));
+    return HttpReply.respond(request, response, reply);
+  }
+
+  private Publisher<Void> show(
+      HttpServerRequest request, HttpServerResponse response, @Nullable String revision) {
+    Mono<HttpReply> reply =
+        Mono.fromCallable(
+            () -> {
+              ShownConfiguration shown = desk.show(parse(revision));
+              return HttpReply.of(ResultCode.COMPLETE, ConfigurationJson.writeShown(shown));
+            });
+    return HttpReply.respond(request, response, reply);
+  }
+
+  private static @Nullable Revision parse(@Nullable String text) throws CassiaException {
+    try {
+      return text == null ? null : new Revision(Long.parseLong(text));
+    } catch (NumberFormatException e) {
+      throw CassiaException.of(Refusals.malformed("the revision is no whole number"));
+    }
+  }
+}
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/http/OperatorApi.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/http/OperatorApi.java
@@ -20,19 +20,22 @@
    *
    * @param address where to listen; port 0 takes any free one
    * @param pages what is answered to {@code GET}, by path
+   * @param desk applies and shows configurations
    */
   public static DisposableServer serve(
-      InetSocketAddress address, Map<String, Supplier<HttpReply>> pages) {
+      InetSocketAddress address, Map<String, Supplier<HttpReply>> pages, ConfigurationDesk desk) {
     return HttpServer.create()
         .bindAddress(() -> address)
         .route(
-            routes ->
-                pages.forEach(
-                    (path, page) ->
-                        routes.get(
-                            path,
-                            (request, response) ->
-                                HttpReply.respond(request, response, Mono.fromSupplier(page)))))
+            routes -> {
+              ConfigurationApi.addTo(routes, desk);
+              pages.forEach(
+                  (path, page) ->
+                      routes.get(
+                          path,
+                          (request, response) ->
+                              HttpReply.respond(request, response, Mono.fromSupplier(page))));
+            })
         .bindNow();
   }
 }
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -7,7 +7,14 @@
 import java.time.Instant;
 import java.util.Arrays;
 import java.util.List;
+import java.util.UUID;
 import java.util.stream.Stream;
+import org.cassiastack.configuration.ApplyResult;
+import org.cassiastack.configuration.ChangeId;
+import org.cassiastack.configuration.ConfigurationDelta;
+import org.cassiastack.configuration.CustomerSpec;
+import org.cassiastack.configuration.FailureDomainSpec;
+import org.cassiastack.configuration.ServiceSpec;
 import org.cassiastack.model.Customer;
 import org.cassiastack.model.Epoch;
 import org.cassiastack.model.FailureDomain;
@@ -19,6 +26,7 @@
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Payload;
 import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.Revision;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.model.TaskId;
 import org.cassiastack.model.Worker;
@@ -31,6 +39,11 @@
 import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
 import org.cassiastack.protocol.Welcome;
+import org.cassiastack.spread.AskConfiguration;
+import org.cassiastack.spread.ConfigurationAge;
+import org.cassiastack.spread.ConfigurationUpdate;
+import org.cassiastack.spread.ForwardApply;
+import org.cassiastack.spread.ForwardedApply;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -56,7 +69,27 @@
         new Dispatch(TASK, EPOCH, INCARNATION, new MinionId("m1"), payload, Duration.ofMillis(250)),
         new TaskEnded(TASK, EPOCH, ResultCode.COMPLETE, payload),
         new TaskNotStarted(TASK, EPOCH, ResultCode.NO_MINION),
-        new CancelTasks(List.of(TASK), EPOCH));
+        new CancelTasks(List.of(TASK), EPOCH),
+        new AskConfiguration(5, new Revision(7)),
+        new ConfigurationAge(5, new Revision(7), Duration.ofMillis(120)),
+        new ConfigurationUpdate(List.of(delta())),
+        new ForwardApply(new UUID(1, 2), new ChangeId(new UUID(3, 4)), new Revision(6), delta()),
+        new ForwardedApply(
+            new UUID(1, 2), new ApplyResult(ResultCode.STALE_BASE, new Revision(7))));
+  }
+
+  private static ConfigurationDelta delta() {
+    ServiceSpec service =
+        new ServiceSpec(new ServiceName("ice"), Duration.ofMillis(200), Duration.ofSeconds(60));
+    return new ConfigurationDelta(
+        new Revision(6),
+        new Revision(7),
+        List.of(service),
+        List.of(new FailureDomainSpec(new FailureDomain("north"), "steppe", false)),
+        List.of(new CustomerSpec(new Customer("ayaz"), 500, 20)),
+        List.of(new ServiceName("frost")),
+        List.of(new FailureDomain("east")),
+        List.of(new Customer("inyenyeri")));
   }
 
   @ParameterizedTest
