--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/guard/StartPermissionTest.java
@@ -0,0 +1,157 @@
+package org.cassiastack.guard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.cassiastack.configuration.Configurations;
+import org.cassiastack.configuration.StartsAllowed;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.model.Customer;
+import org.cassiastack.model.Epoch;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.JobId;
+import org.cassiastack.model.JobKey;
+import org.cassiastack.model.Minion;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.model.TaskId;
+import org.cassiastack.model.Worker;
+import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.protocol.TaskNotStarted;
+import org.junit.jupiter.api.Test;
+
+class StartPermissionTest {
+  private static final NodeId ENTRY = new NodeId("entry-1");
+  private static final Incarnation LIFE = new Incarnation(7);
+  private static final Epoch EPOCH = new Epoch(1);
+  private static final Duration LIMIT = Duration.ofSeconds(3);
+  private static final MinionId MINION = new MinionId("minion-1");
+
+  private Instant now = Instant.parse("2026-12-04T08:00:00Z");
+  private final StartGuard guard =
+      StartGuard.create(
+          LIFE,
+          List.of(
+              new Minion(
+                  MINION,
+                  new ServiceName("ice"),
+                  new Worker("w1", "r1", Configurations.NORTH, 32, 65_536),
+                  1,
+                  64)),
+          Duration.ofMinutes(10),
+          100);
+
+  @Test
+  void starts_nothing_before_it_has_heard_of_a_configuration() {
+    assertThat(dispatch(1)).containsExactly(refused(1, ResultCode.STALE));
+  }
+
+  @Test
+  void starts_a_task_under_a_fresh_configuration_that_has_its_domain_in_service() {
+    allow(1, true);
+
+    assertThat(dispatch(1)).hasOnlyElementsOfType(StartTask.class).hasSize(1);
+  }
+
+  @Test
+  void a_silent_partition_stops_starts_by_itself() {
+    allow(1, true);
+
+    now = now.plus(LIMIT);
+
+    assertThat(dispatch(1)).containsExactly(refused(1, ResultCode.STALE));
+  }
+
+  @Test
+  void an_agent_that_wakes_from_a_freeze_starts_nothing_of_what_it_had_queued() {
+    allow(1, true);
+    Dispatch running = dispatchOf(1);
+    on(new Received(ENTRY, running));
+    dispatch(2);
+
+    now = now.plusSeconds(60);
+    List<Effect> woken = on(new TaskStopped(running.task(), ResultCode.COMPLETE, Payload.EMPTY));
+
+    assertThat(woken).contains(refused(2, ResultCode.STALE));
+    assertThat(woken).noneMatch(StartTask.class::isInstance);
+  }
+
+  @Test
+  void queued_tasks_are_given_back_when_the_permission_lapses() {
+    allow(1, true);
+    dispatch(1);
+    dispatch(2);
+
+    now = now.plus(LIMIT);
+
+    assertThat(on(new Tick())).containsExactly(refused(2, ResultCode.STALE));
+  }
+
+  @Test
+  void queued_tasks_are_given_back_when_their_domain_is_taken_out() {
+    allow(1, true);
+    dispatch(1);
+    dispatch(2);
+
+    assertThat(allow(2, false)).containsExactly(refused(2, ResultCode.DOMAIN_OUT));
+  }
+
+  @Test
+  void a_task_for_a_domain_that_is_out_is_refused() {
+    allow(1, false);
+
+    assertThat(dispatch(1)).containsExactly(refused(1, ResultCode.DOMAIN_OUT));
+  }
+
+  @Test
+  void a_dispatch_that_was_refused_never_starts_when_it_comes_again_after_the_domain_is_back() {
+    allow(1, false);
+    dispatch(1);
+    allow(2, true);
+
+    assertThat(dispatch(1)).containsExactly(refused(1, ResultCode.DOMAIN_OUT));
+  }
+
+  @Test
+  void starts_again_once_the_domain_is_back() {
+    allow(1, false);
+    dispatch(1);
+    allow(2, true);
+
+    assertThat(dispatch(2)).hasOnlyElementsOfType(StartTask.class).hasSize(1);
+  }
+
+  private List<Effect> allow(long revision, boolean northInService) {
+    return on(new StartsAllowed(now.plus(LIMIT), Configurations.north(revision, northInService)));
+  }
+
+  private List<Effect> dispatch(int index) {
+    return on(new Received(ENTRY, dispatchOf(index)));
+  }
+
+  private Dispatch dispatchOf(int index) {
+    return new Dispatch(task(index), EPOCH, LIFE, MINION, Payload.EMPTY, Duration.ofMinutes(5));
+  }
+
+  private List<Effect> on(Event event) {
+    return guard.on(event, now);
+  }
+
+  private static Send refused(int index, ResultCode reason) {
+    return new Send(ENTRY, new TaskNotStarted(task(index), EPOCH, reason));
+  }
+
+  private static TaskId task(int index) {
+    Instant issued = Instant.parse("2026-12-04T08:00:00Z");
+    return new TaskId(new JobId(new Customer("ayaz"), JobKey.of(issued, 1, 1)), index);
+  }
+}
--- /dev/null
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/settings/ConfigurationFilesTest.java
@@ -0,0 +1,87 @@
+package org.cassiastack.daemon.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.model.CassiaException;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.Revision;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ConfigurationFilesTest {
+  private static final String WHOLE =
+      """
+      [failure-domain north]
+      region = steppe
+      state = in
+      [failure-domain south]
+      [service ice]
+      expected-run-time = 250ms
+      [customer ayaz]
+      tasks-per-second = 500
+      """;
+
+  @ParameterizedTest
+  @CsvSource({
+    "failure-domain north, state, gone, in or out",
+    "failure-domain north, colour, blue, no such key here",
+    "service ice, expected-run-time, 5 minutes, a duration such as 250ms or 5s",
+    "customer ayaz, tasks-per-second, many, a whole number from 0 to",
+    "customer ayaz, concurrent-tasks, -1, a whole number from 0 to",
+    "minion m1, slots, 8, no such key here"
+  })
+  void names_file_section_key_value_and_what_is_allowed(
+      String section, String key, String value, String allowed) {
+    String message = refusalOf("[%s]%n%s = %s%n".formatted(section, key, value));
+
+    assertThat(message)
+        .contains("a.ini", "[" + section + "]", "'" + key + "'", "'" + value + "'", allowed);
+  }
+
+  @Test
+  void refuses_a_name_that_two_files_of_the_set_declare() {
+    Map<String, String> files = Map.of("a.ini", "[service ice]\n", "b.ini", "[service ice]\n");
+
+    CassiaException e =
+        catchThrowableOfType(
+            CassiaException.class,
+            () -> ConfigurationFiles.parse(new TreeMap<>(files), Revision.NONE));
+
+    assertThat(e.refusal().code()).isEqualTo(ResultCode.INVALID_CONFIGURATION);
+    assertThat(e).hasMessageContaining("b.ini").hasMessageContaining("[service ice]");
+  }
+
+  @Test
+  void reads_back_the_text_of_a_configuration() throws Exception {
+    Configuration c = parse(WHOLE);
+
+    assertThat(parse(ConfigurationText.write(c))).isEqualTo(c);
+  }
+
+  @Test
+  void changes_the_state_of_one_failure_domain_and_nothing_else() throws Exception {
+    String text = ConfigurationText.write(parse(WHOLE));
+
+    String drained = ConfigurationText.withState(text, new FailureDomain("north"), false);
+
+    assertThat(parse(drained).allowsStartsIn(new FailureDomain("north"))).isFalse();
+    assertThat(ConfigurationText.withState(drained, new FailureDomain("north"), true))
+        .isEqualTo(text);
+  }
+
+  private static Configuration parse(String text) throws CassiaException {
+    return ConfigurationFiles.parse(new TreeMap<>(Map.of("a.ini", text)), Revision.NONE);
+  }
+
+  private static String refusalOf(String text) {
+    CassiaException e = catchThrowableOfType(CassiaException.class, () -> parse(text));
+    assertThat(e.refusal().code()).isEqualTo(ResultCode.INVALID_CONFIGURATION);
+    return e.refusal().message();
+  }
+}
