A leader vouches for a configuration only as far as its quorum confirmed

Cause: a leader that was frozen and had lost its lead could answer one question with age zero on waking, before it heard of its successor.

Freshness at the leader now dates from the heartbeat that a quorum answered. Ruled out: stepping down first on waking, since events that wait in the loop may come before the tick that would tell.

--- /dev/null
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/spread/SpreadSystem.java
@@ -0,0 +1,170 @@
+package org.cassiastack.bench.spread;
+
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.UUID;
+import org.cassiastack.bench.minion.Loopback;
+import org.cassiastack.bench.minion.StandInMinion;
+import org.cassiastack.configuration.ApplyResult;
+import org.cassiastack.configuration.ChangeId;
+import org.cassiastack.controller.TimeSource;
+import org.cassiastack.daemon.agent.Agent;
+import org.cassiastack.daemon.entry.Entry;
+import org.cassiastack.daemon.settings.AgentSettings;
+import org.cassiastack.daemon.settings.EntrySettings;
+import org.cassiastack.model.CassiaException;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.Minion;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Revision;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.model.Worker;
+import org.cassiastack.transport.http.ChangeRequest;
+import org.cassiastack.transport.http.OperatorClient;
+
+/**
+ * One control member, two relays and agents in one process, half of them in each of two domains.
+ */
+final class SpreadSystem implements AutoCloseable {
+  static final ServiceName SERVICE = new ServiceName("ice");
+
+  private static final int ENTRIES = 3;
+  private static final int SLOTS = 8;
+  private static final int CONNECTIONS = 64;
+  private static final int CAPACITY = 100_000;
+  private static final Duration RETENTION = Duration.ofMinutes(10);
+  private static final Duration LEASE = Duration.ofSeconds(3);
+  private static final Duration STOP_PATIENCE = Duration.ofSeconds(1);
+  private static final Duration POLL = Duration.ofMillis(1);
+
+  private final List<Entry> entries = new ArrayList<>();
+  private final List<Agent> agents = new ArrayList<>();
+  private final List<StandInMinion> minions = new ArrayList<>();
+  private final StartRecorder north = new StartRecorder();
+  private final StartRecorder south = new StartRecorder();
+  private Revision base = Revision.NONE;
+
+  private SpreadSystem() {}
+
+  /** Starts a system with the configuration applied through a relay. */
+  static SpreadSystem start(int agentCount) throws CassiaException, InterruptedException {
+    SpreadSystem system = new SpreadSystem();
+    Map<NodeId, InetSocketAddress> members = new TreeMap<>(NodeId.BY_NAME);
+    for (int i = 1; i <= ENTRIES; i++) {
+      NodeId name = new NodeId("entry-" + i);
+      Entry entry = Entry.start(settings(name, members), TimeSource.system());
+      system.entries.add(entry);
+      if (members.isEmpty()) {
+        members.put(name, entry.peerAddress());
+      }
+    }
+    for (int i = 0; i < agentCount; i++) {
+      system.startAgent(i);
+    }
+    while (!system.tryApply(true)) {
+      Thread.sleep(POLL.toMillis());
+    }
+    system.awaitInForce();
+    system.awaitMinions();
+    return system;
+  }
+
+  List<Entry> entries() {
+    return entries;
+  }
+
+  List<Agent> agents() {
+    return agents;
+  }
+
+  StartRecorder north() {
+    return north;
+  }
+
+  StartRecorder south() {
+    return south;
+  }
+
+  /** Takes the north in or out through a relay; returns once the change is accepted. */
+  void apply(boolean northInService) throws CassiaException {
+    if (!tryApply(northInService)) {
+      throw new IllegalStateException("change was refused");
+    }
+  }
+
+  /** Waits until every entry and every agent holds the newest accepted revision. */
+  void awaitInForce() throws InterruptedException {
+    while (!entries.stream().allMatch(e -> holds(e.configuration().revision()))
+        || !agents.stream().allMatch(a -> holds(a.configuration().revision()))) {
+      Thread.sleep(POLL.toMillis());
+    }
+  }
+
+  @Override
+  public void close() {
+    entries.forEach(e -> e.stop(STOP_PATIENCE));
+    agents.forEach(a -> a.stop(STOP_PATIENCE));
+    minions.forEach(StandInMinion::close);
+  }
+
+  private boolean holds(Revision revision) {
+    return !revision.isBefore(base);
+  }
+
+  private boolean tryApply(boolean northInService) {
+    String text =
+        """
+        [failure-domain north]
+        state = %s
+        [failure-domain south]
+        [service ice]
+        [customer ayaz]
+        """
+            .formatted(northInService ? "in" : "out");
+    ChangeRequest request =
+        new ChangeRequest(
+            new ChangeId(UUID.randomUUID()), base, new TreeMap<>(Map.of("all.ini", text)));
+    ApplyResult result =
+        OperatorClient.create(entries.get(1).operatorAddress()).apply(request).block();
+    if (result == null || result.revision().equals(base)) {
+      return false;
+    }
+    base = result.revision();
+    return true;
+  }
+
+  private void awaitMinions() throws InterruptedException {
+    while (!entries.stream().allMatch(e -> e.minions().available().size() == agents.size())) {
+      Thread.sleep(POLL.toMillis());
+    }
+  }
+
+  private void startAgent(int number) {
+    boolean inNorth = number % 2 == 0;
+    StandInMinion standIn = StandInMinion.start(Loopback.port(0), inNorth ? north : south);
+    minions.add(standIn);
+    FailureDomain domain = new FailureDomain(inNorth ? "north" : "south");
+    Worker worker = new Worker("worker-" + number, "rack-" + number, domain, 32, 65_536);
+    Minion minion =
+        new Minion(new MinionId("minion-" + number), SERVICE, worker, SLOTS, CONNECTIONS);
+    AgentSettings settings =
+        new AgentSettings(
+            new NodeId("agent-" + number),
+            worker,
+            entries.stream().map(Entry::peerAddress).toList(),
+            List.of(new AgentSettings.MinionSettings(minion, standIn.url())),
+            RETENTION,
+            CAPACITY);
+    agents.add(Agent.start(settings, TimeSource.system()));
+  }
+
+  private static EntrySettings settings(NodeId name, Map<NodeId, InetSocketAddress> members) {
+    InetSocketAddress any = Loopback.port(0);
+    return new EntrySettings(name, any, any, any, null, RETENTION, LEASE, members);
+  }
+}
--- /dev/null
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/spread/StartRecorder.java
@@ -0,0 +1,48 @@
+package org.cassiastack.bench.spread;
+
+import java.util.concurrent.atomic.AtomicLong;
+import org.cassiastack.bench.minion.TaskBehavior;
+
+/** Records when tasks reach the minions of one failure domain. */
+final class StartRecorder implements TaskBehavior {
+  private final TaskBehavior behavior = TaskBehavior.namedByInput();
+  private final AtomicLong starts = new AtomicLong();
+  private final AtomicLong lateStarts = new AtomicLong();
+  private volatile long lastNanos = System.nanoTime();
+  private volatile long boundNanos;
+  private volatile boolean bounded;
+
+  @Override
+  public Outcome decide(String input) {
+    long now = System.nanoTime();
+    starts.incrementAndGet();
+    lastNanos = now;
+    if (bounded && now - boundNanos > 0) {
+      lateStarts.incrementAndGet();
+    }
+    return behavior.decide(input);
+  }
+
+  /** From a moment on, starts are late. */
+  void forbidFrom(long nanos) {
+    boundNanos = nanos;
+    bounded = true;
+  }
+
+  /** Starts are no longer late. */
+  void permit() {
+    bounded = false;
+  }
+
+  long starts() {
+    return starts.get();
+  }
+
+  long lateStarts() {
+    return lateStarts.get();
+  }
+
+  long lastNanos() {
+    return lastNanos;
+  }
+}
--- /dev/null
+++ b/cassiastack-bench/src/test/java/org/cassiastack/bench/spread/DrainUnderLoadTest.java
@@ -0,0 +1,40 @@
+package org.cassiastack.bench.spread;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(120)
+class DrainUnderLoadTest {
+  private static final long STARTS = 200;
+
+  @Test
+  void nothing_starts_in_a_drained_domain_while_the_other_goes_on_and_it_comes_back()
+      throws Exception {
+    try (SpreadSystem system = SpreadSystem.start(4);
+        JobLoad load = JobLoad.start(system.entries())) {
+      awaitStarts(system.north(), STARTS);
+
+      system.apply(false);
+      system.awaitInForce();
+      // Calls that the agents had made before may still be on their way.
+      system.north().forbidFrom(System.nanoTime() + Duration.ofSeconds(1).toNanos());
+      awaitStarts(system.south(), system.south().starts() + 5 * STARTS);
+
+      assertThat(system.north().lateStarts()).isZero();
+      assertThat(load.failed()).isZero();
+
+      system.north().permit();
+      system.apply(true);
+      awaitStarts(system.north(), system.north().starts() + STARTS);
+    }
+  }
+
+  private static void awaitStarts(StartRecorder recorder, long count) throws InterruptedException {
+    while (recorder.starts() < count) {
+      Thread.sleep(1);
+    }
+  }
+}
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/SingleMemberLog.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/SingleMemberLog.java
@@ -6,6 +6,7 @@
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Raise;
+import org.cassiastack.controller.Tick;
 
 /**
  * A log of one member in memory: each proposal is committed at once and lost with the process. For
@@ -29,6 +30,7 @@
       last++;
       return List.of(new Raise(new CommandCommitted(last, p.proposal(), p.command())));
     }
-    return List.of();
+    // Its quorum is itself, so each tick confirms it.
+    return event instanceof Tick ? List.of(new Raise(new QuorumConfirmed(now))) : List.of();
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/spread/FreshnessController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/spread/FreshnessController.java
@@ -14,7 +14,7 @@
 import org.cassiastack.configuration.ConfigurationChanged;
 import org.cassiastack.configuration.ConfigurationDelta;
 import org.cassiastack.configuration.StartsAllowed;
-import org.cassiastack.consensus.LeaderChanged;
+import org.cassiastack.consensus.QuorumConfirmed;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
@@ -36,7 +36,8 @@
  *       its own clock, and the age that the source gives; so no clocks need to agree.
  *   <li>It answers those that ask it, adding its own age, and sends each newer revision on to them
  *       at once: deltas, or a snapshot for whoever is further behind.
- *   <li>The control member that leads is its own source; its configuration has age zero.
+ *   <li>The control member that leads asks its quorum; what that confirms is as old as the
+ *       heartbeat that it answered. So a leader that froze and lost its lead vouches for nothing.
  *   <li>{@link StartsAllowed} goes out at each renewal and lapses by itself.
  * </ol>
  *
@@ -57,7 +58,6 @@
   private Instant freshAt = Instant.MIN;
   private Instant nextAsk = Instant.MIN;
   private long serial;
-  private boolean leads;
 
   private FreshnessController(Predicate<NodeId> isSource, Duration interval, Duration limit) {
     this.isSource = isSource;
@@ -84,9 +84,8 @@
       received(r, now, effects);
     } else if (event instanceof ConfigurationChanged c) {
       adopt(c.configuration(), effects);
-    } else if (event instanceof LeaderChanged l) {
-      leads = l.self();
-      renewAsLeader(now, effects);
+    } else if (event instanceof QuorumConfirmed q) {
+      renew(q.at(), effects);
     } else if (event instanceof PeerConnected c && isSource.test(c.peer())) {
       sources.add(c.peer());
       ask(now, effects);
@@ -95,7 +94,6 @@
       askers.remove(d.peer());
     } else if (event instanceof Tick && !now.isBefore(nextAsk)) {
       ask(now, effects);
-      renewAsLeader(now, effects);
     }
     return effects;
   }
@@ -124,9 +122,8 @@
     if (m.held().isBefore(held.revision())) {
       update(from, effects);
     }
-    Instant at = leads ? now : freshAt;
-    if (at.isAfter(now.minus(limit))) {
-      Duration age = Duration.between(at, now);
+    if (freshAt.isAfter(now.minus(limit))) {
+      Duration age = Duration.between(freshAt, now);
       effects.add(new Send(from, new ConfigurationAge(m.serial(), held.revision(), age)));
     }
   }
@@ -140,12 +137,6 @@
     renew(at.minus(m.age()), effects);
   }
 
-  private void renewAsLeader(Instant now, List<Effect> effects) {
-    if (leads) {
-      renew(now, effects);
-    }
-  }
-
   private void renew(Instant at, List<Effect> effects) {
     if (at.isAfter(freshAt)) {
       freshAt = at;
--- a/cassiastack-core/src/test/java/org/cassiastack/spread/FreshnessControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/spread/FreshnessControllerTest.java
@@ -11,7 +11,7 @@
 import org.cassiastack.configuration.ConfigurationDelta;
 import org.cassiastack.configuration.Configurations;
 import org.cassiastack.configuration.StartsAllowed;
-import org.cassiastack.consensus.LeaderChanged;
+import org.cassiastack.consensus.QuorumConfirmed;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Raise;
@@ -150,15 +150,24 @@
   }
 
   @Test
-  void the_member_that_leads_renews_itself_and_stops_when_it_leads_no_more() {
+  void the_member_that_leads_is_as_fresh_as_the_heartbeat_that_its_quorum_answered() {
     hold(1);
-    List<Effect> leading = on(new LeaderChanged(1, SOURCE, true));
-    on(new LeaderChanged(2, null, false));
-    now = now.plus(INTERVAL);
-    List<Effect> after = on(new Tick());
+    Instant sent = now;
+
+    now = now.plusMillis(40);
+    List<Effect> effects = on(new QuorumConfirmed(sent));
+
+    assertThat(allowed(effects).until()).isEqualTo(sent.plus(LIMIT));
+  }
+
+  @Test
+  void a_leader_that_wakes_from_a_freeze_vouches_for_nothing() {
+    hold(1);
+    on(new QuorumConfirmed(now));
+
+    now = now.plusSeconds(60);
 
-    assertThat(allowed(leading).until()).isEqualTo(now.minus(INTERVAL).plus(LIMIT));
-    assertThat(after).isEmpty();
+    assertThat(receiveFrom(ASKER, new AskConfiguration(9, new Revision(1)))).isEmpty();
   }
 
   @Test
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/Agent.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/Agent.java
@@ -43,6 +43,7 @@
 import org.cassiastack.transport.http.MinionClient;
 import org.cassiastack.transport.peer.PeerListener;
 import org.cassiastack.transport.peer.PeerNetwork;
+import org.cassiastack.transport.peer.PeerTraffic;
 import org.tinylog.Logger;
 
 /**
@@ -142,6 +143,11 @@
     return configuration;
   }
 
+  /** Returns what its connections to entries have carried. */
+  public PeerTraffic traffic() {
+    return network.traffic();
+  }
+
   private ControllerLoop loop(String name, List<Controller> controllers) {
     return ControllerLoop.start(
         name,
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
@@ -14,7 +14,6 @@
 import org.cassiastack.configuration.Configuration;
 import org.cassiastack.configuration.ConfigurationChanged;
 import org.cassiastack.configuration.ConfigurationController;
-import org.cassiastack.consensus.LeaderChanged;
 import org.cassiastack.consensus.SingleMemberLog;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.ControllerLoop;
@@ -103,7 +102,6 @@
     if (!member) {
       return;
     }
-    loop.post(new LeaderChanged(1, self, true));
     if (bootstrap != null) {
       ChangeId change = new ChangeId(UUID.randomUUID());
       Mono.defer(() -> apply(change, Revision.NONE, bootstrap))
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerConnection.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerConnection.java
@@ -57,7 +57,9 @@
       return false;
     }
     try {
-      c.writeAndFlush(Unpooled.wrappedBuffer(network.codec().encode(message)));
+      byte[] frame = network.codec().encode(message);
+      network.traffic().count(PeerNetwork.LENGTH_BYTES + frame.length);
+      c.writeAndFlush(Unpooled.wrappedBuffer(frame));
       return true;
     } catch (MalformedMessageException e) {
       Logger.error(e, "event=message_not_encoded type={}", message.getClass().getSimpleName());
@@ -70,6 +72,7 @@
   }
 
   private void read(byte[] frame) {
+    network.traffic().count(PeerNetwork.LENGTH_BYTES + frame.length);
     try {
       Message message = network.codec().decode(frame);
       NodeId known = peer;
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
@@ -45,7 +45,7 @@
   /** Largest frame in bytes. */
   public static final int MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
-  private static final int LENGTH_BYTES = 4;
+  static final int LENGTH_BYTES = 4;
   private static final int MAX_BUFFERED_BYTES = 64 * 1024 * 1024;
   private static final int FLUSH_AFTER_WRITES = 64;
   static final Duration PING_INTERVAL = Duration.ofSeconds(1);
@@ -59,6 +59,7 @@
   private final Map<NodeId, CopyOnWriteArrayList<PeerConnection>> connections =
       new ConcurrentHashMap<>();
   private final Disposable.Composite resources = Disposables.composite();
+  private final PeerTraffic traffic = new PeerTraffic();
   private final Set<PeerConnection> open = ConcurrentHashMap.newKeySet();
 
   private PeerNetwork(Hello hello, MessageCodec codec, PeerListener listener) {
@@ -124,6 +125,11 @@
     return newest != null && newest.send(message);
   }
 
+  /** Returns what was sent and received so far. */
+  public PeerTraffic traffic() {
+    return traffic;
+  }
+
   /** Closes every connection and stops listening. */
   @Override
   public void close() {
