No agent is called lost before one lease has passed since the start

Cause: an entry that had just started published a view without the agents that had not announced themselves yet, and a coordinator that takes over jobs would have failed them as lost.

A view now says whether it is settled. Ruled out: holding the first view back for a lease, since a new entry would refuse all work meanwhile.

--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/spread/StartRecorder.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/spread/StartRecorder.java
@@ -16,6 +16,9 @@
   public Outcome decide(String input) {
     long now = System.nanoTime();
     starts.incrementAndGet();
+    synchronized (this) {
+      notifyAll();
+    }
     lastNanos = now;
     if (bounded && now - boundNanos > 0) {
       lateStarts.incrementAndGet();
@@ -23,6 +26,13 @@
     return behavior.decide(input);
   }
 
+  /** Waits until there have been so many starts. */
+  synchronized void awaitStarts(long count) throws InterruptedException {
+    while (starts.get() < count) {
+      wait();
+    }
+  }
+
   /** From a moment on, starts are late. */
   void forbidFrom(long nanos) {
     boundNanos = nanos;
--- a/cassiastack-bench/src/test/java/org/cassiastack/bench/spread/DrainUnderLoadTest.java
+++ b/cassiastack-bench/src/test/java/org/cassiastack/bench/spread/DrainUnderLoadTest.java
@@ -15,26 +15,20 @@
       throws Exception {
     try (SpreadSystem system = SpreadSystem.start(4);
         JobLoad load = JobLoad.start(system.entries())) {
-      awaitStarts(system.north(), STARTS);
+      system.north().awaitStarts(STARTS);
 
       system.apply(false);
       system.awaitInForce();
       // Calls that the agents had made before may still be on their way.
       system.north().forbidFrom(System.nanoTime() + Duration.ofSeconds(1).toNanos());
-      awaitStarts(system.south(), system.south().starts() + 5 * STARTS);
+      system.south().awaitStarts(system.south().starts() + 5 * STARTS);
 
       assertThat(system.north().lateStarts()).isZero();
       assertThat(load.failed()).isZero();
 
       system.north().permit();
       system.apply(true);
-      awaitStarts(system.north(), system.north().starts() + STARTS);
-    }
-  }
-
-  private static void awaitStarts(StartRecorder recorder, long count) throws InterruptedException {
-    while (recorder.starts() < count) {
-      Thread.sleep(1);
+      system.north().awaitStarts(system.north().starts() + STARTS);
     }
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +24,6 @@
 import org.cassiastack.job.internal.RunningJob;
 import org.cassiastack.membership.MinionsChanged;
 import org.cassiastack.model.Epoch;
-import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.Job;
 import org.cassiastack.model.JobAnswer;
 import org.cassiastack.model.JobId;
@@ -74,7 +72,7 @@
   private Configuration configuration = Configuration.EMPTY;
   // Before the first renewal there is no configuration, so no service is known either.
   private Instant freshUntil = Instant.MAX;
-  private Map<NodeId, Incarnation> agents = new HashMap<>();
+  private MinionsChanged minions = new MinionsChanged(List.of(), Map.of());
 
   private JobCoordinator(Epoch epoch, MinionPicker picker, Duration retention) {
     this.epoch = epoch;
@@ -233,7 +231,7 @@
   }
 
   private void minionsChanged(MinionsChanged m, Instant now, List<Effect> effects) {
-    agents = m.agents();
+    minions = m;
     loads.replace(m.available());
     for (Assignment a : assignments.matching(this::isLost)) {
       assignments.remove(a.dispatch().task());
@@ -245,8 +243,7 @@
   }
 
   private boolean isLost(Assignment a) {
-    Incarnation alive = agents.get(a.load().target().agent());
-    return !a.load().target().incarnation().equals(alive);
+    return minions.isLost(a.load().target().agent(), a.load().target().incarnation());
   }
 
   private void tick(Instant now, List<Effect> effects) {
--- a/cassiastack-core/src/main/java/org/cassiastack/membership/MembershipController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/membership/MembershipController.java
@@ -18,6 +18,7 @@
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.protocol.Welcome;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Knows which agents are alive and which minions they stand for.
@@ -26,6 +27,8 @@
  *   <li>Each announcement renews the lease of its agent and is answered by a welcome.
  *   <li>An agent whose lease has lapsed is forgotten with its minions.
  *   <li>A later incarnation replaces an earlier one; an earlier one is ignored.
+ *   <li>For one lease after its start it calls no agent lost, since each may be about to announce
+ *       itself.
  *   <li>Each change of the view gives one {@link MinionsChanged}.
  * </ol>
  *
@@ -36,6 +39,9 @@
   private final Duration lease;
   private final Map<NodeId, Member> members = new TreeMap<>(NodeId.BY_NAME);
 
+  private @Nullable Instant settlesAt;
+  private boolean settled;
+
   private MembershipController(NodeId self, Duration lease) {
     this.self = self;
     this.lease = lease;
@@ -53,11 +59,14 @@
 
   @Override
   public List<Effect> on(Event event, Instant now) {
+    if (settlesAt == null) {
+      settlesAt = now.plus(lease);
+    }
     if (event instanceof Received r && r.message() instanceof Announce a) {
       return announced(r.from(), a, now);
     }
     if (event instanceof Tick) {
-      return expire(now);
+      return expire(now, !now.isBefore(settlesAt));
     }
     return List.of();
   }
@@ -77,8 +86,10 @@
     return effects;
   }
 
-  private List<Effect> expire(Instant now) {
-    boolean changed = members.values().removeIf(m -> !now.isBefore(m.leaseEnd));
+  private List<Effect> expire(Instant now, boolean nowSettled) {
+    boolean expired = members.values().removeIf(m -> !now.isBefore(m.leaseEnd));
+    boolean changed = expired || settled != nowSettled;
+    settled = nowSettled;
     return changed ? List.of(view()) : List.of();
   }
 
@@ -92,7 +103,7 @@
             m.minions.forEach(x -> available.add(new AvailableMinion(agent, m.incarnation, x)));
           }
         });
-    return new MinionsChanged(available, agents);
+    return new MinionsChanged(available, agents, settled);
   }
 
   private record Member(
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/membership/MembershipControllerTest.java
@@ -0,0 +1,153 @@
+package org.cassiastack.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.cassiastack.configuration.Configurations;
+import org.cassiastack.configuration.StartsAllowed;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.Minion;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.model.Worker;
+import org.cassiastack.protocol.Announce;
+import org.cassiastack.protocol.PeerConnected;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.protocol.Welcome;
+import org.junit.jupiter.api.Test;
+
+class MembershipControllerTest {
+  private static final NodeId ENTRY = new NodeId("entry-1");
+  private static final NodeId AGENT = new NodeId("agent-1");
+  private static final NodeId OTHER = new NodeId("agent-2");
+  private static final Duration LEASE = Duration.ofSeconds(3);
+  private static final Duration HEARTBEAT = Duration.ofSeconds(1);
+  private static final Incarnation OLD = new Incarnation(5);
+  private static final Incarnation NEW = new Incarnation(6);
+  private static final Minion MINION =
+      new Minion(
+          new MinionId("minion-1"),
+          new ServiceName("ice"),
+          new Worker("w1", "r1", Configurations.NORTH, 32, 65_536),
+          8,
+          64);
+
+  private final MembershipController controller = MembershipController.create(ENTRY, LEASE);
+  private Instant now = Instant.parse("2026-12-04T08:00:00Z");
+
+  @Test
+  void an_earlier_incarnation_neither_replaces_a_later_one_nor_is_welcome() {
+    announce(AGENT, NEW, 1, false);
+
+    assertThat(announce(AGENT, OLD, 9, false)).isEmpty();
+  }
+
+  @Test
+  void an_earlier_incarnation_does_not_renew_the_lease_of_a_later_one() {
+    settle();
+    announce(AGENT, NEW, 1, false);
+    now = now.plus(LEASE).minusMillis(1);
+    announce(AGENT, OLD, 9, false);
+    now = now.plusMillis(1);
+
+    assertThat(view(tick()).agents()).isEmpty();
+  }
+
+  @Test
+  void a_later_incarnation_replaces_an_earlier_one_which_is_lost() {
+    announce(AGENT, OLD, 9, false);
+
+    MinionsChanged view = view(announce(AGENT, NEW, 1, false));
+
+    assertThat(view.agents()).containsEntry(AGENT, NEW);
+    assertThat(view.isLost(AGENT, OLD)).isTrue();
+    assertThat(view.isLost(AGENT, NEW)).isFalse();
+  }
+
+  @Test
+  void a_leaving_agent_takes_no_new_work_but_is_not_lost() {
+    announce(AGENT, OLD, 1, false);
+
+    MinionsChanged view = view(announce(AGENT, OLD, 2, true));
+
+    assertThat(view.available()).isEmpty();
+    assertThat(view.isLost(AGENT, OLD)).isFalse();
+  }
+
+  @Test
+  void an_agent_whose_lease_lapsed_is_lost() {
+    settle();
+    announce(AGENT, OLD, 1, false);
+
+    now = now.plus(LEASE);
+
+    assertThat(view(tick()).isLost(AGENT, OLD)).isTrue();
+  }
+
+  @Test
+  void after_a_restart_it_calls_no_silent_agent_lost_before_one_lease_has_passed() {
+    tick();
+    MinionsChanged early = view(announce(OTHER, OLD, 1, false));
+
+    now = now.plus(LEASE).minusMillis(1);
+    announce(OTHER, OLD, 2, false);
+    List<Effect> waiting = tick();
+    now = now.plusMillis(1);
+    MinionsChanged settled = view(tick());
+
+    assertThat(early.isLost(AGENT, OLD)).isFalse();
+    assertThat(waiting).isEmpty();
+    assertThat(settled.isLost(AGENT, OLD)).isTrue();
+    assertThat(settled.isLost(OTHER, OLD)).isFalse();
+  }
+
+  @Test
+  void each_announcement_is_answered_by_its_serial() {
+    assertThat(announce(AGENT, OLD, 7, false)).contains(new Send(AGENT, new Welcome(ENTRY, 7)));
+  }
+
+  @Test
+  void an_agent_announces_itself_only_once_it_may_start_work() {
+    AnnouncementController announcing =
+        AnnouncementController.create(AGENT, OLD, List.of(MINION), HEARTBEAT);
+
+    List<Effect> connected = announcing.on(new PeerConnected(ENTRY), now);
+    List<Effect> tick = announcing.on(new Tick(), now);
+    List<Effect> allowed =
+        announcing.on(new StartsAllowed(now.plus(LEASE), Configurations.north(1, true)), now);
+
+    assertThat(connected).isEmpty();
+    assertThat(tick).isEmpty();
+    assertThat(allowed)
+        .containsExactly(new Send(ENTRY, new Announce(AGENT, OLD, 1, false, List.of(MINION))));
+  }
+
+  private void settle() {
+    tick();
+    now = now.plus(LEASE);
+    tick();
+  }
+
+  private List<Effect> tick() {
+    return controller.on(new Tick(), now);
+  }
+
+  private List<Effect> announce(NodeId agent, Incarnation life, long serial, boolean leaving) {
+    Announce m = new Announce(agent, life, serial, leaving, List.of(MINION));
+    return controller.on(new Received(agent, m), now);
+  }
+
+  private static MinionsChanged view(List<Effect> effects) {
+    return effects.stream()
+        .filter(MinionsChanged.class::isInstance)
+        .map(MinionsChanged.class::cast)
+        .findFirst()
+        .orElseThrow();
+  }
+}
