--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -3,12 +3,12 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.cassiastack.configuration.Configuration;
 import org.cassiastack.configuration.ConfigurationChanged;
+import org.cassiastack.configuration.StartsAllowed;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
@@ -24,7 +24,6 @@
 import org.cassiastack.job.internal.RunningJob;
 import org.cassiastack.membership.MinionsChanged;
 import org.cassiastack.model.Epoch;
-import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.Job;
 import org.cassiastack.model.JobAnswer;
 import org.cassiastack.model.JobId;
@@ -71,7 +70,9 @@
   private final MinionLoads loads = new MinionLoads();
   private final RetainedAnswers retained;
   private Configuration configuration = Configuration.EMPTY;
-  private Map<NodeId, Incarnation> agents = new HashMap<>();
+  // Before the first renewal there is no configuration, so no service is known either.
+  private Instant freshUntil = Instant.MAX;
+  private MinionsChanged minions = new MinionsChanged(List.of(), Map.of());
 
   private JobCoordinator(Epoch epoch, MinionPicker picker, Duration retention) {
     this.epoch = epoch;
@@ -109,6 +110,8 @@
       minionsChanged(m, now, effects);
     } else if (event instanceof ConfigurationChanged c) {
       configuration = c.configuration();
+    } else if (event instanceof StartsAllowed a) {
+      freshUntil = a.until();
     } else if (event instanceof Tick) {
       tick(now, effects);
     } else {
@@ -151,6 +154,9 @@
     if (job.key().issuedAt().isBefore(now.minus(retained.retention()))) {
       return Refusals.keyExpired(job.key(), retained.retention());
     }
+    if (!now.isBefore(freshUntil)) {
+      return Refusals.stale();
+    }
     return loads.serves(job.service(), configuration) ? null : Refusals.noMinion(job.service());
   }
 
@@ -225,7 +231,7 @@
   }
 
   private void minionsChanged(MinionsChanged m, Instant now, List<Effect> effects) {
-    agents = m.agents();
+    minions = m;
     loads.replace(m.available());
     for (Assignment a : assignments.matching(this::isLost)) {
       assignments.remove(a.dispatch().task());
@@ -237,8 +243,7 @@
   }
 
   private boolean isLost(Assignment a) {
-    Incarnation alive = agents.get(a.load().target().agent());
-    return !a.load().target().incarnation().equals(alive);
+    return minions.isLost(a.load().target().agent(), a.load().target().incarnation());
   }
 
   private void tick(Instant now, List<Effect> effects) {
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/AgentPages.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/AgentPages.java
@@ -17,7 +17,7 @@
   private volatile boolean stopping;
 
   private AgentPages(@Nullable InetSocketAddress address, DaemonMetrics metrics) {
-    server = address == null ? null : OperatorApi.serve(address, pages(metrics));
+    server = address == null ? null : OperatorApi.serve(address, pages(metrics), null);
   }
 
   /** Serves the pages, or none when there is no address. */
