--- a/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationCodec.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationCodec.java
@@ -12,12 +12,12 @@
   /** Encodes a command. */
   Payload encode(ConfigurationCommand command);
 
-  /** Decodes a command, or returns null when the bytes are the command of another controller. */
-  @Nullable ConfigurationCommand decodeCommand(Payload bytes);
-
   /** Encodes a state. */
   Payload encode(ConfigurationState state);
 
+  /** Decodes a command, or returns null when the bytes are the command of another controller. */
+  @Nullable ConfigurationCommand decodeCommand(Payload bytes);
+
   /** Decodes a state. */
   ConfigurationState decodeState(Payload bytes);
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/configuration/MemoryConfigurationCodec.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/configuration/MemoryConfigurationCodec.java
@@ -14,13 +14,13 @@
   }
 
   @Override
-  public ConfigurationCommand decodeCommand(Payload bytes) {
-    return (ConfigurationCommand) values.get(Integer.parseInt(bytes.toText()));
+  public Payload encode(ConfigurationState state) {
+    return number(state);
   }
 
   @Override
-  public Payload encode(ConfigurationState state) {
-    return number(state);
+  public ConfigurationCommand decodeCommand(Payload bytes) {
+    return (ConfigurationCommand) values.get(Integer.parseInt(bytes.toText()));
   }
 
   @Override
