--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/local/LocalSystem.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/local/LocalSystem.java
@@ -34,6 +34,8 @@
  * <ol>
  *   <li>{@link #start} starts the daemons, in this process or each in its own.
  *   <li>{@link #awaitMinions} returns once every entry knows every minion.
+ *   <li>System properties {@code bench.AgentMain} and {@code bench.EntryMain} hold options for the
+ *       Java machine of daemons in processes of their own.
  *   <li>{@link #node} gives a daemon by its name, such as {@code agent-3}, to stop or kill it.
  * </ol>
  *
@@ -153,7 +155,9 @@
   }
 
   private static Node process(Class<?> main, Path settings) {
-    return ProcessNode.of(main, settings, List.of());
+    String options = System.getProperty("bench." + main.getSimpleName(), "").trim();
+    return ProcessNode.of(
+        main, settings, options.isEmpty() ? List.of() : List.of(options.split(" +", -1)));
   }
 
   private static Node entry(Path settings) {
