--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageCodec.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageCodec.java
@@ -1,6 +1,5 @@
 package org.cassiastack.transport.codec;
 
-import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.ObjectReader;
 import com.fasterxml.jackson.databind.ObjectWriter;
@@ -12,8 +11,6 @@
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
-import org.msgpack.jackson.dataformat.JsonArrayFormat;
-import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /**
  * Turns messages into bytes and back.
@@ -35,10 +32,7 @@
   private final Map<Class<?>, ObjectWriter> writers = new HashMap<>();
 
   private MessageCodec() {
-    ObjectMapper mapper = new MessagePackMapper();
-    mapper.setAnnotationIntrospector(new JsonArrayFormat());
-    mapper.registerModule(ValueTypes.module());
-    mapper.enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES);
+    ObjectMapper mapper = RecordMapper.create();
     for (MessageType t : MessageType.values()) {
       readers.put(t.number(), mapper.readerFor(t.type()));
       writers.put(t.type(), mapper.writerFor(t.type()));
--- /dev/null
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/storage/Segment.java
@@ -0,0 +1,64 @@
+package org.cassiastack.transport.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+
+/** The segment file that is being written. */
+final class Segment implements AutoCloseable {
+  static final int MAGIC = 0x43534C31;
+  static final int VERSION = 1;
+  static final int HEADER_BYTES = Integer.BYTES * 2;
+  static final int RECORD_HEADER_BYTES = Integer.BYTES * 2;
+
+  private final FileChannel channel;
+  private long size;
+
+  private Segment(FileChannel channel, long size) {
+    this.channel = channel;
+    this.size = size;
+  }
+
+  static Segment create(Path file, Syncer syncer) throws IOException {
+    FileChannel channel =
+        FileChannel.open(file, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
+    ByteBuffer b = ByteBuffer.allocate(HEADER_BYTES).putInt(MAGIC).putInt(VERSION).flip();
+    CheckedFile.writeFully(channel, b);
+    syncer.sync(channel);
+    CheckedFile.syncFolder(file.resolveSibling("."), syncer);
+    return new Segment(channel, HEADER_BYTES);
+  }
+
+  /** Opens a segment at the end of its valid records and cuts off what is behind. */
+  static Segment reopen(Path file, long validBytes, Syncer syncer) throws IOException {
+    FileChannel channel = FileChannel.open(file, StandardOpenOption.WRITE);
+    if (channel.size() > validBytes) {
+      channel.truncate(validBytes);
+      syncer.sync(channel);
+    }
+    channel.position(validBytes);
+    return new Segment(channel, validBytes);
+  }
+
+  void write(byte[] record) throws IOException {
+    ByteBuffer b = ByteBuffer.allocate(RECORD_HEADER_BYTES + record.length);
+    b.putInt(record.length).putInt(CheckedFile.checksum(record)).put(record).flip();
+    CheckedFile.writeFully(channel, b);
+    size += RECORD_HEADER_BYTES + record.length;
+  }
+
+  void sync(Syncer syncer) throws IOException {
+    syncer.sync(channel);
+  }
+
+  long size() {
+    return size;
+  }
+
+  @Override
+  public void close() throws IOException {
+    channel.close();
+  }
+}
--- /dev/null
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/storage/StorageListener.java
@@ -0,0 +1,14 @@
+package org.cassiastack.transport.storage;
+
+/**
+ * Is told, on the writer thread, how far the writes have come.
+ *
+ * @since 0.1
+ */
+public interface StorageListener {
+  /** A write and all before it are synced. */
+  void synced(long sync);
+
+  /** The folder can no longer be written; no later write is carried out. */
+  void failed(String reason);
+}
