--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessagePackConfigurationCodec.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessagePackConfigurationCodec.java
@@ -25,7 +25,7 @@
   /** First byte of each configuration command; other controllers' commands begin otherwise. */
   public static final byte COMMAND_KIND = 1;
 
-  private final ObjectMapper mapper = MessageCodec.mapper();
+  private final ObjectMapper mapper = RecordMapper.create();
 
   private MessagePackConfigurationCodec() {}
 
