Routing by observed time, turns between jobs, windows and ejection

Cause: with one queue in order of arrival, a job of one task waited behind one of 200, and three coordinators that each used all slots of a minion queued at the agents what others could have run.

Conclusion: the patient picker of least expected finish is the default. Minions whose tasks all fail are ejected and probed; when all fail, jobs are refused at once.

--- /dev/null
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/routing/Outcome.java
@@ -0,0 +1,81 @@
+package org.cassiastack.bench.routing;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.cassiastack.model.Job;
+import org.cassiastack.model.JobAnswer;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.protocol.CancelTasks;
+import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.protocol.Message;
+import org.cassiastack.protocol.TaskNotStarted;
+
+/** What came of one trial. */
+final class Outcome {
+  private final Scenario scenario;
+  private final List<Double> ratios = new ArrayList<>();
+  private final Map<ResultCode, Integer> codes = new EnumMap<>(ResultCode.class);
+  private long dispatches;
+  private long starts;
+  private long others;
+  private long tasksDone;
+  private Duration slowestRefusal = Duration.ZERO;
+
+  Outcome(Scenario scenario) {
+    this.scenario = scenario;
+  }
+
+  void sent(Message m) {
+    if (m instanceof Dispatch) {
+      dispatches++;
+    } else if (m instanceof TaskNotStarted || m instanceof CancelTasks) {
+      others++;
+    }
+  }
+
+  void started() {
+    starts++;
+  }
+
+  void answered(Job job, JobAnswer answer, Duration took, Instant now) {
+    codes.merge(answer.code(), 1, Integer::sum);
+    if (answer.isComplete()) {
+      ratios.add((double) took.toNanos() / scenario.ideal(job).toNanos());
+      tasksDone += job.tasks().size();
+    } else if (answer.code() == ResultCode.OVERLOADED || answer.code() == ResultCode.NO_MINION) {
+      slowestRefusal = slowestRefusal.compareTo(took) >= 0 ? slowestRefusal : took;
+    }
+  }
+
+  /** Returns a quantile of job time over ideal time, of complete jobs. */
+  double ratio(double quantile) {
+    if (ratios.isEmpty()) {
+      return Double.NaN;
+    }
+    Collections.sort(ratios);
+    return ratios.get((int) Math.min(ratios.size() - 1, quantile * ratios.size()));
+  }
+
+  /** Returns messages that led to no start, for each task of a complete job. */
+  double wastedPerTask() {
+    return (double) (dispatches - starts + others) / Math.max(1, tasksDone);
+  }
+
+  /** Returns tasks of complete jobs a second as a share of what the minions can do. */
+  double goodput() {
+    return tasksDone / (scenario.capacity() * scenario.arrivals().toSeconds());
+  }
+
+  Map<ResultCode, Integer> codes() {
+    return codes;
+  }
+
+  Duration slowestRefusal() {
+    return slowestRefusal;
+  }
+}
--- /dev/null
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/routing/RoutingTrials.java
@@ -0,0 +1,62 @@
+package org.cassiastack.bench.routing;
+
+import java.io.PrintStream;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cassiastack.routing.MinionPickers;
+
+/** Prints a Markdown table of the pickers under each scenario, in virtual time. */
+public final class RoutingTrials {
+  private static final long SEED = 20_261_204;
+  private static final int COORDINATORS = 3;
+
+  private RoutingTrials() {}
+
+  /** Runs every trial, or those whose scenario is named by the first argument. */
+  public static void main(String[] args) {
+    PrintStream out = System.out;
+    out.println("| scenario | picker | p50 | p99 | wasted/task | goodput | answers |");
+    out.println("|---|---|---|---|---|---|---|");
+    for (Scenario s : scenarios()) {
+      if (args.length == 0 || s.name().contains(args[0])) {
+        pickers().forEach((name, p) -> out.println(row(s, name, Trial.run(s, p))));
+      }
+    }
+  }
+
+  private static List<Scenario> scenarios() {
+    return List.of(
+        new Scenario("load 50 %", 0.5, COORDINATORS, false, 0, SEED),
+        new Scenario("load 80 %", 0.8, COORDINATORS, false, 0, SEED),
+        new Scenario("load 95 %", 0.95, COORDINATORS, false, 0, SEED),
+        new Scenario("load 200 %", 2, COORDINATORS, false, 0, SEED),
+        new Scenario("domain out, load 50 %", 0.5, COORDINATORS, true, 0, SEED),
+        new Scenario("2 of 10 fail, load 50 %", 0.5, COORDINATORS, false, 2, SEED),
+        new Scenario("all fail, load 50 %", 0.5, COORDINATORS, false, 9, SEED));
+  }
+
+  private static Map<String, Trial.Pickers> pickers() {
+    Map<String, Trial.Pickers> all = new LinkedHashMap<>();
+    all.put("random", MinionPickers::random);
+    all.put("round robin", r -> MinionPickers.roundRobin());
+    all.put("least loaded", r -> MinionPickers.leastLoaded());
+    all.put("two choices", MinionPickers::twoChoices);
+    all.put("least finish", r -> MinionPickers.leastFinish());
+    all.put("patient two choices", r -> MinionPickers.patient(MinionPickers.twoChoices(r)));
+    all.put("patient least finish", r -> MinionPickers.patient(MinionPickers.leastFinish()));
+    return all;
+  }
+
+  private static String row(Scenario s, String picker, Outcome o) {
+    return "| %s | %s | %.2f | %.2f | %.3f | %.3f | %s |"
+        .formatted(
+            s.name(),
+            picker,
+            o.ratio(0.5),
+            o.ratio(0.99),
+            o.wastedPerTask(),
+            o.goodput(),
+            o.codes());
+  }
+}
--- a/cassiastack-core/src/main/java/org/cassiastack/guard/StartGuard.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/guard/StartGuard.java
@@ -117,6 +117,9 @@
     if (leaving) {
       return ResultCode.STOPPING;
     }
+    if (slots.isFull()) {
+      return ResultCode.OVERLOADED;
+    }
     return tasks.isFull() ? ResultCode.GUARD_FULL : null;
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/guard/internal/MinionSlots.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/guard/internal/MinionSlots.java
@@ -6,6 +6,9 @@
 
 /** Slots of one minion and the tasks that wait for one. */
 public final class MinionSlots {
+  private static final int LEAST_WAITING = 2;
+  private static final int SLOTS_FOR_EACH_WAITING = 4;
+
   private final int slots;
   private final Deque<GuardedTask> waiting = new ArrayDeque<>();
   private int running;
@@ -25,6 +28,11 @@
     waiting.remove(task);
   }
 
+  /** Tells whether so many tasks wait that another coordinator had better use another minion. */
+  public boolean isFull() {
+    return waiting.size() >= Math.max(LEAST_WAITING, slots / SLOTS_FOR_EACH_WAITING);
+  }
+
   /** Takes the next task, or returns null while no slot is free or no task waits. */
   public @Nullable GuardedTask next() {
     return running < slots ? waiting.pollFirst() : null;
--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -7,7 +7,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.cassiastack.configuration.Configuration;
 import org.cassiastack.configuration.ConfigurationChanged;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
@@ -42,6 +41,7 @@
 import org.cassiastack.protocol.Send;
 import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
+import org.cassiastack.routing.Candidates;
 import org.cassiastack.routing.MinionLoad;
 import org.cassiastack.routing.MinionPicker;
 import org.jspecify.annotations.Nullable;
@@ -70,7 +70,6 @@
   private final Assignments assignments = new Assignments();
   private final MinionLoads loads = new MinionLoads();
   private final RetainedAnswers retained;
-  private Configuration configuration = Configuration.EMPTY;
   private Map<NodeId, Incarnation> agents = new HashMap<>();
 
   private JobCoordinator(Epoch epoch, MinionPicker picker, Duration retention) {
@@ -108,7 +107,9 @@
     } else if (event instanceof MinionsChanged m) {
       minionsChanged(m, now, effects);
     } else if (event instanceof ConfigurationChanged c) {
-      configuration = c.configuration();
+      loads.configurationChanged(c.configuration(), now);
+    } else if (event instanceof CoordinatorsChanged c) {
+      loads.shareAmong(c.count());
     } else if (event instanceof Tick) {
       tick(now, effects);
     } else {
@@ -151,7 +152,7 @@
     if (job.key().issuedAt().isBefore(now.minus(retained.retention()))) {
       return Refusals.keyExpired(job.key(), retained.retention());
     }
-    return loads.serves(job.service(), configuration) ? null : Refusals.noMinion(job.service());
+    return loads.serves(job.service(), now) ? null : Refusals.noMinion(job.service());
   }
 
   private @Nullable JobDigest knownDigest(JobId id) {
@@ -166,6 +167,11 @@
   private void taskEnded(TaskEnded m, Instant now, List<Effect> effects) {
     Assignment a = assignments.remove(m.task());
     RunningJob j = a == null ? null : running.get(a.job());
+    if (a != null && m.code() == ResultCode.COMPLETE) {
+      loads.taskCompleted(a.load(), Duration.between(a.sentAt(), now));
+    } else if (a != null) {
+      loads.taskFailed(a.load(), a.job(), now);
+    }
     if (j == null) {
       return;
     }
@@ -188,7 +194,7 @@
     if (a == null) {
       return;
     }
-    a.load().pauseUntil(now.plus(PAUSE_AFTER_REFUSAL));
+    refused(a, m.reason(), now);
     RunningJob j = running.get(a.job());
     if (j != null) {
       j.taskNotStarted();
@@ -196,6 +202,17 @@
     }
   }
 
+  private void refused(Assignment a, ResultCode reason, Instant now) {
+    if (reason == ResultCode.OVERLOADED) {
+      a.load().refusedForRoom();
+      return;
+    }
+    a.load().pauseUntil(now.plus(PAUSE_AFTER_REFUSAL));
+    if (reason == ResultCode.NO_MINION) {
+      loads.taskFailed(a.load(), a.job(), now);
+    }
+  }
+
   private void cancelled(JobCancelled c, Instant now, List<Effect> effects) {
     JobId id = new JobId(c.customer(), c.key());
     RunningJob j = running.get(id);
@@ -226,7 +243,7 @@
 
   private void minionsChanged(MinionsChanged m, Instant now, List<Effect> effects) {
     agents = m.agents();
-    loads.replace(m.available());
+    loads.replace(m.available(), now);
     for (Assignment a : assignments.matching(this::isLost)) {
       assignments.remove(a.dispatch().task());
       RunningJob j = running.get(a.job());
@@ -276,15 +293,21 @@
 
   private void dispatchAll(Instant now, List<Effect> effects) {
     for (ServiceName service : queue.services()) {
-      Waiting next = queue.peek(service);
-      while (next != null) {
-        MinionLoad load = picker.pick(loads.candidates(service, configuration, now), now);
+      List<MinionLoad> all = loads.inService(service);
+      List<MinionLoad> free = new ArrayList<>(all);
+      free.removeIf(m -> !m.hasFreeSlot(now));
+      Waiting next = queue.peek(service, c -> true);
+      while (next != null && !free.isEmpty()) {
+        MinionLoad load = picker.pick(new Candidates(free, all, queue.size(service)), now);
         if (load == null) {
           break;
         }
         queue.takeFirst(service);
         dispatch(next, load, now, effects);
-        next = queue.peek(service);
+        if (!load.hasFreeSlot(now)) {
+          free.remove(load);
+        }
+        next = queue.peek(service, c -> true);
       }
     }
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/job/internal/DispatchQueue.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/DispatchQueue.java
@@ -3,62 +3,154 @@
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
+import org.cassiastack.model.Customer;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.model.Task;
 import org.jspecify.annotations.Nullable;
 
-/** Tasks that wait for a free slot, in order of arrival for each service. */
+/**
+ * Tasks that wait for a free slot of a service. Customers take turns, and the jobs of one customer
+ * take turns, so that neither a burst nor a large job holds up the others.
+ */
 public final class DispatchQueue {
-  private final Map<ServiceName, Deque<Waiting>> byService = new LinkedHashMap<>();
+  private final Map<ServiceName, Deque<CustomerQueue>> byService = new LinkedHashMap<>();
+  private final Map<ServiceName, Integer> sizes = new HashMap<>();
 
   /** Returns the services that have waiting tasks. */
   public Collection<ServiceName> services() {
     return List.copyOf(byService.keySet());
   }
 
-  /** Adds a task behind the others. */
+  /** Adds a task behind the others of its job. */
   public void addLast(RunningJob job, Task task) {
-    queue(job.job().service()).addLast(new Waiting(job, task));
+    jobQueue(job, false).tasks.addLast(task);
+    resize(job.job().service(), 1);
   }
 
-  /** Adds a task before the others: it has waited already. */
+  /** Adds a task before the others of its customer: it has waited already. */
   public void addFirst(RunningJob job, Task task) {
-    queue(job.job().service()).addFirst(new Waiting(job, task));
+    jobQueue(job, true).tasks.addFirst(task);
+    resize(job.job().service(), 1);
   }
 
-  /** Returns the first waiting task of a service without taking it, or null. */
-  public @Nullable Waiting peek(ServiceName service) {
-    Deque<Waiting> q = byService.get(service);
-    return q == null ? null : q.peekFirst();
+  /**
+   * Returns the next waiting task of a service without taking it, or null.
+   *
+   * @param service the service
+   * @param mayStart tells whether a customer may have one more task in flight
+   */
+  public @Nullable Waiting peek(ServiceName service, Predicate<Customer> mayStart) {
+    Deque<CustomerQueue> customers = byService.get(service);
+    if (customers == null) {
+      return null;
+    }
+    for (int i = 0; i < customers.size(); i++) {
+      CustomerQueue c = customers.element();
+      if (mayStart.test(c.customer)) {
+        JobQueue j = c.jobs.element();
+        return new Waiting(j.job, j.tasks.element());
+      }
+      customers.addLast(customers.remove());
+    }
+    return null;
+  }
+
+  /** Returns the number of tasks of a service that wait. */
+  public int size(ServiceName service) {
+    return sizes.getOrDefault(service, 0);
   }
 
-  /** Takes the first waiting task of a service. */
+  /** Returns the number of tasks of a service that would go before the last of a new job. */
+  public int ahead(ServiceName service, Customer customer, int tasks) {
+    int ahead = 0;
+    for (CustomerQueue c : byService.getOrDefault(service, new ArrayDeque<>())) {
+      int own = c.size();
+      ahead += c.customer.equals(customer) ? own : Math.min(own, tasks);
+    }
+    return ahead;
+  }
+
+  /** Takes the task that was peeked at; its job and its customer go behind the others. */
   public void takeFirst(ServiceName service) {
-    Deque<Waiting> q = byService.get(service);
-    if (q != null) {
-      q.pollFirst();
-      if (q.isEmpty()) {
-        byService.remove(service);
-      }
+    Deque<CustomerQueue> customers = byService.get(service);
+    if (customers == null) {
+      return;
+    }
+    CustomerQueue c = customers.remove();
+    JobQueue j = c.jobs.remove();
+    j.tasks.remove();
+    if (!j.tasks.isEmpty()) {
+      c.jobs.addLast(j);
     }
+    if (!c.jobs.isEmpty()) {
+      customers.addLast(c);
+    }
+    dropIfEmpty(service, customers);
+    resize(service, -1);
   }
 
   /** Removes the tasks of a job. */
   public void removeJob(RunningJob job) {
-    Deque<Waiting> q = byService.get(job.job().service());
-    if (q != null) {
-      q.removeIf(w -> w.job() == job);
-      if (q.isEmpty()) {
-        byService.remove(job.job().service());
+    ServiceName service = job.job().service();
+    Deque<CustomerQueue> customers = byService.get(service);
+    if (customers == null) {
+      return;
+    }
+    for (CustomerQueue c : customers) {
+      for (JobQueue j : c.jobs) {
+        if (j.job == job) {
+          resize(service, -j.tasks.size());
+        }
       }
+      c.jobs.removeIf(j -> j.job == job);
     }
+    customers.removeIf(c -> c.jobs.isEmpty());
+    dropIfEmpty(service, customers);
   }
 
-  private Deque<Waiting> queue(ServiceName service) {
-    return byService.computeIfAbsent(service, s -> new ArrayDeque<>());
+  private void dropIfEmpty(ServiceName service, Deque<CustomerQueue> customers) {
+    if (customers.isEmpty()) {
+      byService.remove(service);
+    }
+  }
+
+  private void resize(ServiceName service, int by) {
+    sizes.merge(service, by, Integer::sum);
+  }
+
+  private JobQueue jobQueue(RunningJob job, boolean first) {
+    Deque<JobQueue> jobs = customerQueue(job).jobs;
+    for (JobQueue j : jobs) {
+      if (j.job == job) {
+        return j;
+      }
+    }
+    JobQueue added = new JobQueue(job);
+    if (first) {
+      jobs.addFirst(added);
+    } else {
+      jobs.addLast(added);
+    }
+    return added;
+  }
+
+  private CustomerQueue customerQueue(RunningJob job) {
+    Deque<CustomerQueue> customers =
+        byService.computeIfAbsent(job.job().service(), s -> new ArrayDeque<>());
+    Customer customer = job.job().customer();
+    for (CustomerQueue c : customers) {
+      if (c.customer.equals(customer)) {
+        return c;
+      }
+    }
+    CustomerQueue added = new CustomerQueue(customer);
+    customers.addLast(added);
+    return added;
   }
 
   /**
@@ -68,4 +160,26 @@
    * @param task the task
    */
   public record Waiting(RunningJob job, Task task) {}
+
+  private static final class CustomerQueue {
+    private final Customer customer;
+    private final Deque<JobQueue> jobs = new ArrayDeque<>();
+
+    CustomerQueue(Customer customer) {
+      this.customer = customer;
+    }
+
+    int size() {
+      return jobs.stream().mapToInt(j -> j.tasks.size()).sum();
+    }
+  }
+
+  private static final class JobQueue {
+    private final RunningJob job;
+    private final Deque<Task> tasks = new ArrayDeque<>();
+
+    JobQueue(RunningJob job) {
+      this.job = job;
+    }
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/routing/MinionPicker.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/MinionPicker.java
@@ -1,14 +1,13 @@
 package org.cassiastack.routing;
 
 import java.time.Instant;
-import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Chooses the minion that runs a task.
  *
  * <pre>{@code
- * MinionPicker first = (candidates, now) -> candidates.isEmpty() ? null : candidates.get(0);
+ * MinionPicker first = (c, now) -> c.free().isEmpty() ? null : c.free().get(0);
  * }</pre>
  *
  * @since 0.1
@@ -18,9 +17,9 @@
   /**
    * Chooses a minion.
    *
-   * @param candidates minions of the service that have a free slot as far as is known here
+   * @param candidates the minions of the service
    * @param now the present time
-   * @return one of the candidates, or null when none should be used now
+   * @return one of the free candidates, or null when the task should wait
    */
-  @Nullable MinionLoad pick(List<MinionLoad> candidates, Instant now);
+  @Nullable MinionLoad pick(Candidates candidates, Instant now);
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/routing/MinionPickers.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/MinionPickers.java
@@ -1,9 +1,12 @@
 package org.cassiastack.routing;
 
 import java.util.random.RandomGenerator;
+import org.cassiastack.routing.internal.LeastFinishPicker;
 import org.cassiastack.routing.internal.LeastLoadedPicker;
+import org.cassiastack.routing.internal.PatientPicker;
 import org.cassiastack.routing.internal.RandomPicker;
 import org.cassiastack.routing.internal.RoundRobinPicker;
+import org.cassiastack.routing.internal.TwoChoicesPicker;
 
 /**
  * The pickers that the library brings.
@@ -27,4 +30,24 @@
   public static MinionPicker leastLoaded() {
     return new LeastLoadedPicker();
   }
+
+  /** Of two candidates drawn at random, the one that is expected to finish a task first. */
+  public static MinionPicker twoChoices(RandomGenerator random) {
+    return new TwoChoicesPicker(random);
+  }
+
+  /** The candidate that is expected to finish a task first. */
+  public static MinionPicker leastFinish() {
+    return new LeastFinishPicker();
+  }
+
+  /**
+   * Leaves a slow minion idle while faster ones are expected to work off all that waits before the
+   * slow one would be done with one task.
+   *
+   * @param inner chooses among the candidates that are worth waiting for
+   */
+  public static MinionPicker patient(MinionPicker inner) {
+    return new PatientPicker(inner);
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/routing/internal/LeastLoadedPicker.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/internal/LeastLoadedPicker.java
@@ -1,7 +1,7 @@
 package org.cassiastack.routing.internal;
 
 import java.time.Instant;
-import java.util.List;
+import org.cassiastack.routing.Candidates;
 import org.cassiastack.routing.MinionLoad;
 import org.cassiastack.routing.MinionPicker;
 import org.jspecify.annotations.Nullable;
@@ -9,9 +9,9 @@
 /** Picks the candidate with the smallest share of its slots in use; the first of equals. */
 public final class LeastLoadedPicker implements MinionPicker {
   @Override
-  public @Nullable MinionLoad pick(List<MinionLoad> candidates, Instant now) {
+  public @Nullable MinionLoad pick(Candidates candidates, Instant now) {
     MinionLoad best = null;
-    for (MinionLoad c : candidates) {
+    for (MinionLoad c : candidates.free()) {
       if (best == null || c.utilization() < best.utilization()) {
         best = c;
       }
--- a/cassiastack-core/src/main/java/org/cassiastack/routing/internal/RandomPicker.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/internal/RandomPicker.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.cassiastack.routing.Candidates;
 import org.cassiastack.routing.MinionLoad;
 import org.cassiastack.routing.MinionPicker;
 import org.jspecify.annotations.Nullable;
@@ -17,7 +18,8 @@
   }
 
   @Override
-  public @Nullable MinionLoad pick(List<MinionLoad> candidates, Instant now) {
-    return candidates.isEmpty() ? null : candidates.get(random.nextInt(candidates.size()));
+  public @Nullable MinionLoad pick(Candidates candidates, Instant now) {
+    List<MinionLoad> free = candidates.free();
+    return free.isEmpty() ? null : free.get(random.nextInt(free.size()));
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/routing/internal/RoundRobinPicker.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/internal/RoundRobinPicker.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.List;
+import org.cassiastack.routing.Candidates;
 import org.cassiastack.routing.MinionLoad;
 import org.cassiastack.routing.MinionPicker;
 import org.jspecify.annotations.Nullable;
@@ -11,11 +12,12 @@
   private int turn;
 
   @Override
-  public @Nullable MinionLoad pick(List<MinionLoad> candidates, Instant now) {
-    if (candidates.isEmpty()) {
+  public @Nullable MinionLoad pick(Candidates candidates, Instant now) {
+    List<MinionLoad> free = candidates.free();
+    if (free.isEmpty()) {
       return null;
     }
     turn++;
-    return candidates.get(Math.floorMod(turn, candidates.size()));
+    return free.get(Math.floorMod(turn, free.size()));
   }
 }
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/internal/TwoChoicesPicker.java
@@ -0,0 +1,35 @@
+package org.cassiastack.routing.internal;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.random.RandomGenerator;
+import org.cassiastack.routing.Candidates;
+import org.cassiastack.routing.MinionLoad;
+import org.cassiastack.routing.MinionPicker;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Draws two candidates and picks the one that is expected to finish first (Mitzenmacher, The Power
+ * of Two Choices in Randomized Load Balancing, 2001).
+ */
+public final class TwoChoicesPicker implements MinionPicker {
+  private final RandomGenerator random;
+
+  /** Makes a picker that draws from the given source. */
+  public TwoChoicesPicker(RandomGenerator random) {
+    this.random = random;
+  }
+
+  @Override
+  public @Nullable MinionLoad pick(Candidates candidates, Instant now) {
+    List<MinionLoad> free = candidates.free();
+    if (free.size() < 2) {
+      return free.isEmpty() ? null : free.get(0);
+    }
+    int first = random.nextInt(free.size());
+    int second = random.nextInt(free.size() - 1);
+    MinionLoad a = free.get(first);
+    MinionLoad b = free.get(second < first ? second : second + 1);
+    return a.expectedFinishSeconds() <= b.expectedFinishSeconds() ? a : b;
+  }
+}
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
@@ -81,7 +81,8 @@
     Hello hello = new Hello(Hello.PROTOCOL_VERSION, self, incarnation);
     network = PeerNetwork.create(hello, MessageCodec.create(), new Listener());
     JobCoordinator jobs =
-        JobCoordinator.create(new Epoch(1), MinionPickers.leastLoaded(), settings.retention());
+        JobCoordinator.create(
+            new Epoch(1), MinionPickers.patient(MinionPickers.leastFinish()), settings.retention());
     coordinator = loop("coordinator", List.of(jobs));
     MembershipController membership = MembershipController.create(self, settings.lease());
     control = loop("control", List.of(membership));
