Admission by expected wait, quotas, and urgent jobs first

Cause: at twice the capacity jobs were accepted that passed their deadline, and turns alone starved jobs of 200 tasks.

Quotas: rates by a token bucket that takes whole jobs, tasks in flight held back in the queue, shares of coordinators with a floor. Ejection grows by four, since each probe may cost a job.

--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/routing/Trial.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/routing/Trial.java
@@ -152,7 +152,8 @@
         Job job = jobs.remove(a.caller());
         Instant from = submitted.remove(a.caller());
         if (job != null && from != null) {
-          outcome.answered(job, a.answer(), Duration.between(from, now), now);
+          boolean inWindow = now.isBefore(START.plus(scenario.arrivals()));
+          outcome.answered(job, a.answer(), Duration.between(from, now), inWindow);
         }
       }
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -21,7 +21,11 @@
 import org.cassiastack.job.internal.RetainedAnswers;
 import org.cassiastack.job.internal.RetainedAnswers.Retained;
 import org.cassiastack.job.internal.RunningJob;
+import org.cassiastack.limit.CustomerQuotas;
+import org.cassiastack.limit.DeadlineLimit;
+import org.cassiastack.limit.QuotaShare;
 import org.cassiastack.membership.MinionsChanged;
+import org.cassiastack.model.Customer;
 import org.cassiastack.model.Epoch;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.Job;
@@ -69,6 +73,7 @@
   private final DispatchQueue queue = new DispatchQueue();
   private final Assignments assignments = new Assignments();
   private final MinionLoads loads = new MinionLoads();
+  private final CustomerQuotas quotas = CustomerQuotas.create();
   private final RetainedAnswers retained;
   private Map<NodeId, Incarnation> agents = new HashMap<>();
 
@@ -108,8 +113,12 @@
       minionsChanged(m, now, effects);
     } else if (event instanceof ConfigurationChanged c) {
       loads.configurationChanged(c.configuration(), now);
+      quotas.configurationChanged(c.configuration(), now);
     } else if (event instanceof CoordinatorsChanged c) {
       loads.shareAmong(c.count());
+      quotas.shareAmong(c.count(), now);
+    } else if (event instanceof QuotaShare q) {
+      quotas.granted(q, now);
     } else if (event instanceof Tick) {
       tick(now, effects);
     } else {
@@ -152,7 +161,22 @@
     if (job.key().issuedAt().isBefore(now.minus(retained.retention()))) {
       return Refusals.keyExpired(job.key(), retained.retention());
     }
-    return loads.serves(job.service(), now) ? null : Refusals.noMinion(job.service());
+    if (!loads.serves(job.service(), now)) {
+      return Refusals.noMinion(job.service());
+    }
+    return overLimit(job, now);
+  }
+
+  private @Nullable Refusal overLimit(Job job, Instant now) {
+    int tasks = job.tasks().size();
+    int ahead = queue.ahead(job.service(), job.customer(), tasks);
+    double rate = loads.tasksPerSecond(job.service(), now);
+    Refusal refusal = DeadlineLimit.refusalOf(job, ahead, rate);
+    return refusal == null ? quotas.admit(job.customer(), tasks, now) : refusal;
+  }
+
+  private boolean mayStart(Customer customer) {
+    return quotas.mayStart(customer, assignments.inFlight(customer));
   }
 
   private @Nullable JobDigest knownDigest(JobId id) {
@@ -260,6 +284,7 @@
 
   private void tick(Instant now, List<Effect> effects) {
     retained.expire(now);
+    quotas.expire(now);
     for (RunningJob j : List.copyOf(running.values())) {
       if (!now.isBefore(j.deadline())) {
         fail(j, Refusals.deadline(j.job().key(), j.mayHaveRun()), now, effects);
@@ -296,7 +321,7 @@
       List<MinionLoad> all = loads.inService(service);
       List<MinionLoad> free = new ArrayList<>(all);
       free.removeIf(m -> !m.hasFreeSlot(now));
-      Waiting next = queue.peek(service, c -> true);
+      Waiting next = queue.peek(service, this::mayStart, now);
       while (next != null && !free.isEmpty()) {
         MinionLoad load = picker.pick(new Candidates(free, all, queue.size(service)), now);
         if (load == null) {
@@ -307,7 +332,7 @@
         if (!load.hasFreeSlot(now)) {
           free.remove(load);
         }
-        next = queue.peek(service, c -> true);
+        next = queue.peek(service, this::mayStart, now);
       }
     }
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/job/internal/Assignments.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/Assignments.java
@@ -2,10 +2,12 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
+import org.cassiastack.model.Customer;
 import org.cassiastack.model.JobId;
 import org.cassiastack.model.TaskId;
 import org.cassiastack.protocol.Dispatch;
@@ -15,10 +17,12 @@
 /** Tasks that were handed to agents and have neither ended nor been proved not started. */
 public final class Assignments {
   private final Map<TaskId, Assignment> byTask = new LinkedHashMap<>();
+  private final Map<Customer, Integer> inFlight = new HashMap<>();
 
   /** Adds an assignment and counts it at its minion. */
   public void add(Assignment a) {
     byTask.put(a.dispatch().task(), a);
+    inFlight.merge(a.job().customer(), 1, Integer::sum);
     a.load().taskHandedOver();
   }
 
@@ -27,10 +31,16 @@
     Assignment a = byTask.remove(task);
     if (a != null) {
       a.load().taskReturned();
+      inFlight.computeIfPresent(a.job().customer(), (c, n) -> n == 1 ? null : n - 1);
     }
     return a;
   }
 
+  /** Returns the number of tasks of a customer that are with agents. */
+  public int inFlight(Customer customer) {
+    return inFlight.getOrDefault(customer, 0);
+  }
+
   /** Returns the assignments that meet a condition. */
   public List<Assignment> matching(Predicate<Assignment> condition) {
     List<Assignment> found = new ArrayList<>();
--- a/cassiastack-core/src/main/java/org/cassiastack/job/internal/DispatchQueue.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/DispatchQueue.java
@@ -1,5 +1,6 @@
 package org.cassiastack.job.internal;
 
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Deque;
@@ -15,7 +16,8 @@
 
 /**
  * Tasks that wait for a free slot of a service. Customers take turns, and the jobs of one customer
- * take turns, so that neither a burst nor a large job holds up the others.
+ * take turns, so that neither a burst nor a large job holds up the others. A job that has used up a
+ * part of its timeout goes first, so that large jobs come to their end as well.
  */
 public final class DispatchQueue {
   private final Map<ServiceName, Deque<CustomerQueue>> byService = new LinkedHashMap<>();
@@ -43,8 +45,9 @@
    *
    * @param service the service
    * @param mayStart tells whether a customer may have one more task in flight
+   * @param now the present time
    */
-  public @Nullable Waiting peek(ServiceName service, Predicate<Customer> mayStart) {
+  public @Nullable Waiting peek(ServiceName service, Predicate<Customer> mayStart, Instant now) {
     Deque<CustomerQueue> customers = byService.get(service);
     if (customers == null) {
       return null;
@@ -52,7 +55,7 @@
     for (int i = 0; i < customers.size(); i++) {
       CustomerQueue c = customers.element();
       if (mayStart.test(c.customer)) {
-        JobQueue j = c.jobs.element();
+        JobQueue j = c.next(now);
         return new Waiting(j.job, j.tasks.element());
       }
       customers.addLast(customers.remove());
@@ -107,7 +110,7 @@
           resize(service, -j.tasks.size());
         }
       }
-      c.jobs.removeIf(j -> j.job == job);
+      c.remove(job);
     }
     customers.removeIf(c -> c.jobs.isEmpty());
     dropIfEmpty(service, customers);
@@ -124,7 +127,8 @@
   }
 
   private JobQueue jobQueue(RunningJob job, boolean first) {
-    Deque<JobQueue> jobs = customerQueue(job).jobs;
+    CustomerQueue customer = customerQueue(job);
+    Deque<JobQueue> jobs = customer.jobs;
     for (JobQueue j : jobs) {
       if (j.job == job) {
         return j;
@@ -133,8 +137,10 @@
     JobQueue added = new JobQueue(job);
     if (first) {
       jobs.addFirst(added);
+      customer.byAge.addFirst(added);
     } else {
       jobs.addLast(added);
+      customer.byAge.addLast(added);
     }
     return added;
   }
@@ -164,11 +170,30 @@
   private static final class CustomerQueue {
     private final Customer customer;
     private final Deque<JobQueue> jobs = new ArrayDeque<>();
+    private final Deque<JobQueue> byAge = new ArrayDeque<>();
 
     CustomerQueue(Customer customer) {
       this.customer = customer;
     }
 
+    /** Brings the job whose turn it is to the head: the oldest that is urgent, or the next. */
+    JobQueue next(Instant now) {
+      while (!byAge.isEmpty() && byAge.element().tasks.isEmpty()) {
+        byAge.remove();
+      }
+      JobQueue oldest = byAge.peek();
+      if (oldest != null && oldest != jobs.element() && oldest.job.isUrgent(now)) {
+        jobs.remove(oldest);
+        jobs.addFirst(oldest);
+      }
+      return jobs.element();
+    }
+
+    void remove(RunningJob job) {
+      jobs.removeIf(j -> j.job == job);
+      byAge.removeIf(j -> j.job == job);
+    }
+
     int size() {
       return jobs.stream().mapToInt(j -> j.tasks.size()).sum();
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/job/internal/RunningJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/RunningJob.java
@@ -1,5 +1,6 @@
 package org.cassiastack.job.internal;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -15,6 +16,8 @@
 
 /** A job that has no answer yet. */
 public final class RunningJob {
+  private static final double URGENT_PART_LEFT = 0.5;
+
   private final Job job;
   private final JobDigest digest;
   private final Instant deadline;
@@ -57,6 +60,12 @@
     return deadline;
   }
 
+  /** Tells whether the job has used up so much of its timeout that it goes before others. */
+  public boolean isUrgent(Instant now) {
+    long left = Duration.between(now, deadline).toNanos();
+    return left < job.timeout().toNanos() * URGENT_PART_LEFT;
+  }
+
   /** Returns who waits for the answer, in order of arrival. */
   public Set<CallerId> callers() {
     return callers;
--- a/cassiastack-core/src/main/java/org/cassiastack/model/Refusals.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/Refusals.java
@@ -77,6 +77,24 @@
             .formatted(service));
   }
 
+  /** A job whose expected wait is too long for its timeout. */
+  public static Refusal overloaded(ServiceName service, Duration wait) {
+    return new Refusal(
+        ResultCode.OVERLOADED,
+        ("Service '%s' is overloaded: the job would wait about %d ms. Nothing was run. Try again "
+                + "later, or give the job a longer timeout.")
+            .formatted(service, wait.toMillis()));
+  }
+
+  /** A customer that has used up its quota. */
+  public static Refusal quotaExceeded(Customer customer) {
+    return new Refusal(
+        ResultCode.QUOTA_EXCEEDED,
+        ("Customer '%s' has used up its quota of tasks a second. Nothing was run. Try again in a "
+                + "second, or apply a configuration with a larger quota.")
+            .formatted(customer.name()));
+  }
+
   /** A process that is about to stop. */
   public static Refusal stopping() {
     return new Refusal(
--- a/cassiastack-core/src/main/java/org/cassiastack/routing/internal/MinionHealth.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/internal/MinionHealth.java
@@ -14,7 +14,8 @@
   private static final int FAILURES_IN_ROW = 3;
   private static final int JOBS_FAILED_IN_ROW = 2;
   private static final Duration FIRST_EJECTION = Duration.ofSeconds(5);
-  private static final int MOST_DOUBLINGS = 6;
+  private static final int MOST_GROWTHS = 3;
+  private static final int GROWTH_BITS = 2;
   private static final int SUCCESSES_TO_FORGET = 20;
 
   private int failures;
@@ -52,9 +53,11 @@
     return probed ? failures > 0 : failures >= FAILURES_IN_ROW && jobsFailed >= JOBS_FAILED_IN_ROW;
   }
 
-  /** Ejects the minion, each time for twice as long; afterwards it is probed. */
+  /** Ejects the minion, each time for four times as long; afterwards it is probed. */
   public void eject(Instant now) {
-    ejectedUntil = now.plus(FIRST_EJECTION.multipliedBy(1L << Math.min(ejections, MOST_DOUBLINGS)));
+    ejectedUntil =
+        now.plus(
+            FIRST_EJECTION.multipliedBy(1L << (GROWTH_BITS * Math.min(ejections, MOST_GROWTHS))));
     ejections++;
     probed = true;
     failures = 0;
