--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -21,6 +21,7 @@
 import org.cassiastack.job.internal.RetainedAnswers;
 import org.cassiastack.job.internal.RetainedAnswers.Retained;
 import org.cassiastack.job.internal.RunningJob;
+import org.cassiastack.job.internal.Withdrawals;
 import org.cassiastack.limit.CustomerQuotas;
 import org.cassiastack.limit.DeadlineLimit;
 import org.cassiastack.limit.QuotaShare;
@@ -39,7 +40,6 @@
 import org.cassiastack.model.Task;
 import org.cassiastack.model.TaskId;
 import org.cassiastack.model.TaskResult;
-import org.cassiastack.protocol.CancelTasks;
 import org.cassiastack.protocol.Dispatch;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
@@ -74,12 +74,14 @@
   private final Assignments assignments = new Assignments();
   private final MinionLoads loads = new MinionLoads();
   private final CustomerQuotas quotas = CustomerQuotas.create();
+  private final Withdrawals withdrawals;
   private final RetainedAnswers retained;
   private Map<NodeId, Incarnation> agents = new HashMap<>();
 
   private JobCoordinator(Epoch epoch, MinionPicker picker, Duration retention) {
     this.epoch = epoch;
     this.picker = picker;
+    this.withdrawals = new Withdrawals(epoch);
     this.retained = new RetainedAnswers(retention);
   }
 
@@ -102,7 +104,7 @@
     } else if (event instanceof Received r && r.message() instanceof TaskEnded m) {
       taskEnded(m, now, effects);
     } else if (event instanceof Received r && r.message() instanceof TaskNotStarted m) {
-      taskNotStarted(m, now);
+      taskNotStarted(m, now, effects);
     } else if (event instanceof JobCancelled c) {
       cancelled(c, now, effects);
     } else if (event instanceof JobStateAsked a) {
@@ -114,6 +116,7 @@
     } else if (event instanceof ConfigurationChanged c) {
       loads.configurationChanged(c.configuration(), now);
       quotas.configurationChanged(c.configuration(), now);
+      withdrawals.withdraw(assignments.matching(a -> !loads.isInService(a.load())), effects);
     } else if (event instanceof CoordinatorsChanged c) {
       loads.shareAmong(c.count());
       quotas.shareAmong(c.count(), now);
@@ -190,11 +193,12 @@
 
   private void taskEnded(TaskEnded m, Instant now, List<Effect> effects) {
     Assignment a = assignments.remove(m.task());
+    withdrawals.returned(m.task());
     RunningJob j = a == null ? null : running.get(a.job());
     if (a != null && m.code() == ResultCode.COMPLETE) {
       loads.taskCompleted(a.load(), Duration.between(a.sentAt(), now));
     } else if (a != null) {
-      loads.taskFailed(a.load(), a.job(), now);
+      minionFailed(a, now, effects);
     }
     if (j == null) {
       return;
@@ -213,27 +217,44 @@
     }
   }
 
-  private void taskNotStarted(TaskNotStarted m, Instant now) {
+  private void taskNotStarted(TaskNotStarted m, Instant now, List<Effect> effects) {
     Assignment a = assignments.remove(m.task());
+    withdrawals.returned(m.task());
     if (a == null) {
       return;
     }
-    refused(a, m.reason(), now);
+    refused(a, m.reason(), now, effects);
     RunningJob j = running.get(a.job());
     if (j != null) {
+      if (leavesTombstone(m.reason())) {
+        j.entombed(m.task().index(), a.load().target());
+      }
       j.taskNotStarted();
       queue.addFirst(j, j.job().tasks().get(m.task().index()));
     }
   }
 
-  private void refused(Assignment a, ResultCode reason, Instant now) {
+  private void refused(Assignment a, ResultCode reason, Instant now, List<Effect> effects) {
     if (reason == ResultCode.OVERLOADED) {
       a.load().refusedForRoom();
-      return;
+    } else if (reason != ResultCode.CANCELLED_NOT_RUN) {
+      a.load().pauseUntil(now.plus(PAUSE_AFTER_REFUSAL));
     }
-    a.load().pauseUntil(now.plus(PAUSE_AFTER_REFUSAL));
     if (reason == ResultCode.NO_MINION) {
-      loads.taskFailed(a.load(), a.job(), now);
+      minionFailed(a, now, effects);
+    }
+  }
+
+  private static boolean leavesTombstone(ResultCode reason) {
+    return reason == ResultCode.CANCELLED_NOT_RUN
+        || reason == ResultCode.DEADLINE_NOT_RUN
+        || reason == ResultCode.NO_MINION;
+  }
+
+  private void minionFailed(Assignment a, Instant now, List<Effect> effects) {
+    loads.taskFailed(a.load(), a.job(), now);
+    if (a.load().health().isEjected(now)) {
+      withdrawals.withdraw(assignments.matching(x -> x.load() == a.load()), effects);
     }
   }
 
@@ -290,6 +311,7 @@
         fail(j, Refusals.deadline(j.job().key(), j.mayHaveRun()), now, effects);
       }
     }
+    withdrawals.withdraw(assignments.matching(a -> hasStraggled(a, now)), effects);
     Instant resendBefore = now.minus(RESEND_INTERVAL);
     for (Assignment a : assignments.matching(x -> x.sentAt().isBefore(resendBefore))) {
       assignments.resent(a, now);
@@ -297,14 +319,13 @@
     }
   }
 
+  private boolean hasStraggled(Assignment a, Instant now) {
+    return queue.size(a.load().target().minion().service()) == 0 && withdrawals.isStraggler(a, now);
+  }
+
   private void fail(RunningJob j, Refusal refusal, Instant now, List<Effect> effects) {
     queue.removeJob(j);
-    Map<NodeId, List<TaskId>> withdrawn = new LinkedHashMap<>();
-    for (Assignment a : assignments.matching(x -> x.job().equals(j.id()))) {
-      NodeId agent = a.load().target().agent();
-      withdrawn.computeIfAbsent(agent, x -> new ArrayList<>()).add(a.dispatch().task());
-    }
-    withdrawn.forEach((to, tasks) -> effects.add(new Send(to, new CancelTasks(tasks, epoch))));
+    withdrawals.send(assignments.matching(x -> x.job().equals(j.id())), effects);
     finish(j, JobAnswer.failed(j.job().key(), refusal), now, effects);
   }
 
@@ -323,7 +344,14 @@
       free.removeIf(m -> !m.hasFreeSlot(now));
       Waiting next = queue.peek(service, this::mayStart, now);
       while (next != null && !free.isEmpty()) {
-        MinionLoad load = picker.pick(new Candidates(free, all, queue.size(service)), now);
+        if (isEntombedEverywhere(next, all)) {
+          RunningJob j = next.job();
+          fail(j, Refusals.noMinionLeft(j.job().service(), j.mayHaveRun()), now, effects);
+          next = queue.peek(service, this::mayStart, now);
+          continue;
+        }
+        List<MinionLoad> open = notEntombed(next, free);
+        MinionLoad load = picker.pick(new Candidates(open, all, queue.size(service)), now);
         if (load == null) {
           break;
         }
@@ -337,6 +365,18 @@
     }
   }
 
+  private static List<MinionLoad> notEntombed(Waiting w, List<MinionLoad> loads) {
+    int index = w.task().index();
+    if (!w.job().isEntombed(index)) {
+      return loads;
+    }
+    return loads.stream().filter(m -> !w.job().isEntombed(index, m.target())).toList();
+  }
+
+  private static boolean isEntombedEverywhere(Waiting w, List<MinionLoad> all) {
+    return w.job().isEntombed(w.task().index()) && notEntombed(w, all).isEmpty();
+  }
+
   private void dispatch(Waiting next, MinionLoad load, Instant now, List<Effect> effects) {
     RunningJob j = next.job();
     Dispatch message =
--- a/cassiastack-core/src/main/java/org/cassiastack/job/internal/MinionLoads.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/MinionLoads.java
@@ -81,13 +81,18 @@
   public List<MinionLoad> inService(ServiceName service) {
     List<MinionLoad> found = new ArrayList<>();
     for (MinionLoad m : byService.getOrDefault(service, List.of())) {
-      if (inForce.allowsStartsIn(m.target().minion().failureDomain())) {
+      if (isInService(m)) {
         found.add(m);
       }
     }
     return found;
   }
 
+  /** Tells whether tasks may start in the failure domain of a minion. */
+  public boolean isInService(MinionLoad m) {
+    return inForce.allowsStartsIn(m.target().minion().failureDomain());
+  }
+
   /** Tells whether a service has any minion in service and its circuit is closed. */
   public boolean serves(ServiceName service, Instant now) {
     OutlierEjector e = ejectors.get(service);
--- a/cassiastack-core/src/main/java/org/cassiastack/job/internal/RunningJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/RunningJob.java
@@ -4,13 +4,19 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.cassiastack.job.CallerId;
+import org.cassiastack.membership.AvailableMinion;
+import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.Job;
 import org.cassiastack.model.JobAnswer;
 import org.cassiastack.model.JobId;
+import org.cassiastack.model.NodeId;
 import org.cassiastack.model.TaskResult;
 import org.jspecify.annotations.Nullable;
 
@@ -23,6 +29,7 @@
   private final Instant deadline;
   private final @Nullable TaskResult[] results;
   private final Set<CallerId> callers = new LinkedHashSet<>();
+  private final Map<Integer, Set<Life>> tombstones = new HashMap<>();
   private int ended;
   private int handedOver;
 
@@ -86,6 +93,21 @@
     handedOver--;
   }
 
+  /** Keeps that an agent has a tombstone for a task, so that it would refuse it again. */
+  public void entombed(int index, AvailableMinion target) {
+    tombstones.computeIfAbsent(index, i -> new HashSet<>()).add(Life.of(target));
+  }
+
+  /** Tells whether an agent has a tombstone for a task. */
+  public boolean isEntombed(int index, AvailableMinion target) {
+    return tombstones.getOrDefault(index, Set.of()).contains(Life.of(target));
+  }
+
+  /** Tells whether any agent has a tombstone for a task. */
+  public boolean isEntombed(int index) {
+    return tombstones.containsKey(index);
+  }
+
   /** Tells whether any task was handed over without a proof that it did not start. */
   public boolean mayHaveRun() {
     return handedOver > 0;
@@ -116,4 +138,10 @@
     Arrays.stream(results).filter(r -> r != null).forEach(all::add);
     return JobAnswer.complete(job.key(), all);
   }
+
+  private record Life(NodeId agent, Incarnation incarnation) {
+    static Life of(AvailableMinion m) {
+      return new Life(m.agent(), m.incarnation());
+    }
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/model/Refusals.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/Refusals.java
@@ -77,6 +77,15 @@
             .formatted(service));
   }
 
+  /** A job with a task that every minion has proved not to start. */
+  public static Refusal noMinionLeft(ServiceName service, boolean mayHaveRun) {
+    ResultCode code = mayHaveRun ? ResultCode.MINION_LOST : ResultCode.NO_MINION;
+    return new Refusal(
+        code,
+        "A task of the job was turned down by every minion of service '%s'. %s"
+            .formatted(service, known(mayHaveRun)));
+  }
+
   /** A job whose expected wait is too long for its timeout. */
   public static Refusal overloaded(ServiceName service, Duration wait) {
     return new Refusal(
