--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.cassiastack.configuration.Configuration;
 import org.cassiastack.configuration.ConfigurationChanged;
 import org.cassiastack.configuration.StartsAllowed;
 import org.cassiastack.controller.Controller;
@@ -22,12 +21,16 @@
 import org.cassiastack.job.internal.RetainedAnswers;
 import org.cassiastack.job.internal.RetainedAnswers.Retained;
 import org.cassiastack.job.internal.RunningJob;
+import org.cassiastack.job.internal.Withdrawals;
+import org.cassiastack.limit.CustomerQuotas;
+import org.cassiastack.limit.DeadlineLimit;
+import org.cassiastack.limit.QuotaShare;
 import org.cassiastack.membership.MinionsChanged;
+import org.cassiastack.model.Customer;
 import org.cassiastack.model.Epoch;
 import org.cassiastack.model.Job;
 import org.cassiastack.model.JobAnswer;
 import org.cassiastack.model.JobId;
-import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Refusal;
 import org.cassiastack.model.Refusals;
 import org.cassiastack.model.ResultCode;
@@ -35,12 +38,12 @@
 import org.cassiastack.model.Task;
 import org.cassiastack.model.TaskId;
 import org.cassiastack.model.TaskResult;
-import org.cassiastack.protocol.CancelTasks;
 import org.cassiastack.protocol.Dispatch;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
+import org.cassiastack.routing.Candidates;
 import org.cassiastack.routing.MinionLoad;
 import org.cassiastack.routing.MinionPicker;
 import org.jspecify.annotations.Nullable;
@@ -68,8 +71,9 @@
   private final DispatchQueue queue = new DispatchQueue();
   private final Assignments assignments = new Assignments();
   private final MinionLoads loads = new MinionLoads();
+  private final CustomerQuotas quotas = CustomerQuotas.create();
+  private final Withdrawals withdrawals;
   private final RetainedAnswers retained;
-  private Configuration configuration = Configuration.EMPTY;
   // Before the first renewal there is no configuration, so no service is known either.
   private Instant freshUntil = Instant.MAX;
   private MinionsChanged minions = new MinionsChanged(List.of(), Map.of());
@@ -77,6 +81,7 @@
   private JobCoordinator(Epoch epoch, MinionPicker picker, Duration retention) {
     this.epoch = epoch;
     this.picker = picker;
+    this.withdrawals = new Withdrawals(epoch);
     this.retained = new RetainedAnswers(retention);
   }
 
@@ -99,7 +104,7 @@
     } else if (event instanceof Received r && r.message() instanceof TaskEnded m) {
       taskEnded(m, now, effects);
     } else if (event instanceof Received r && r.message() instanceof TaskNotStarted m) {
-      taskNotStarted(m, now);
+      taskNotStarted(m, now, effects);
     } else if (event instanceof JobCancelled c) {
       cancelled(c, now, effects);
     } else if (event instanceof JobStateAsked a) {
@@ -109,7 +114,14 @@
     } else if (event instanceof MinionsChanged m) {
       minionsChanged(m, now, effects);
     } else if (event instanceof ConfigurationChanged c) {
-      configuration = c.configuration();
+      loads.configurationChanged(c.configuration(), now);
+      quotas.configurationChanged(c.configuration(), now);
+      withdrawals.withdraw(assignments.matching(a -> !loads.isInService(a.load())), effects);
+    } else if (event instanceof CoordinatorsChanged c) {
+      loads.shareAmong(c.count());
+      quotas.shareAmong(c.count(), now);
+    } else if (event instanceof QuotaShare q) {
+      quotas.granted(q, now);
     } else if (event instanceof StartsAllowed a) {
       freshUntil = a.until();
     } else if (event instanceof Tick) {
@@ -157,7 +169,22 @@
     if (!now.isBefore(freshUntil)) {
       return Refusals.stale();
     }
-    return loads.serves(job.service(), configuration) ? null : Refusals.noMinion(job.service());
+    if (!loads.serves(job.service(), now)) {
+      return Refusals.noMinion(job.service());
+    }
+    return overLimit(job, now);
+  }
+
+  private @Nullable Refusal overLimit(Job job, Instant now) {
+    int tasks = job.tasks().size();
+    int ahead = queue.ahead(job.service(), job.customer(), tasks);
+    double rate = loads.tasksPerSecond(job.service(), now);
+    Refusal refusal = DeadlineLimit.refusalOf(job, ahead, rate);
+    return refusal == null ? quotas.admit(job.customer(), tasks, now) : refusal;
+  }
+
+  private boolean mayStart(Customer customer) {
+    return quotas.mayStart(customer, assignments.inFlight(customer));
   }
 
   private @Nullable JobDigest knownDigest(JobId id) {
@@ -171,7 +198,13 @@
 
   private void taskEnded(TaskEnded m, Instant now, List<Effect> effects) {
     Assignment a = assignments.remove(m.task());
+    withdrawals.returned(m.task());
     RunningJob j = a == null ? null : running.get(a.job());
+    if (a != null && m.code() == ResultCode.COMPLETE) {
+      loads.taskCompleted(a.load(), Duration.between(a.sentAt(), now));
+    } else if (a != null) {
+      minionFailed(a, now, effects);
+    }
     if (j == null) {
       return;
     }
@@ -189,19 +222,47 @@
     }
   }
 
-  private void taskNotStarted(TaskNotStarted m, Instant now) {
+  private void taskNotStarted(TaskNotStarted m, Instant now, List<Effect> effects) {
     Assignment a = assignments.remove(m.task());
+    withdrawals.returned(m.task());
     if (a == null) {
       return;
     }
-    a.load().pauseUntil(now.plus(PAUSE_AFTER_REFUSAL));
+    refused(a, m.reason(), now, effects);
     RunningJob j = running.get(a.job());
     if (j != null) {
+      if (leavesTombstone(m.reason())) {
+        j.entombed(m.task().index(), a.load().target());
+      }
       j.taskNotStarted();
       queue.addFirst(j, j.job().tasks().get(m.task().index()));
     }
   }
 
+  private void refused(Assignment a, ResultCode reason, Instant now, List<Effect> effects) {
+    if (reason == ResultCode.OVERLOADED) {
+      a.load().refusedForRoom();
+    } else if (reason != ResultCode.CANCELLED_NOT_RUN) {
+      a.load().pauseUntil(now.plus(PAUSE_AFTER_REFUSAL));
+    }
+    if (reason == ResultCode.NO_MINION) {
+      minionFailed(a, now, effects);
+    }
+  }
+
+  private static boolean leavesTombstone(ResultCode reason) {
+    return reason == ResultCode.CANCELLED_NOT_RUN
+        || reason == ResultCode.DEADLINE_NOT_RUN
+        || reason == ResultCode.NO_MINION;
+  }
+
+  private void minionFailed(Assignment a, Instant now, List<Effect> effects) {
+    loads.taskFailed(a.load(), a.job(), now);
+    if (a.load().health().isEjected(now)) {
+      withdrawals.withdraw(assignments.matching(x -> x.load() == a.load()), effects);
+    }
+  }
+
   private void cancelled(JobCancelled c, Instant now, List<Effect> effects) {
     JobId id = new JobId(c.customer(), c.key());
     RunningJob j = running.get(id);
@@ -232,7 +293,7 @@
 
   private void minionsChanged(MinionsChanged m, Instant now, List<Effect> effects) {
     minions = m;
-    loads.replace(m.available());
+    loads.replace(m.available(), now);
     for (Assignment a : assignments.matching(this::isLost)) {
       assignments.remove(a.dispatch().task());
       RunningJob j = running.get(a.job());
@@ -248,11 +309,13 @@
 
   private void tick(Instant now, List<Effect> effects) {
     retained.expire(now);
+    quotas.expire(now);
     for (RunningJob j : List.copyOf(running.values())) {
       if (!now.isBefore(j.deadline())) {
         fail(j, Refusals.deadline(j.job().key(), j.mayHaveRun()), now, effects);
       }
     }
+    withdrawals.withdraw(assignments.matching(a -> hasStraggled(a, now)), effects);
     Instant resendBefore = now.minus(RESEND_INTERVAL);
     for (Assignment a : assignments.matching(x -> x.sentAt().isBefore(resendBefore))) {
       assignments.resent(a, now);
@@ -260,14 +323,13 @@
     }
   }
 
+  private boolean hasStraggled(Assignment a, Instant now) {
+    return queue.size(a.load().target().minion().service()) == 0 && withdrawals.isStraggler(a, now);
+  }
+
   private void fail(RunningJob j, Refusal refusal, Instant now, List<Effect> effects) {
     queue.removeJob(j);
-    Map<NodeId, List<TaskId>> withdrawn = new LinkedHashMap<>();
-    for (Assignment a : assignments.matching(x -> x.job().equals(j.id()))) {
-      NodeId agent = a.load().target().agent();
-      withdrawn.computeIfAbsent(agent, x -> new ArrayList<>()).add(a.dispatch().task());
-    }
-    withdrawn.forEach((to, tasks) -> effects.add(new Send(to, new CancelTasks(tasks, epoch))));
+    withdrawals.send(assignments.matching(x -> x.job().equals(j.id())), effects);
     finish(j, JobAnswer.failed(j.job().key(), refusal), now, effects);
   }
 
@@ -281,19 +343,44 @@
 
   private void dispatchAll(Instant now, List<Effect> effects) {
     for (ServiceName service : queue.services()) {
-      Waiting next = queue.peek(service);
-      while (next != null) {
-        MinionLoad load = picker.pick(loads.candidates(service, configuration, now), now);
+      List<MinionLoad> all = loads.inService(service);
+      List<MinionLoad> free = new ArrayList<>(all);
+      free.removeIf(m -> !m.hasFreeSlot(now));
+      Waiting next = queue.peek(service, this::mayStart, now);
+      while (next != null && !free.isEmpty()) {
+        if (isEntombedEverywhere(next, all)) {
+          RunningJob j = next.job();
+          fail(j, Refusals.noMinionLeft(j.job().service(), j.mayHaveRun()), now, effects);
+          next = queue.peek(service, this::mayStart, now);
+          continue;
+        }
+        List<MinionLoad> open = notEntombed(next, free);
+        MinionLoad load = picker.pick(new Candidates(open, all, queue.size(service)), now);
         if (load == null) {
           break;
         }
         queue.takeFirst(service);
         dispatch(next, load, now, effects);
-        next = queue.peek(service);
+        if (!load.hasFreeSlot(now)) {
+          free.remove(load);
+        }
+        next = queue.peek(service, this::mayStart, now);
       }
     }
   }
 
+  private static List<MinionLoad> notEntombed(Waiting w, List<MinionLoad> loads) {
+    int index = w.task().index();
+    if (!w.job().isEntombed(index)) {
+      return loads;
+    }
+    return loads.stream().filter(m -> !w.job().isEntombed(index, m.target())).toList();
+  }
+
+  private static boolean isEntombedEverywhere(Waiting w, List<MinionLoad> all) {
+    return w.job().isEntombed(w.task().index()) && notEntombed(w, all).isEmpty();
+  }
+
   private void dispatch(Waiting next, MinionLoad load, Instant now, List<Effect> effects) {
     RunningJob j = next.job();
     Dispatch message =
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
@@ -85,7 +85,8 @@
     network =
         PeerNetwork.create(hello, MessageCodec.create(), PeerTimings.STANDARD, new Listener());
     JobCoordinator jobs =
-        JobCoordinator.create(new Epoch(1), MinionPickers.leastLoaded(), settings.retention());
+        JobCoordinator.create(
+            new Epoch(1), MinionPickers.patient(MinionPickers.leastFinish()), settings.retention());
     coordinator = loop("coordinator", List.of(jobs));
     control = ControlPlane.create(settings, this::carryOut, time);
     desk = new CallerDesk(coordinator::post);
