Proofs of no start hold for their attempt, and guards forget by the age of the key

Cause: property trials with drops, duplicates, delays to 60 s, crashes, freezes and cuts showed answers and proofs that were false: - a second copy of TaskNotStarted freed a task that was by then at another agent; a proof now names its attempt and covers nothing later - a task that a guard had forgotten started again from a late dispatch; a guard now forgets a task only when its key is too old for any dispatch, by one clock, and a forgotten task gives no proof - a refusal for lack of room was not held to when room came; it is now remembered in a part of the room kept for refusals - a tombstone kept its agent from a later attempt at the task - a cancellation said UNKNOWN_JOB (not run) of forgotten jobs, and of jobs that came and ran afterwards; it now tells what is known and is kept - a coordinator that started anew took keys of its last life again; keys issued before its birth are refused as may-have-run - a dispatch of a failed job was sent again; its withdrawal is sent instead Ruled out: agreement of clocks between guard and coordinator (each compares the key with its own clock only); a sent-at time in each dispatch.

--- a/cassiastack-core/src/main/java/org/cassiastack/guard/StartGuard.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/guard/StartGuard.java
@@ -18,12 +18,15 @@
 import org.cassiastack.model.Minion;
 import org.cassiastack.model.MinionId;
 import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
 import org.cassiastack.model.ResultCode;
 import org.cassiastack.model.TaskId;
 import org.cassiastack.protocol.CancelTasks;
 import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.protocol.Message;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
+import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
 import org.jspecify.annotations.Nullable;
 
@@ -34,8 +37,11 @@
  *   <li>A first dispatch is queued and starts when its minion has a free slot.
  *   <li>The same dispatch again attaches to the running task or repeats what is known of it.
  *   <li>A withdrawn task that has not started becomes a tombstone: the proof that it never will.
- *   <li>A task is remembered until its retention has passed; while there is no room to remember one
- *       more, new tasks are refused.
+ *   <li>A task is forgotten only when its key is so old that every further dispatch of it is
+ *       refused for its age: the same clock and the same key decide both, so no clocks need to
+ *       agree.
+ *   <li>While there is little room to remember more, new tasks are refused and the refusal is
+ *       remembered; with no room at all there is no answer, since none could be held to.
  * </ol>
  *
  * @since 0.1
@@ -57,7 +63,7 @@
    *
    * @param incarnation the life of the agent's process
    * @param minions the minions that it guards
-   * @param retention how long a task is remembered after it ended
+   * @param retention how long a task is remembered after it ended and after its key was issued
    * @param capacity largest number of tasks that are remembered
    */
   public static StartGuard create(
@@ -92,48 +98,67 @@
 
   private void dispatched(NodeId from, Dispatch d, Instant now, List<Effect> effects) {
     GuardedTask known = tasks.find(d.task());
-    if (known != null) {
+    if (known != null && !known.isSupersededBy(d)) {
       known.askedBy(from, d.epoch());
       effects.addAll(known.report());
       return;
     }
+    if (tasks.isForgotten(d.task(), now)) {
+      // It may have run here before it was forgotten, so this is no proof that it did not.
+      ResultCode reason = ResultCode.KEY_EXPIRED;
+      effects.add(new Send(from, new TaskEnded(d.task(), d.epoch(), reason, Payload.EMPTY)));
+      return;
+    }
     MinionSlots slots = minions.get(d.minion());
     ResultCode refusal = refusalOf(d, slots);
     if (refusal != null || slots == null) {
       ResultCode reason = refusal == null ? ResultCode.NO_MINION : refusal;
-      effects.add(new Send(from, new TaskNotStarted(d.task(), d.epoch(), reason)));
+      Message proof = new TaskNotStarted(d.task(), d.epoch(), d.attempt(), reason);
+      effects.add(new Send(from, proof));
+      return;
+    }
+    if (known == null && tasks.isFull()) {
       return;
     }
     GuardedTask t = GuardedTask.queued(d, from, now.plus(d.timeout()));
+    if (tasks.isNearlyFull()) {
+      t.entomb(ResultCode.GUARD_FULL);
+      tasks.add(t, now);
+      effects.addAll(t.report());
+      return;
+    }
     tasks.add(t);
     slots.enqueue(t);
     startNext(slots, now, effects);
   }
 
+  /** A refusal that holds for this message whenever it comes again, so that it needs no record. */
   private @Nullable ResultCode refusalOf(Dispatch d, @Nullable MinionSlots slots) {
     if (slots == null || !d.agentIncarnation().equals(incarnation)) {
       return ResultCode.NO_MINION;
     }
-    if (leaving) {
-      return ResultCode.STOPPING;
-    }
-    return tasks.isFull() ? ResultCode.GUARD_FULL : null;
+    return leaving ? ResultCode.STOPPING : null;
   }
 
   private void withdrawn(NodeId from, TaskId id, CancelTasks c, Instant now, List<Effect> effects) {
     GuardedTask known = tasks.find(id);
     if (known == null) {
-      tasks.add(GuardedTask.tombstone(id, from, c.epoch()), now);
-      ResultCode reason = ResultCode.CANCELLED_NOT_RUN;
-      effects.add(new Send(from, new TaskNotStarted(id, c.epoch(), reason)));
+      // Whether a forgotten task ran is not known, and with no room nothing can be held to.
+      if (!tasks.isForgotten(id, now) && !tasks.isFull()) {
+        GuardedTask t = GuardedTask.tombstone(id, from, c.epoch());
+        tasks.add(t, now);
+        effects.addAll(t.report());
+      }
       return;
     }
     known.askedBy(from, c.epoch());
     if (known.isQueued()) {
       minions.values().forEach(m -> m.remove(known));
-      known.entomb(ResultCode.CANCELLED_NOT_RUN);
       tasks.ended(known, now);
     }
+    if (known.isQueued() || known.isTombstone()) {
+      known.withdraw(ResultCode.CANCELLED_NOT_RUN);
+    }
     effects.addAll(known.report());
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/guard/internal/GuardedTask.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/guard/internal/GuardedTask.java
@@ -30,6 +30,7 @@
   private Dispatch dispatch;
   private NodeId coordinator;
   private Epoch epoch;
+  private int attempt;
   private State state;
   private ResultCode code = ResultCode.COMPLETE;
   private Payload output = Payload.EMPTY;
@@ -39,6 +40,7 @@
     this.dispatch = dispatch;
     this.coordinator = coordinator;
     this.epoch = dispatch.epoch();
+    this.attempt = dispatch.attempt();
     this.startBefore = startBefore;
     this.state = state;
   }
@@ -51,7 +53,14 @@
   /** A task that was withdrawn before it came. */
   public static GuardedTask tombstone(TaskId id, NodeId coordinator, Epoch epoch) {
     Dispatch none =
-        new Dispatch(id, epoch, new Incarnation(0), new MinionId(""), Payload.EMPTY, Duration.ZERO);
+        new Dispatch(
+            id,
+            epoch,
+            TaskNotStarted.EVERY_ATTEMPT,
+            new Incarnation(0),
+            new MinionId(""),
+            Payload.EMPTY,
+            Duration.ZERO);
     GuardedTask t = new GuardedTask(none, coordinator, Instant.MIN, State.TOMBSTONE);
     t.code = ResultCode.CANCELLED_NOT_RUN;
     return t;
@@ -80,6 +89,26 @@
     }
   }
 
+  /** Tells whether a dispatch is a new attempt at a task that is known not to have started. */
+  public boolean isSupersededBy(Dispatch d) {
+    boolean laterEpoch = epoch.isBefore(d.epoch());
+    boolean laterAttempt = epoch.equals(d.epoch()) && attempt < d.attempt();
+    return state == State.TOMBSTONE && (laterEpoch || laterAttempt);
+  }
+
+  /** A tombstone that covers every attempt under the epoch that withdrew the task. */
+  public void withdraw(ResultCode reason) {
+    attempt = TaskNotStarted.EVERY_ATTEMPT;
+    if (state != State.TOMBSTONE) {
+      entomb(reason);
+    }
+  }
+
+  /** Tells whether the task is known never to start under its attempts so far. */
+  public boolean isTombstone() {
+    return state == State.TOMBSTONE;
+  }
+
   /** Tells whether the task waits for a slot. */
   public boolean isQueued() {
     return state == State.QUEUED;
@@ -115,7 +144,8 @@
     return switch (state) {
       case QUEUED, RUNNING -> List.of();
       case ENDED -> List.of(new Send(coordinator, new TaskEnded(id, epoch, code, output)));
-      case TOMBSTONE -> List.of(new Send(coordinator, new TaskNotStarted(id, epoch, code)));
+      case TOMBSTONE ->
+          List.of(new Send(coordinator, new TaskNotStarted(id, epoch, attempt, code)));
     };
   }
 
@@ -124,6 +154,7 @@
         new Dispatch(
             id,
             dispatch.epoch(),
+            dispatch.attempt(),
             dispatch.agentIncarnation(),
             dispatch.minion(),
             Payload.EMPTY,
--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -28,6 +28,7 @@
 import org.cassiastack.model.Job;
 import org.cassiastack.model.JobAnswer;
 import org.cassiastack.model.JobId;
+import org.cassiastack.model.JobKey;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Refusal;
 import org.cassiastack.model.Refusals;
@@ -61,6 +62,7 @@
  */
 public final class JobCoordinator implements Controller {
   private static final Duration RESEND_INTERVAL = Duration.ofSeconds(2);
+  private static final Duration MAX_CLOCK_SKEW = Duration.ofSeconds(1);
   private static final Duration PAUSE_AFTER_REFUSAL = Duration.ofMillis(100);
 
   private final Epoch epoch;
@@ -70,12 +72,14 @@
   private final Assignments assignments = new Assignments();
   private final MinionLoads loads = new MinionLoads();
   private final RetainedAnswers retained;
+  private final Instant birth;
   private Configuration configuration = Configuration.EMPTY;
   private Map<NodeId, Incarnation> agents = new HashMap<>();
 
-  private JobCoordinator(Epoch epoch, MinionPicker picker, Duration retention) {
+  private JobCoordinator(Epoch epoch, MinionPicker picker, Duration retention, Instant birth) {
     this.epoch = epoch;
     this.picker = picker;
+    this.birth = birth;
     this.retained = new RetainedAnswers(retention);
   }
 
@@ -85,9 +89,17 @@
    * @param epoch generation under which it hands out tasks
    * @param picker chooses minions
    * @param retention how long answers are kept; keys issued earlier than that are refused
+   * @param birth keys issued before may have been taken by an earlier life that was lost, and are
+   *     refused as may-have-run; it lies after the loss by the bound on the skew of callers' clocks
    */
+  public static JobCoordinator create(
+      Epoch epoch, MinionPicker picker, Duration retention, Instant birth) {
+    return new JobCoordinator(epoch, picker, retention, birth);
+  }
+
+  /** Makes a coordinator that has no earlier life. */
   public static JobCoordinator create(Epoch epoch, MinionPicker picker, Duration retention) {
-    return new JobCoordinator(epoch, picker, retention);
+    return new JobCoordinator(epoch, picker, retention, Instant.EPOCH);
   }
 
   @Override
@@ -102,7 +114,7 @@
     } else if (event instanceof JobCancelled c) {
       cancelled(c, now, effects);
     } else if (event instanceof JobStateAsked a) {
-      effects.add(new TellJobState(a.caller(), state(new JobId(a.customer(), a.key()))));
+      effects.add(new TellJobState(a.caller(), state(new JobId(a.customer(), a.key()), now)));
     } else if (event instanceof CallerGone g) {
       running.values().forEach(j -> j.callers().remove(g.caller()));
     } else if (event instanceof MinionsChanged m) {
@@ -133,7 +145,7 @@
     }
     RunningJob j = running.get(JobId.of(job));
     if (j == null) {
-      j = new RunningJob(job, digest, now);
+      j = new RunningJob(job, digest, deadline(job, now));
       running.put(j.id(), j);
       for (Task t : job.tasks()) {
         queue.addLast(j, t);
@@ -148,12 +160,34 @@
     if (known != null) {
       return known.equals(digest) ? null : Refusals.keyReused(job.key());
     }
-    if (job.key().issuedAt().isBefore(now.minus(retained.retention()))) {
-      return Refusals.keyExpired(job.key(), retained.retention());
+    if (retained.find(id) != null) {
+      return null;
+    }
+    Refusal forgotten = forgotten(job.key(), now);
+    if (forgotten != null) {
+      return forgotten;
+    }
+    if (job.key().issuedAt().isAfter(now.plus(MAX_CLOCK_SKEW))) {
+      return Refusals.keyFromTheFuture(job.key(), MAX_CLOCK_SKEW);
     }
     return loads.serves(job.service(), configuration) ? null : Refusals.noMinion(job.service());
   }
 
+  /** Why it is not known whether a job that is not found here ran, or null when it did not. */
+  private @Nullable Refusal forgotten(JobKey key, Instant now) {
+    if (key.issuedAt().isBefore(now.minus(retained.retention()))) {
+      return Refusals.keyExpired(key, retained.retention());
+    }
+    return key.issuedAt().isBefore(birth) ? Refusals.coordinatorLost(key) : null;
+  }
+
+  /** Agents forget a task by the age of its key, so no job outlives its key. */
+  private Instant deadline(Job job, Instant now) {
+    Instant asked = now.plus(job.timeout());
+    Instant latest = job.key().issuedAt().plus(retained.retention());
+    return asked.isBefore(latest) ? asked : latest;
+  }
+
   private @Nullable JobDigest knownDigest(JobId id) {
     RunningJob j = running.get(id);
     if (j != null) {
@@ -170,11 +204,7 @@
       return;
     }
     if (m.code() != ResultCode.COMPLETE) {
-      Refusal refusal =
-          m.code() == ResultCode.TASK_FAILED
-              ? Refusals.taskFailed(m.task())
-              : Refusals.minionLost(m.task());
-      fail(j, refusal, now, effects);
+      fail(j, refusalOf(m), now, effects);
       return;
     }
     j.taskEnded(TaskResult.complete(m.task().index(), m.output()));
@@ -183,7 +213,18 @@
     }
   }
 
+  private Refusal refusalOf(TaskEnded m) {
+    return switch (m.code()) {
+      case TASK_FAILED -> Refusals.taskFailed(m.task());
+      case KEY_EXPIRED -> Refusals.keyExpired(m.task().job().key(), retained.retention());
+      default -> Refusals.minionLost(m.task());
+    };
+  }
+
   private void taskNotStarted(TaskNotStarted m, Instant now) {
+    if (!assignments.isDisprovedBy(m)) {
+      return;
+    }
     Assignment a = assignments.remove(m.task());
     if (a == null) {
       return;
@@ -205,20 +246,31 @@
       return;
     }
     Retained kept = retained.find(id);
-    JobAnswer answer =
-        kept != null ? kept.answer() : JobAnswer.failed(c.key(), Refusals.unknownJob(c.key()));
-    effects.add(new AnswerCaller(c.caller(), answer));
+    effects.add(new AnswerCaller(c.caller(), kept != null ? kept.answer() : unknown(id, now)));
   }
 
-  private JobState state(JobId id) {
+  /** The answer to a cancellation that overtook its job or names none. */
+  private JobAnswer unknown(JobId id, Instant now) {
+    Refusal forgotten = forgotten(id.key(), now);
+    if (forgotten != null) {
+      return JobAnswer.failed(id.key(), forgotten);
+    }
+    JobAnswer answer = JobAnswer.failed(id.key(), Refusals.cancelled(id.key(), false));
+    // Kept, so that the job is not run when it comes after all.
+    retained.put(id, null, answer, now);
+    return answer;
+  }
+
+  private JobState state(JobId id, Instant now) {
     RunningJob j = running.get(id);
     if (j != null) {
       return new JobState(id.key(), j.job().tasks().size(), j.ended(), null);
     }
     Retained kept = retained.find(id);
     if (kept == null) {
-      return new JobState(
-          id.key(), 0, 0, JobAnswer.failed(id.key(), Refusals.unknownJob(id.key())));
+      Refusal forgotten = forgotten(id.key(), now);
+      Refusal reason = forgotten == null ? Refusals.unknownJob(id.key()) : forgotten;
+      return new JobState(id.key(), 0, 0, JobAnswer.failed(id.key(), reason));
     }
     int tasks = kept.answer().results().size();
     return new JobState(id.key(), tasks, tasks, kept.answer());
@@ -250,8 +302,16 @@
     }
     Instant resendBefore = now.minus(RESEND_INTERVAL);
     for (Assignment a : assignments.matching(x -> x.sentAt().isBefore(resendBefore))) {
-      assignments.resent(a, now);
-      effects.add(new Send(a.load().target().agent(), a.dispatch()));
+      RunningJob j = running.get(a.job());
+      NodeId agent = a.load().target().agent();
+      if (j == null) {
+        assignments.resent(a, a.dispatch(), now);
+        effects.add(new Send(agent, new CancelTasks(List.of(a.dispatch().task()), epoch)));
+      } else {
+        Dispatch again = a.dispatch().withTimeout(Duration.between(now, j.deadline()));
+        assignments.resent(a, again, now);
+        effects.add(new Send(agent, again));
+      }
     }
   }
 
@@ -295,6 +355,7 @@
         new Dispatch(
             new TaskId(j.id(), next.task().index()),
             epoch,
+            j.nextAttempt(),
             load.target().incarnation(),
             load.target().minion().id(),
             next.task().payload(),
--- a/cassiastack-core/src/main/java/org/cassiastack/job/internal/Assignments.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/Assignments.java
@@ -9,6 +9,7 @@
 import org.cassiastack.model.JobId;
 import org.cassiastack.model.TaskId;
 import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.protocol.TaskNotStarted;
 import org.cassiastack.routing.MinionLoad;
 import org.jspecify.annotations.Nullable;
 
@@ -42,9 +43,20 @@
     return found;
   }
 
+  /**
+   * Tells whether a proof covers the present attempt at its task. A proof may come twice, after its
+   * task has gone elsewhere.
+   */
+  public boolean isDisprovedBy(TaskNotStarted m) {
+    Assignment a = byTask.get(m.task());
+    return a != null
+        && a.dispatch().epoch().equals(m.epoch())
+        && a.dispatch().attempt() <= m.attempt();
+  }
+
   /** Replaces an assignment by one sent at a later time. */
-  public void resent(Assignment a, Instant now) {
-    byTask.put(a.dispatch().task(), new Assignment(a.job(), a.load(), a.dispatch(), now));
+  public void resent(Assignment a, Dispatch again, Instant now) {
+    byTask.put(a.dispatch().task(), new Assignment(a.job(), a.load(), again, now));
   }
 
   /**
--- a/cassiastack-core/src/main/java/org/cassiastack/job/internal/RetainedAnswers.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/RetainedAnswers.java
@@ -34,8 +34,11 @@
   }
 
   /** Keeps the answer of a job. */
-  public void put(JobId id, JobDigest digest, JobAnswer answer, Instant now) {
-    answers.put(id, new Retained(digest, answer, now.plus(retention)));
+  public void put(JobId id, @Nullable JobDigest digest, JobAnswer answer, Instant now) {
+    // A key issued ahead of this clock is taken for longer, so its answer is kept for longer.
+    Instant issued = id.key().issuedAt();
+    Instant from = issued.isAfter(now) ? issued : now;
+    answers.put(id, new Retained(digest, answer, from.plus(retention)));
   }
 
   /** Forgets answers whose time has passed. */
@@ -50,9 +53,9 @@
   /**
    * An answer that is kept.
    *
-   * @param digest digest of the content of the job
+   * @param digest digest of the content of the job, or null when it was cancelled before it came
    * @param answer its answer
    * @param until when it is forgotten
    */
-  public record Retained(JobDigest digest, JobAnswer answer, Instant until) {}
+  public record Retained(@Nullable JobDigest digest, JobAnswer answer, Instant until) {}
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/job/internal/RunningJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/RunningJob.java
@@ -22,18 +22,19 @@
   private final Set<CallerId> callers = new LinkedHashSet<>();
   private int ended;
   private int handedOver;
+  private int attempts;
 
   /**
    * Starts to track a job.
    *
    * @param job the job
    * @param digest digest of its content
-   * @param now the present time, from which its timeout counts
+   * @param deadline the time after which it fails
    */
-  public RunningJob(Job job, JobDigest digest, Instant now) {
+  public RunningJob(Job job, JobDigest digest, Instant deadline) {
     this.job = job;
     this.digest = digest;
-    this.deadline = now.plus(job.timeout());
+    this.deadline = deadline;
     this.results = new TaskResult[job.tasks().size()];
   }
 
@@ -67,6 +68,12 @@
     return ended;
   }
 
+  /** Returns a number above those of all attempts at tasks of this job so far. */
+  public int nextAttempt() {
+    attempts++;
+    return attempts;
+  }
+
   /** Counts a task that was handed to an agent. */
   public void taskHandedOver() {
     handedOver++;
--- a/cassiastack-core/src/main/java/org/cassiastack/model/Refusals.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/Refusals.java
@@ -99,6 +99,24 @@
             .formatted(key, retention.toSeconds()));
   }
 
+  /** A key whose time of issue lies ahead of the clock here by more than clocks may differ. */
+  public static Refusal keyFromTheFuture(JobKey key, Duration skew) {
+    return new Refusal(
+        ResultCode.INVALID_KEY,
+        ("Key %s was issued more than %d ms ahead of the clock here. Nothing was run. Set the "
+                + "clock of the caller, then use a new key.")
+            .formatted(key, skew.toMillis()));
+  }
+
+  /** A key issued before everything known of its partition was lost. */
+  public static Refusal coordinatorLost(JobKey key) {
+    return new Refusal(
+        ResultCode.COORDINATOR_LOST,
+        ("Key %s was issued before the coordinator of its job started anew. Whether the job ran "
+                + "is not known. Check the effects, then use a new key.")
+            .formatted(key));
+  }
+
   /** A deadline that passed; the code depends on whether any task may have started. */
   public static Refusal deadline(JobKey key, boolean mayHaveRun) {
     ResultCode code = mayHaveRun ? ResultCode.DEADLINE_MAY_HAVE_RUN : ResultCode.DEADLINE_NOT_RUN;
--- a/cassiastack-core/src/main/java/org/cassiastack/protocol/Dispatch.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/protocol/Dispatch.java
@@ -12,6 +12,7 @@
  *
  * @param task the task
  * @param epoch epoch of the coordinator's partition
+ * @param attempt grows with each new try of a task under an epoch; the same when sent again
  * @param agentIncarnation the life of the agent that is meant; another life refuses
  * @param minion the minion that runs the task
  * @param payload input of the task
@@ -21,8 +22,14 @@
 public record Dispatch(
     TaskId task,
     Epoch epoch,
+    int attempt,
     Incarnation agentIncarnation,
     MinionId minion,
     Payload payload,
     Duration timeout)
-    implements Message {}
+    implements Message {
+  /** Returns the same dispatch to be sent again with the time that is left now. */
+  public Dispatch withTimeout(Duration left) {
+    return new Dispatch(task, epoch, attempt, agentIncarnation, minion, payload, left);
+  }
+}
--- a/cassiastack-core/src/test/java/org/cassiastack/job/JobCoordinatorTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/job/JobCoordinatorTest.java
@@ -130,7 +130,10 @@
   void moves_a_task_only_with_the_proof_that_it_did_not_start() {
     Dispatch sent = dispatches(on(new JobSubmitted(FIRST, job(1)))).get(0);
 
-    on(new Received(AGENT, new TaskNotStarted(sent.task(), sent.epoch(), ResultCode.STOPPING)));
+    on(
+        new Received(
+            AGENT,
+            new TaskNotStarted(sent.task(), sent.epoch(), sent.attempt(), ResultCode.STOPPING)));
     now = now.plusSeconds(1);
     List<Dispatch> second = dispatches(on(new Tick()));
 
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/job/faults/JobWorld.java
@@ -0,0 +1,196 @@
+package org.cassiastack.job.faults;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.configuration.ConfigurationChanged;
+import org.cassiastack.configuration.FailureDomainSpec;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.guard.StartGuard;
+import org.cassiastack.guard.StartTask;
+import org.cassiastack.guard.TaskStopped;
+import org.cassiastack.job.AnswerCaller;
+import org.cassiastack.job.JobCancelled;
+import org.cassiastack.job.JobCoordinator;
+import org.cassiastack.job.JobSubmitted;
+import org.cassiastack.membership.AnnouncementController;
+import org.cassiastack.membership.MembershipController;
+import org.cassiastack.membership.MinionsChanged;
+import org.cassiastack.model.Customer;
+import org.cassiastack.model.Epoch;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.Job;
+import org.cassiastack.model.JobKey;
+import org.cassiastack.model.Minion;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.Revision;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.model.Task;
+import org.cassiastack.model.TaskId;
+import org.cassiastack.model.Worker;
+import org.cassiastack.protocol.PeerConnected;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.routing.MinionPickers;
+
+/** One entry, agents with minions that count starts, and callers, in virtual time. */
+final class JobWorld {
+  static final Duration RETENTION = Duration.ofSeconds(20);
+  static final Duration CLOCK_SKEW = Duration.ofSeconds(1);
+
+  private static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
+  private static final Duration LEASE = Duration.ofSeconds(3);
+  private static final Duration HEARTBEAT = Duration.ofSeconds(1);
+  private static final NodeId ENTRY = new NodeId("entry-1");
+  private static final FailureDomain NORTH = new FailureDomain("north");
+  private static final ServiceName ICE = new ServiceName("ice");
+  private static final int AGENTS = 4;
+  private static final int CAPACITY = 60;
+
+  final Schedule schedule = new Schedule(START);
+  final Callers callers = new Callers();
+  final FaultyNetwork network;
+  final FakeNode entry;
+  final List<FakeNode> agents = new ArrayList<>();
+  private final SplittableRandom random;
+  private final double faults;
+  private final Map<FakeNode, NodeId> names = new HashMap<>();
+  private long lastKey;
+
+  JobWorld(long seed, double faults) {
+    random = new SplittableRandom(seed);
+    this.faults = faults;
+    network = new FaultyNetwork(schedule, random.split(), faults);
+    entry = node(ENTRY);
+    startEntry(START);
+    for (int i = 0; i < AGENTS; i++) {
+      agents.add(node(new NodeId("agent-" + i)));
+      startAgent(i);
+    }
+  }
+
+  Job job(int tasks) {
+    lastKey++;
+    long offset = faults == 0 ? 0 : random.nextLong(-5_000, CLOCK_SKEW.toMillis());
+    JobKey key = JobKey.of(schedule.now().plusMillis(offset), lastKey, random.nextLong());
+    List<Task> all = new ArrayList<>();
+    for (int i = 0; i < tasks; i++) {
+      all.add(new Task(i, Payload.ofText("task " + i)));
+    }
+    Duration timeout = Duration.ofMillis(random.nextLong(200, 10_000));
+    return new Job(key, new Customer("ayaz"), ICE, timeout, false, all);
+  }
+
+  void submit(Job job) {
+    if (entry.isUp()) {
+      entry.post(new JobSubmitted(callers.submits(job), job));
+    }
+  }
+
+  void cancel(Job job) {
+    if (entry.isUp()) {
+      entry.post(new JobCancelled(callers.waits(job), job.customer(), job.key()));
+    }
+  }
+
+  void crashEntry(Duration pause) {
+    entry.crash();
+    callers.coordinatorCrashed();
+    schedule.after(pause, () -> startEntry(schedule.now().plus(CLOCK_SKEW)));
+  }
+
+  void crashAgent(int i, Duration pause) {
+    FakeNode agent = agents.get(i);
+    if (agent.isUp()) {
+      agent.crash();
+      schedule.after(pause, () -> startAgent(i));
+    }
+  }
+
+  void cutAgent(int i, Duration pause) {
+    NodeId name = names.get(agents.get(i));
+    network.cut(name);
+    schedule.after(pause, () -> network.mend(name));
+  }
+
+  void freeze(FakeNode node, Duration pause) {
+    int life = node.life();
+    node.freeze();
+    schedule.after(
+        pause,
+        () -> {
+          if (node.life() == life) {
+            node.thaw();
+          }
+        });
+  }
+
+  private FakeNode node(NodeId name) {
+    FakeNode node = new FakeNode(schedule, this::carryOut);
+    names.put(node, name);
+    network.join(name, node::post);
+    return node;
+  }
+
+  private void startEntry(Instant birth) {
+    entry.start(
+        List.of(
+            MembershipController.create(ENTRY, LEASE),
+            JobCoordinator.create(new Epoch(1), MinionPickers.leastLoaded(), RETENTION, birth)));
+    FailureDomainSpec in = new FailureDomainSpec(NORTH, "steppe", true);
+    entry.post(
+        new ConfigurationChanged(
+            new Configuration(new Revision(1), Map.of(), Map.of(NORTH, in), Map.of())));
+  }
+
+  private void startAgent(int i) {
+    Incarnation incarnation = Incarnation.startedAt(schedule.now());
+    Worker worker = new Worker("worker-" + i, "rack-1", NORTH, 32, 65_536);
+    List<Minion> minions = List.of(new Minion(new MinionId("minion-" + i), ICE, worker, 2, 64));
+    FakeNode agent = agents.get(i);
+    agent.start(
+        List.of(
+            AnnouncementController.create(names.get(agent), incarnation, minions, HEARTBEAT),
+            StartGuard.create(incarnation, minions, RETENTION, CAPACITY)));
+    agent.post(new PeerConnected(ENTRY));
+  }
+
+  private void carryOut(FakeNode node, Effect effect) {
+    if (effect instanceof Send s) {
+      network.send(names.get(node), s.to(), s.message());
+    } else if (effect instanceof AnswerCaller a) {
+      callers.answered(a);
+    } else if (effect instanceof MinionsChanged m) {
+      node.post(m);
+    } else if (effect instanceof StartTask s) {
+      runTask(node, s.dispatch().task());
+    }
+  }
+
+  private void runTask(FakeNode agent, TaskId task) {
+    int life = agent.life();
+    double fate = faults == 0 ? 1 : random.nextDouble();
+    boolean reached = fate > 0.05;
+    ResultCode code = fate > 0.1 ? ResultCode.COMPLETE : ResultCode.TASK_FAILED;
+    if (reached) {
+      callers.started(task);
+    }
+    Payload output = Payload.ofText(task.toString());
+    TaskStopped stopped = new TaskStopped(task, reached ? code : ResultCode.NO_MINION, output);
+    schedule.after(
+        Duration.ofMillis(random.nextLong(1, random.nextInt(10) == 0 ? 5_000 : 600)),
+        () -> {
+          if (agent.life() == life) {
+            agent.post(stopped);
+          }
+        });
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/job/faults/Schedule.java
@@ -0,0 +1,39 @@
+package org.cassiastack.job.faults;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Virtual time: runs actions in order of their time, those of the same time as they were added. */
+final class Schedule {
+  private final PriorityQueue<Entry> entries =
+      new PriorityQueue<>(Comparator.comparing(Entry::at).thenComparing(Entry::serial));
+  private Instant now;
+  private long serial;
+
+  Schedule(Instant start) {
+    now = start;
+  }
+
+  Instant now() {
+    return now;
+  }
+
+  void after(Duration delay, Runnable action) {
+    serial++;
+    entries.add(new Entry(now.plus(delay), serial, action));
+  }
+
+  void runFor(Duration time) {
+    Instant end = now.plus(time);
+    while (!entries.isEmpty() && !entries.peek().at.isAfter(end)) {
+      Entry next = entries.remove();
+      now = next.at;
+      next.action.run();
+    }
+    now = end;
+  }
+
+  private record Entry(Instant at, long serial, Runnable action) {}
+}
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -53,9 +53,10 @@
         new Ping(9),
         new Announce(new NodeId("a1"), INCARNATION, 4, false, List.of(minion)),
         new Welcome(new NodeId("e1"), 4),
-        new Dispatch(TASK, EPOCH, INCARNATION, new MinionId("m1"), payload, Duration.ofMillis(250)),
+        new Dispatch(
+            TASK, EPOCH, 2, INCARNATION, new MinionId("m1"), payload, Duration.ofMillis(250)),
         new TaskEnded(TASK, EPOCH, ResultCode.COMPLETE, payload),
-        new TaskNotStarted(TASK, EPOCH, ResultCode.NO_MINION),
+        new TaskNotStarted(TASK, EPOCH, 2, ResultCode.NO_MINION),
         new CancelTasks(List.of(TASK), EPOCH));
   }
 
