--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/guard/StartGuardTest.java
@@ -0,0 +1,146 @@
+package org.cassiastack.guard;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.model.Customer;
+import org.cassiastack.model.Epoch;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.JobId;
+import org.cassiastack.model.JobKey;
+import org.cassiastack.model.Minion;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
+import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.model.TaskId;
+import org.cassiastack.model.Worker;
+import org.cassiastack.protocol.CancelTasks;
+import org.cassiastack.protocol.Dispatch;
+import org.cassiastack.protocol.Message;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.protocol.TaskEnded;
+import org.cassiastack.protocol.TaskNotStarted;
+import org.junit.jupiter.api.Test;
+
+class StartGuardTest {
+  private static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
+  private static final Duration RETENTION = Duration.ofMinutes(10);
+  private static final Incarnation LIFE = new Incarnation(5);
+  private static final MinionId MINION = new MinionId("minion-1");
+  private static final NodeId ENTRY = new NodeId("entry-1");
+  private static final Epoch EPOCH = new Epoch(1);
+  private static final int CAPACITY = 10;
+
+  private final StartGuard guard = StartGuard.create(LIFE, List.of(minion()), RETENTION, CAPACITY);
+  private Instant now = START;
+
+  @Test
+  void starts_a_task_once_when_its_dispatch_comes_twice() {
+    List<Effect> first = on(dispatch(0, 1));
+
+    List<Effect> second = on(dispatch(0, 1));
+
+    assertThat(starts(first)).isEqualTo(1);
+    assertThat(starts(second)).isZero();
+  }
+
+  @Test
+  void admits_a_new_attempt_at_a_task_that_was_proved_not_started() {
+    on(dispatch(0, 1));
+    guard.on(new TaskStopped(task(0), ResultCode.NO_MINION, Payload.EMPTY), now);
+
+    List<Effect> again = on(dispatch(0, 1));
+    List<Effect> next = on(dispatch(0, 2));
+
+    assertThat(starts(again)).isZero();
+    assertThat(only(again, TaskNotStarted.class).attempt()).isEqualTo(1);
+    assertThat(starts(next)).isEqualTo(1);
+  }
+
+  @Test
+  void starts_no_attempt_at_a_task_that_was_withdrawn() {
+    on(new CancelTasks(List.of(task(0)), EPOCH));
+
+    List<Effect> effects = on(dispatch(0, 7));
+
+    assertThat(starts(effects)).isZero();
+    assertThat(only(effects, TaskNotStarted.class).attempt())
+        .isEqualTo(TaskNotStarted.EVERY_ATTEMPT);
+  }
+
+  @Test
+  void gives_no_proof_for_a_task_that_it_has_forgotten() {
+    on(dispatch(0, 1));
+    guard.on(new TaskStopped(task(0), ResultCode.COMPLETE, Payload.EMPTY), now);
+    now = START.plus(RETENTION).plusMillis(1);
+    guard.on(new Tick(), now);
+
+    List<Effect> effects = on(dispatch(0, 1));
+
+    assertThat(starts(effects)).isZero();
+    assertThat(only(effects, TaskEnded.class).code()).isEqualTo(ResultCode.KEY_EXPIRED);
+  }
+
+  @Test
+  void holds_to_a_refusal_for_lack_of_room_when_there_is_room_again() {
+    for (int i = 0; i < CAPACITY - 1; i++) {
+      on(dispatch(i, 1));
+    }
+    List<Effect> refused = on(dispatch(CAPACITY, 1));
+    for (int i = 0; i < CAPACITY - 1; i++) {
+      guard.on(new TaskStopped(task(i), ResultCode.COMPLETE, Payload.EMPTY), now);
+    }
+
+    List<Effect> again = on(dispatch(CAPACITY, 1));
+
+    assertThat(only(refused, TaskNotStarted.class).reason()).isEqualTo(ResultCode.GUARD_FULL);
+    assertThat(starts(again)).isZero();
+  }
+
+  @Test
+  void remembers_no_more_withdrawals_than_it_has_room_for() {
+    for (int i = 0; i < CAPACITY; i++) {
+      on(new CancelTasks(List.of(task(i)), EPOCH));
+    }
+
+    List<Effect> effects = on(new CancelTasks(List.of(task(CAPACITY)), EPOCH));
+
+    assertThat(effects).isEmpty();
+  }
+
+  private List<Effect> on(Message message) {
+    return guard.on(new Received(ENTRY, message), now);
+  }
+
+  private static Dispatch dispatch(int index, int attempt) {
+    Payload input = Payload.ofText("input");
+    return new Dispatch(task(index), EPOCH, attempt, LIFE, MINION, input, Duration.ofSeconds(30));
+  }
+
+  private static TaskId task(int index) {
+    return new TaskId(new JobId(new Customer("ayaz"), JobKey.of(START, 1, 1)), index);
+  }
+
+  private static Minion minion() {
+    FailureDomain north = new FailureDomain("north");
+    Worker worker = new Worker("worker-1", "rack-1", north, 32, 65_536);
+    return new Minion(MINION, new ServiceName("ice"), worker, 64, 64);
+  }
+
+  private static long starts(List<Effect> effects) {
+    return effects.stream().filter(StartTask.class::isInstance).count();
+  }
+
+  private static <T extends Message> T only(List<Effect> effects, Class<T> type) {
+    assertThat(effects).hasSize(1);
+    return type.cast(((Send) effects.get(0)).message());
+  }
+}
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/CoordinatorPlane.java
@@ -0,0 +1,97 @@
+package org.cassiastack.daemon.entry;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.List;
+import org.cassiastack.controller.ControllerLoop;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.TimeSource;
+import org.cassiastack.daemon.settings.EntrySettings;
+import org.cassiastack.job.AnswerCaller;
+import org.cassiastack.job.JobCoordinator;
+import org.cassiastack.job.TellJobState;
+import org.cassiastack.model.Epoch;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.routing.MinionPickers;
+import org.cassiastack.transport.peer.PeerNetwork;
+import org.tinylog.Logger;
+import reactor.core.publisher.Mono;
+
+/** The coordinator of an entry: its loop, which is a traffic thread, and the callers who wait. */
+final class CoordinatorPlane implements AutoCloseable {
+  /** Bound on the difference between the clocks of callers and of an entry. */
+  private static final Duration CLOCK_SKEW = Duration.ofSeconds(1);
+
+  private static final Duration TICK = Duration.ofMillis(50);
+
+  private final PeerNetwork network;
+  private final TimeSource time;
+  private final Instant birth;
+  private final ControllerLoop loop;
+  private final CallerDesk desk;
+
+  private CoordinatorPlane(EntrySettings settings, PeerNetwork network, TimeSource time) {
+    this.network = network;
+    this.time = time;
+    // Keys are exact to the millisecond, so birth is no finer.
+    birth = time.now().plus(CLOCK_SKEW).truncatedTo(ChronoUnit.MILLIS);
+    JobCoordinator jobs =
+        JobCoordinator.create(
+            new Epoch(1), MinionPickers.leastLoaded(), settings.retention(), birth);
+    loop =
+        ControllerLoop.start(
+            "coordinator",
+            List.of(jobs),
+            this::carryOut,
+            time,
+            e -> Logger.error(e, "event=controller_failed loop=coordinator"));
+    desk = new CallerDesk(loop::post);
+  }
+
+  static CoordinatorPlane create(EntrySettings settings, PeerNetwork network, TimeSource time) {
+    return new CoordinatorPlane(settings, network, time);
+  }
+
+  /** Starts to raise ticks. */
+  void start() {
+    loop.tickEvery(TICK);
+  }
+
+  /** Returns the desk that joins callers with the coordinator. */
+  CallerDesk desk() {
+    return desk;
+  }
+
+  /** Hands an event to the coordinator, on its own thread. */
+  void post(Event event) {
+    loop.post(event);
+  }
+
+  /**
+   * Waits until keys that are issued now are newer than those that an earlier life may have taken,
+   * which would be refused.
+   */
+  void awaitBirth() {
+    Duration left = Duration.between(time.now(), birth);
+    if (!left.isNegative()) {
+      Mono.delay(left.plusMillis(1)).block();
+    }
+  }
+
+  @Override
+  public void close() {
+    loop.close();
+  }
+
+  private void carryOut(Effect effect) {
+    if (effect instanceof Send s) {
+      network.send(s.to(), s.message());
+    } else if (effect instanceof AnswerCaller a) {
+      desk.answer(a);
+    } else if (effect instanceof TellJobState t) {
+      desk.tell(t);
+    }
+  }
+}
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
@@ -15,13 +15,9 @@
 import org.cassiastack.daemon.settings.EntrySettings;
 import org.cassiastack.filter.FilterChain;
 import org.cassiastack.filter.Filters;
-import org.cassiastack.job.AnswerCaller;
-import org.cassiastack.job.JobCoordinator;
-import org.cassiastack.job.TellJobState;
 import org.cassiastack.membership.MembershipController;
 import org.cassiastack.membership.MinionsChanged;
 import org.cassiastack.model.CassiaException;
-import org.cassiastack.model.Epoch;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Revision;
@@ -32,7 +28,6 @@
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
-import org.cassiastack.routing.MinionPickers;
 import org.cassiastack.transport.codec.MessageCodec;
 import org.cassiastack.transport.http.CallerApi;
 import org.cassiastack.transport.http.HttpReply;
@@ -65,8 +60,7 @@
   private final NodeId self;
   private final PeerNetwork network;
   private final ControllerLoop control;
-  private final ControllerLoop coordinator;
-  private final CallerDesk desk;
+  private final CoordinatorPlane coordinator;
   private final InetSocketAddress peerAddress;
   private final DisposableServer callers;
   private final DisposableServer operators;
@@ -80,12 +74,9 @@
     Incarnation incarnation = Incarnation.startedAt(time.now());
     Hello hello = new Hello(Hello.PROTOCOL_VERSION, self, incarnation);
     network = PeerNetwork.create(hello, MessageCodec.create(), new Listener());
-    JobCoordinator jobs =
-        JobCoordinator.create(new Epoch(1), MinionPickers.leastLoaded(), settings.retention());
-    coordinator = loop("coordinator", List.of(jobs));
+    coordinator = CoordinatorPlane.create(settings, network, time);
     MembershipController membership = MembershipController.create(self, settings.lease());
     control = loop("control", List.of(membership));
-    desk = new CallerDesk(coordinator::post);
     FilterChain chain =
         FilterChain.of(
             List.of(
@@ -93,9 +84,10 @@
                 Filters.taskCount(),
                 Filters.customer(() -> inForce),
                 Filters.service(() -> inForce)),
-            (request, now) -> desk.submit(request));
+            (request, now) -> coordinator.desk().submit(request));
     peerAddress = network.listen(settings.peers());
-    callers = CallerApi.serve(settings.callers(), chain, desk, time);
+    coordinator.awaitBirth();
+    callers = CallerApi.serve(settings.callers(), chain, coordinator.desk(), time);
     operators = OperatorApi.serve(settings.operators(), pages());
   }
 
@@ -113,7 +105,7 @@
     Entry entry = new Entry(settings, time);
     entry.carryOut(new ConfigurationChanged(configuration));
     entry.control.tickEvery(TICK);
-    entry.coordinator.tickEvery(TICK);
+    entry.coordinator.start();
     Logger.info(
         "event=entry_started node={} callers={} operators={} peers={}",
         entry.self,
@@ -149,7 +141,7 @@
    * @param patience longest wait for jobs in flight
    */
   public void stop(Duration patience) {
-    Logger.info("event=entry_stopping node={} waiting={}", self, desk.waiting());
+    Logger.info("event=entry_stopping node={} waiting={}", self, coordinator.desk().waiting());
     stopping = true;
     callers.disposeNow(patience);
     operators.disposeNow();
@@ -171,10 +163,6 @@
   private void carryOut(Effect effect) {
     if (effect instanceof Send s) {
       network.send(s.to(), s.message());
-    } else if (effect instanceof AnswerCaller a) {
-      desk.answer(a);
-    } else if (effect instanceof TellJobState t) {
-      desk.tell(t);
     } else if (effect instanceof MinionsChanged m) {
       minions = m;
       Logger.info("event=minions_changed available={}", m.available().size());
@@ -211,8 +199,12 @@
 
     @Override
     public void received(NodeId peer, Message message) {
-      ControllerLoop loop = message instanceof Announce ? control : coordinator;
-      loop.post(new Received(peer, message));
+      Received event = new Received(peer, message);
+      if (message instanceof Announce) {
+        control.post(event);
+      } else {
+        coordinator.post(event);
+      }
     }
   }
 }
