--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
@@ -9,8 +9,6 @@
 import org.cassiastack.configuration.Configuration;
 import org.cassiastack.configuration.ConfigurationChanged;
 import org.cassiastack.configuration.StartsAllowed;
-import org.cassiastack.controller.Controller;
-import org.cassiastack.controller.ControllerLoop;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.daemon.metrics.DaemonMetrics;
@@ -18,12 +16,8 @@
 import org.cassiastack.daemon.settings.EntrySettings;
 import org.cassiastack.filter.FilterChain;
 import org.cassiastack.filter.Filters;
-import org.cassiastack.job.AnswerCaller;
-import org.cassiastack.job.JobCoordinator;
-import org.cassiastack.job.TellJobState;
 import org.cassiastack.membership.MinionsChanged;
 import org.cassiastack.model.CassiaException;
-import org.cassiastack.model.Epoch;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Revision;
@@ -33,7 +27,6 @@
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
-import org.cassiastack.routing.MinionPickers;
 import org.cassiastack.transport.codec.MessageCodec;
 import org.cassiastack.transport.http.CallerApi;
 import org.cassiastack.transport.http.HttpReply;
@@ -61,15 +54,12 @@
  * @since 0.1
  */
 public final class Entry {
-  private static final Duration TICK = Duration.ofMillis(50);
 
   private final DaemonMetrics metrics = DaemonMetrics.create();
-  private final TimeSource time;
   private final NodeId self;
   private final PeerNetwork network;
   private final ControlPlane control;
-  private final ControllerLoop coordinator;
-  private final CallerDesk desk;
+  private final CoordinatorPlane coordinator;
   private final InetSocketAddress peerAddress;
   private final DisposableServer callers;
   private final DisposableServer operators;
@@ -78,19 +68,14 @@
   private volatile boolean stopping;
 
   private Entry(EntrySettings settings, TimeSource time) {
-    this.time = time;
     self = settings.node();
     Incarnation incarnation = Incarnation.startedAt(time.now());
     Hello hello = new Hello(Hello.PROTOCOL_VERSION, self, incarnation);
     network =
         PeerNetwork.create(hello, MessageCodec.create(), PeerTimings.STANDARD, new Listener());
-    JobCoordinator jobs =
-        JobCoordinator.create(
-            new Epoch(1), MinionPickers.patient(MinionPickers.leastFinish()), settings.retention());
-    coordinator = loop("coordinator", List.of(jobs));
+    coordinator = CoordinatorPlane.create(settings, this::carryOut, time);
     control = ControlPlane.create(settings, this::carryOut, time);
-    desk = new CallerDesk(coordinator::post);
-    metrics.waitingCallers(desk::waiting);
+    metrics.waitingCallers(coordinator.desk()::waiting);
     FilterChain chain =
         FilterChain.of(
             List.of(
@@ -99,9 +84,10 @@
                 Filters.taskCount(),
                 Filters.customer(() -> inForce),
                 Filters.service(() -> inForce)),
-            (request, now) -> desk.submit(request));
+            (request, now) -> coordinator.desk().submit(request));
     peerAddress = network.listen(settings.peers());
-    callers = CallerApi.serve(settings.callers(), chain, desk, time);
+    coordinator.awaitBirth();
+    callers = CallerApi.serve(settings.callers(), chain, coordinator.desk(), time);
     operators = OperatorApi.serve(settings.operators(), pages(), control);
     settings.members().forEach(this::dial);
   }
@@ -121,7 +107,7 @@
             : ConfigurationFiles.parse(ConfigurationFiles.texts(folder), Revision.NONE);
     Entry entry = new Entry(settings, time);
     entry.control.start(bootstrap);
-    entry.coordinator.tickEvery(TICK);
+    entry.coordinator.start();
     Logger.info(
         "event=entry_started node={} callers={} operators={} peers={}",
         entry.self,
@@ -162,7 +148,7 @@
    * @param patience longest wait for jobs in flight
    */
   public void stop(Duration patience) {
-    Logger.info("event=entry_stopping node={} waiting={}", self, desk.waiting());
+    Logger.info("event=entry_stopping node={} waiting={}", self, coordinator.desk().waiting());
     stopping = true;
     callers.disposeNow(patience);
     operators.disposeNow();
@@ -178,23 +164,10 @@
     }
   }
 
-  private ControllerLoop loop(String name, List<Controller> controllers) {
-    return ControllerLoop.start(
-        name,
-        controllers,
-        this::carryOut,
-        time,
-        e -> Logger.error(e, "event=controller_failed loop={}", name));
-  }
-
   private void carryOut(Effect effect) {
     metrics.effect(effect);
     if (effect instanceof Send s) {
       network.send(s.to(), s.message());
-    } else if (effect instanceof AnswerCaller a) {
-      desk.answer(a);
-    } else if (effect instanceof TellJobState t) {
-      desk.tell(t);
     } else if (effect instanceof MinionsChanged m) {
       minions = m;
       Logger.info("event=minions_changed available={}", m.available().size());
