--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/local/LocalSystem.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/local/LocalSystem.java
@@ -91,6 +91,11 @@
     return addresses.stream().map(EntryAddresses::operators).toList();
   }
 
+  /** Returns the address where agents connect, of each entry. */
+  public List<InetSocketAddress> peers() {
+    return addresses.stream().map(EntryAddresses::peers).toList();
+  }
+
   /** Returns the stand-in minions. */
   public List<StandInMinion> minions() {
     return List.copyOf(minions);
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/http/JobJson.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/http/JobJson.java
@@ -72,7 +72,9 @@
     for (String t : b.tasks) {
       tasks.add(new Task(tasks.size(), Payload.ofText(t)));
     }
-    return new Job(key, customer, new ServiceName(b.service), timeout, !b.nonIdempotent, tasks);
+    // A job that does not say so may be repeated.
+    boolean idempotent = b.nonIdempotent == null || !b.nonIdempotent;
+    return new Job(key, customer, new ServiceName(b.service), timeout, idempotent, tasks);
   }
 
   /** Writes a job, without its key and customer, which travel as headers. */
@@ -167,7 +169,7 @@
   private record JobBody(
       @Nullable String service,
       @Nullable Long timeoutMillis,
-      boolean nonIdempotent,
+      @Nullable Boolean nonIdempotent,
       @Nullable List<String> tasks) {}
 
   private record AnswerBody(
