--- a/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationCodec.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationCodec.java
@@ -10,13 +10,13 @@
  */
 public interface ConfigurationCodec {
   /** Encodes a command. */
-  Payload encode(ConfigurationCommand command);
+  Payload encodeCommand(ConfigurationCommand command);
 
   /** Decodes a command, or returns null when the bytes are the command of another controller. */
   @Nullable ConfigurationCommand decodeCommand(Payload bytes);
 
   /** Encodes a state. */
-  Payload encode(ConfigurationState state);
+  Payload encodeState(ConfigurationState state);
 
   /** Decodes a state. */
   ConfigurationState decodeState(Payload bytes);
--- a/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationController.java
@@ -68,7 +68,7 @@
       return unresolved(Instant.MAX);
     }
     if (event instanceof SnapshotWanted w) {
-      return List.of(new Raise(new SnapshotTaken(w.index(), codec.encode(store.state()))));
+      return List.of(new Raise(new SnapshotTaken(w.index(), codec.encodeState(store.state()))));
     }
     if (event instanceof SnapshotRestored r) {
       return restored(r);
@@ -79,7 +79,7 @@
   private List<Effect> propose(ApplyRequested r, Instant now) {
     waiting.put(r.request(), now.plus(COMMIT_TIMEOUT));
     ConfigurationCommand command = new ConfigurationCommand(r.change(), r.base(), r.content());
-    return List.of(new Raise(new ProposeCommand(r.request(), codec.encode(command))));
+    return List.of(new Raise(new ProposeCommand(r.request(), codec.encodeCommand(command))));
   }
 
   private List<Effect> committed(CommandCommitted c) {
--- a/cassiastack-core/src/test/java/org/cassiastack/configuration/MemoryConfigurationCodec.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/configuration/MemoryConfigurationCodec.java
@@ -9,7 +9,7 @@
   private final List<Object> values = new ArrayList<>();
 
   @Override
-  public Payload encode(ConfigurationCommand command) {
+  public Payload encodeCommand(ConfigurationCommand command) {
     return number(command);
   }
 
@@ -19,7 +19,7 @@
   }
 
   @Override
-  public Payload encode(ConfigurationState state) {
+  public Payload encodeState(ConfigurationState state) {
     return number(state);
   }
 
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
@@ -104,7 +104,7 @@
     }
     if (bootstrap != null) {
       ChangeId change = new ChangeId(UUID.randomUUID());
-      Mono.defer(() -> apply(change, Revision.NONE, bootstrap))
+      Mono.defer(() -> submit(change, Revision.NONE, bootstrap))
           .filter(r -> r.code() != ResultCode.NO_LEADER)
           .filter(r -> r.code() != ResultCode.CHANGE_UNRESOLVED)
           .repeatWhenEmpty(empty -> empty.delayElements(BOOTSTRAP_RETRY))
@@ -131,7 +131,7 @@
   public Mono<ApplyResult> apply(ChangeRequest request) {
     try {
       Configuration content = ConfigurationFiles.parse(request.files(), Revision.NONE);
-      return apply(request.change(), request.base(), content);
+      return submit(request.change(), request.base(), content);
     } catch (CassiaException e) {
       return Mono.error(e);
     }
@@ -158,7 +158,7 @@
     loop.close();
   }
 
-  private Mono<ApplyResult> apply(ChangeId change, Revision base, Configuration content) {
+  private Mono<ApplyResult> submit(ChangeId change, Revision base, Configuration content) {
     return Mono.create(
         sink -> {
           UUID request = UUID.randomUUID();
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessagePackConfigurationCodec.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessagePackConfigurationCodec.java
@@ -35,7 +35,7 @@
   }
 
   @Override
-  public Payload encode(ConfigurationCommand c) {
+  public Payload encodeCommand(ConfigurationCommand c) {
     Command written = new Command(c.change(), c.base(), ConfigurationDelta.snapshot(c.content()));
     byte[] body = write(written);
     byte[] all = new byte[body.length + 1];
@@ -55,7 +55,7 @@
   }
 
   @Override
-  public Payload encode(ConfigurationState s) {
+  public Payload encodeState(ConfigurationState s) {
     return Payload.wrap(write(new State(ConfigurationDelta.snapshot(s.inForce()), s.decided())));
   }
 
