--- a/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationCodec.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationCodec.java
@@ -10,10 +10,10 @@
  */
 public interface ConfigurationCodec {
   /** Encodes a command. */
-  Payload encode(ConfigurationCommand command);
+  Payload encodeCommand(ConfigurationCommand command);
 
   /** Encodes a state. */
-  Payload encode(ConfigurationState state);
+  Payload encodeState(ConfigurationState state);
 
   /** Decodes a command, or returns null when the bytes are the command of another controller. */
   @Nullable ConfigurationCommand decodeCommand(Payload bytes);
--- a/cassiastack-core/src/test/java/org/cassiastack/configuration/MemoryConfigurationCodec.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/configuration/MemoryConfigurationCodec.java
@@ -9,18 +9,18 @@
   private final List<Object> values = new ArrayList<>();
 
   @Override
-  public Payload encode(ConfigurationCommand command) {
+  public Payload encodeCommand(ConfigurationCommand command) {
     return number(command);
   }
 
   @Override
-  public Payload encode(ConfigurationState state) {
-    return number(state);
+  public ConfigurationCommand decodeCommand(Payload bytes) {
+    return (ConfigurationCommand) values.get(Integer.parseInt(bytes.toText()));
   }
 
   @Override
-  public ConfigurationCommand decodeCommand(Payload bytes) {
-    return (ConfigurationCommand) values.get(Integer.parseInt(bytes.toText()));
+  public Payload encodeState(ConfigurationState state) {
+    return number(state);
   }
 
   @Override
