--- a/cassiastack-core/src/main/java/org/cassiastack/model/ResultCode.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/ResultCode.java
@@ -23,7 +23,7 @@
 
   /** The body or a header could not be read. */
   MALFORMED(200),
-  /** The idempotency key is missing or is no UUID of version 7. */
+  /** The idempotency key is missing, is no UUID of version 7, or was issued ahead of the clock. */
   INVALID_KEY(201),
   /** The configuration in force has no such service. */
   UNKNOWN_SERVICE(202),
--- a/cassiastack-core/src/test/java/org/cassiastack/job/faults/JobFaultProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/job/faults/JobFaultProperties.java
@@ -11,6 +11,8 @@
 import net.jqwik.api.ShrinkingMode;
 import org.cassiastack.model.Job;
 import org.cassiastack.model.ResultCode;
+import org.cassiastack.protocol.TaskEnded;
+import org.cassiastack.protocol.TaskNotStarted;
 
 class JobFaultProperties {
   private static final int STEPS = 200;
@@ -47,6 +49,8 @@
     assertThat(world.callers.counts()).containsOnlyKeys(ResultCode.COMPLETE);
     assertThat(world.callers.counts().get(ResultCode.COMPLETE)).isEqualTo(20);
     assertThat(world.callers.starts()).isEqualTo(tasks);
+    assertThat(world.network.sent(TaskEnded.class)).isEqualTo(tasks);
+    assertThat(world.network.sent(TaskNotStarted.class)).isZero();
   }
 
   private static Job patient(Job j) {
