Reasons of retries are effects that a daemon can count

Cause: what was sent once more could not be told apart from first tries. Refusals need no event of their own, since each answer carries its code.

--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -45,6 +45,8 @@
 import org.cassiastack.protocol.Send;
 import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
+import org.cassiastack.retry.RetryReason;
+import org.cassiastack.retry.WorkRetried;
 import org.cassiastack.routing.Candidates;
 import org.cassiastack.routing.MinionLoad;
 import org.cassiastack.routing.MinionPicker;
@@ -225,6 +227,7 @@
     refused(a, m.reason(), now, effects);
     RunningJob j = running.get(a.job());
     if (j != null) {
+      effects.add(new WorkRetried(RetryReason.of(m.reason())));
       if (leavesTombstone(m.reason())) {
         j.entombed(m.task().index(), a.load().target());
       }
@@ -313,6 +316,7 @@
     withdrawals.withdraw(assignments.matching(a -> hasStraggled(a, now)), effects);
     for (Assignment a : assignments.matching(x -> x.isResendDue(now))) {
       assignments.resent(a, now);
+      effects.add(new WorkRetried(RetryReason.UNANSWERED));
       effects.add(new Send(a.load().target().agent(), a.dispatch()));
     }
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/retry/RetryReason.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/retry/RetryReason.java
@@ -1,5 +1,7 @@
 package org.cassiastack.retry;
 
+import org.cassiastack.model.ResultCode;
+
 /**
  * Why work was sent once more; each reason has a counter.
  *
@@ -13,5 +15,14 @@
   /** An agent or its minion was leaving or could not be reached. */
   UNAVAILABLE,
   /** A queued task was withdrawn and moves to another agent. */
-  MOVED
+  MOVED;
+
+  /** Returns the reason that follows from an agent's refusal of a task. */
+  public static RetryReason of(ResultCode refusal) {
+    return switch (refusal) {
+      case OVERLOADED, GUARD_FULL -> NO_ROOM;
+      case CANCELLED_NOT_RUN, DEADLINE_NOT_RUN -> MOVED;
+      default -> UNAVAILABLE;
+    };
+  }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/job/JobCoordinatorTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/job/JobCoordinatorTest.java
@@ -36,6 +36,8 @@
 import org.cassiastack.protocol.Send;
 import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
+import org.cassiastack.retry.RetryReason;
+import org.cassiastack.retry.WorkRetried;
 import org.cassiastack.routing.MinionPickers;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -137,6 +139,45 @@
     assertThat(second).extracting(Dispatch::task).containsExactly(sent.task());
   }
 
+  @Test
+  void never_sends_a_task_again_to_an_agent_that_has_a_tombstone_for_it() {
+    Dispatch sent = dispatches(on(new JobSubmitted(FIRST, job(1)))).get(0);
+
+    List<Effect> effects =
+        on(
+            new Received(
+                AGENT,
+                new TaskNotStarted(sent.task(), sent.epoch(), ResultCode.CANCELLED_NOT_RUN)));
+
+    assertThat(dispatches(effects)).isEmpty();
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.NO_MINION);
+  }
+
+  @Test
+  void tells_the_reason_when_it_sends_a_dispatch_again() {
+    on(new JobSubmitted(FIRST, job(1)));
+    now = now.plusSeconds(2);
+
+    List<Effect> effects = on(new Tick());
+
+    assertThat(dispatches(effects)).hasSize(1);
+    assertThat(effects).contains(new WorkRetried(RetryReason.UNANSWERED));
+  }
+
+  @Test
+  void refuses_a_job_that_would_wait_too_long_once_run_times_are_known() {
+    List<Dispatch> sent = dispatches(on(new JobSubmitted(FIRST, job(40))));
+    for (int i = 0; i < 30; i++) {
+      now = now.plusSeconds(1);
+      sent = new ArrayList<>(sent);
+      sent.addAll(dispatches(on(ended(sent.remove(0), "done"))));
+    }
+
+    List<Effect> effects = on(new JobSubmitted(SECOND, jobOf(JobKey.of(START, 3, 3), 500)));
+
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.OVERLOADED);
+  }
+
   @Test
   void fails_the_job_when_the_agent_that_held_a_task_is_lost() {
     on(new JobSubmitted(FIRST, job(1)));
