--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/faults/FaultTrial.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/faults/FaultTrial.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.cassiastack.bench.minion.StandInMinion;
-import org.cassiastack.bench.quickstart.LocalSystem;
 import org.cassiastack.model.Customer;
 import org.cassiastack.model.Job;
 import org.cassiastack.model.JobAnswer;
@@ -21,6 +20,7 @@
 import org.cassiastack.model.JobKey;
 import org.cassiastack.model.Payload;
 import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.ServiceName;
 import org.cassiastack.model.Task;
 import org.cassiastack.model.TaskId;
 import org.cassiastack.model.TaskResult;
@@ -41,6 +41,7 @@
  * @since 0.1
  */
 public final class FaultTrial {
+  private static final ServiceName SERVICE = new ServiceName("ice");
   private static final int TASKS_PER_JOB = 8;
   private static final int LONGEST_TASK_MILLIS = 150;
   private static final int JOBS_AT_A_TIME = 16;
@@ -226,6 +227,6 @@
       tasks.add(new Task(i, Payload.ofText("run_ms=" + millis + " " + number + "/" + i)));
     }
     JobKey key = JobKey.of(Instant.now(), random.nextLong(), random.nextLong());
-    return new Job(key, new Customer("ayaz"), LocalSystem.SERVICE, JOB_TIMEOUT, false, tasks);
+    return new Job(key, new Customer("ayaz"), SERVICE, JOB_TIMEOUT, false, tasks);
   }
 }
--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/slopes/StartsSlope.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/slopes/StartsSlope.java
@@ -4,6 +4,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
+import org.cassiastack.configuration.Configuration;
+import org.cassiastack.configuration.FailureDomainSpec;
+import org.cassiastack.configuration.StartsAllowed;
 import org.cassiastack.guard.StartGuard;
 import org.cassiastack.guard.TaskStopped;
 import org.cassiastack.model.Customer;
@@ -17,6 +21,7 @@
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Payload;
 import org.cassiastack.model.ResultCode;
+import org.cassiastack.model.Revision;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.model.TaskId;
 import org.cassiastack.model.Worker;
@@ -38,6 +43,7 @@
       Worker worker = new Worker("worker-1", "rack-1", new FailureDomain("domain-1"), 32, 65_536);
       Minion minion = new Minion(new MinionId("minion-1"), new ServiceName("ice"), worker, 8, 64);
       StartGuard guard = StartGuard.create(incarnation, List.of(minion), RETENTION, CAPACITY);
+      guard.on(new StartsAllowed(Instant.MAX, configuration(worker.failureDomain())), now);
       long empty = HeapUse.bytes();
       for (int i = 0; i < starts; i++) {
         runOne(guard, i, incarnation, now);
@@ -50,6 +56,11 @@
     }
   }
 
+  private static Configuration configuration(FailureDomain domain) {
+    FailureDomainSpec in = new FailureDomainSpec(domain, "region-1", true);
+    return new Configuration(new Revision(1), Map.of(), Map.of(domain, in), Map.of());
+  }
+
   private static void runOne(StartGuard guard, int number, Incarnation incarnation, Instant now) {
     JobId job = new JobId(new Customer("ayaz"), JobKey.of(now, number, number));
     TaskId task = new TaskId(job, 0);
@@ -58,6 +69,7 @@
         new Dispatch(
             task,
             new Epoch(1),
+            1,
             incarnation,
             new MinionId("minion-1"),
             input,
--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -46,6 +46,8 @@
 import org.cassiastack.protocol.Send;
 import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
+import org.cassiastack.retry.RetryReason;
+import org.cassiastack.retry.WorkRetried;
 import org.cassiastack.routing.Candidates;
 import org.cassiastack.routing.MinionLoad;
 import org.cassiastack.routing.MinionPicker;
@@ -65,7 +67,6 @@
  * @since 0.1
  */
 public final class JobCoordinator implements Controller {
-  private static final Duration RESEND_INTERVAL = Duration.ofSeconds(2);
   private static final Duration MAX_CLOCK_SKEW = Duration.ofSeconds(1);
   private static final Duration PAUSE_AFTER_REFUSAL = Duration.ofMillis(100);
 
@@ -237,7 +238,7 @@
     withdrawals.returned(m.task());
     RunningJob j = a == null ? null : running.get(a.job());
     if (a != null && m.code() == ResultCode.COMPLETE) {
-      loads.taskCompleted(a.load(), Duration.between(a.sentAt(), now));
+      loads.taskCompleted(a.load(), Duration.between(a.handedOverAt(), now));
     } else if (a != null) {
       minionFailed(a, now, effects);
     }
@@ -274,6 +275,7 @@
     refused(a, m.reason(), now, effects);
     RunningJob j = running.get(a.job());
     if (j != null) {
+      effects.add(new WorkRetried(RetryReason.of(m.reason())));
       if (leavesTombstone(m.reason())) {
         j.entombed(m.task().index(), a.load().target());
       }
@@ -370,19 +372,23 @@
       }
     }
     withdrawals.withdraw(assignments.matching(a -> hasStraggled(a, now)), effects);
-    Instant resendBefore = now.minus(RESEND_INTERVAL);
-    for (Assignment a : assignments.matching(x -> x.sentAt().isBefore(resendBefore))) {
-      RunningJob j = running.get(a.job());
-      NodeId agent = a.load().target().agent();
-      if (j == null) {
-        assignments.resent(a, a.dispatch(), now);
-        effects.add(new Send(agent, new CancelTasks(List.of(a.dispatch().task()), epoch)));
-      } else {
-        Dispatch again = a.dispatch().withTimeout(Duration.between(now, j.deadline()));
-        assignments.resent(a, again, now);
-        effects.add(new Send(agent, again));
-      }
+    for (Assignment a : assignments.matching(x -> x.isResendDue(now))) {
+      resend(a, now, effects);
+    }
+  }
+
+  private void resend(Assignment a, Instant now, List<Effect> effects) {
+    RunningJob j = running.get(a.job());
+    NodeId agent = a.load().target().agent();
+    if (j == null) {
+      assignments.resent(a, a.dispatch(), now);
+      effects.add(new Send(agent, new CancelTasks(List.of(a.dispatch().task()), epoch)));
+      return;
     }
+    Dispatch again = a.dispatch().withTimeout(Duration.between(now, j.deadline()));
+    assignments.resent(a, again, now);
+    effects.add(new WorkRetried(RetryReason.UNANSWERED));
+    effects.add(new Send(agent, again));
   }
 
   private boolean hasStraggled(Assignment a, Instant now) {
@@ -454,7 +460,7 @@
             next.task().payload(),
             Duration.between(now, j.deadline()));
     j.taskHandedOver();
-    assignments.add(new Assignment(j.id(), load, message, now));
+    assignments.add(Assignment.first(j.id(), load, message, now));
     effects.add(new Send(load.target().agent(), message));
   }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/guard/StartGuardTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/guard/StartGuardTest.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import org.cassiastack.configuration.Configurations;
+import org.cassiastack.configuration.StartsAllowed;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Tick;
 import org.cassiastack.model.Customer;
@@ -28,6 +30,7 @@
 import org.cassiastack.protocol.Send;
 import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class StartGuardTest {
@@ -42,6 +45,11 @@
   private final StartGuard guard = StartGuard.create(LIFE, List.of(minion()), RETENTION, CAPACITY);
   private Instant now = START;
 
+  @BeforeEach
+  void starts_are_allowed() {
+    guard.on(new StartsAllowed(Instant.MAX, Configurations.north(1, true)), now);
+  }
+
   @Test
   void starts_a_task_once_when_its_dispatch_comes_twice() {
     List<Effect> first = on(dispatch(0, 1));
--- a/cassiastack-core/src/test/java/org/cassiastack/job/JobCoordinatorTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/job/JobCoordinatorTest.java
@@ -37,6 +37,8 @@
 import org.cassiastack.protocol.Send;
 import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
+import org.cassiastack.retry.RetryReason;
+import org.cassiastack.retry.WorkRetried;
 import org.cassiastack.routing.MinionPickers;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -212,6 +214,44 @@
     assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.DEADLINE_MAY_HAVE_RUN);
   }
 
+  @Test
+  void sends_a_task_that_every_minion_turned_down_again_as_a_later_attempt() {
+    Dispatch first = dispatches(on(new JobSubmitted(FIRST, job(1)))).get(0);
+
+    on(notStarted(first));
+    now = now.plusSeconds(1);
+    List<Dispatch> second = dispatches(on(new Tick()));
+
+    assertThat(second).hasSize(1);
+    assertThat(second.get(0).task()).isEqualTo(first.task());
+    assertThat(second.get(0).attempt()).isGreaterThan(first.attempt());
+  }
+
+  @Test
+  void tells_the_reason_when_it_sends_a_dispatch_again() {
+    on(new JobSubmitted(FIRST, job(1)));
+    now = now.plusSeconds(2);
+
+    List<Effect> effects = on(new Tick());
+
+    assertThat(dispatches(effects)).hasSize(1);
+    assertThat(effects).contains(new WorkRetried(RetryReason.UNANSWERED));
+  }
+
+  @Test
+  void refuses_a_job_that_would_wait_too_long_once_run_times_are_known() {
+    List<Dispatch> sent = dispatches(on(new JobSubmitted(FIRST, job(40))));
+    for (int i = 0; i < 30; i++) {
+      now = now.plusSeconds(1);
+      sent = new ArrayList<>(sent);
+      sent.addAll(dispatches(on(ended(sent.remove(0), "done"))));
+    }
+
+    List<Effect> effects = on(new JobSubmitted(SECOND, jobOf(JobKey.of(START, 3, 3), 500)));
+
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.OVERLOADED);
+  }
+
   @Test
   void fails_the_job_when_the_agent_that_held_a_task_is_lost() {
     on(new JobSubmitted(FIRST, job(1)));
