--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/IniFile.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/IniFile.java
@@ -106,6 +106,12 @@
     return value.trim();
   }
 
+  /** Reads a text, or the default when the key is missing. */
+  public String text(String section, String key, String otherwise) {
+    String value = find(section, key);
+    return value == null ? otherwise : value.trim();
+  }
+
   /** Reads an address to listen on, or null when the key is missing. */
   public @Nullable InetSocketAddress optionalAddress(String section, String key)
       throws CassiaException {
@@ -113,12 +119,6 @@
     return value == null ? null : parseAddress(section, key, value.trim(), 0);
   }
 
-  /** Reads a text, or the default when the key is missing. */
-  public String text(String section, String key, String otherwise) {
-    String value = find(section, key);
-    return value == null ? otherwise : value.trim();
-  }
-
   /** Reads a whole number within bounds, or the default when the key is missing. */
   public int number(String section, String key, int otherwise, int least, int most)
       throws CassiaException {
