--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/load/LoadRecorder.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/load/LoadRecorder.java
@@ -48,7 +48,10 @@
       complete++;
       jobMicros.recordValue(micros(took));
       idealMicros.recordValue(micros(ideal));
-      ratios.recordValue((long) (RATIO_UNITS * took.toNanos() / Math.max(1, ideal.toNanos())));
+      // Tasks of no length have an ideal of 0, against which there is no ratio.
+      if (!ideal.isZero()) {
+        ratios.recordValue((long) (RATIO_UNITS * took.toNanos() / ideal.toNanos()));
+      }
       partial += isWhole(job, answer) ? 0 : 1;
     } else if (answer.code().isNotRun()) {
       notRun.put(JobId.of(job), job.tasks().size());
