--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/LeaderlessTimeTest.java
@@ -0,0 +1,34 @@
+package org.cassiastack.consensus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class LeaderlessTimeTest {
+  private static final int RUNS = 200;
+  private static final Duration MOST = Duration.ofSeconds(20);
+
+  @Test
+  void a_killed_leader_is_replaced_within_five_election_timeouts() {
+    List<Long> millis = new ArrayList<>();
+    for (int seed = 0; seed < RUNS; seed++) {
+      millis.add(leaderless(FakeCluster.ofThree(seed)).toMillis());
+    }
+
+    millis.sort(null);
+    long timeout = FakeCluster.ofThree(0).settings().electionTimeout().toMillis();
+    assertThat(millis.get(RUNS - 1)).isLessThan(5 * timeout);
+  }
+
+  private static Duration leaderless(FakeCluster cluster) {
+    FakeMember killed = cluster.awaitLeader();
+    cluster.runUntil(cluster::isWhole, MOST);
+    killed.crash();
+    Duration start = cluster.elapsed();
+    assertThat(cluster.runUntil(() -> cluster.leader() != null, MOST)).isTrue();
+    return cluster.elapsed().minus(start);
+  }
+}
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftProperties.java
@@ -77,6 +77,7 @@
       case DISTURB -> cluster.disturb(s.amount() / 3, s.amount() / 3, s.amount());
       case HEAL -> cluster.healNetwork();
       case LOSE_DISK -> loseDisk(cluster, member);
+      default -> throw new IllegalArgumentException("unknown step " + s.kind());
     }
     cluster.run(Duration.ofMillis(s.amount() * 4L));
   }
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/storage/SegmentedLog.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/storage/SegmentedLog.java
@@ -60,7 +60,7 @@
     }
     boolean appended = false;
     for (Persist p : batch) {
-      appended |= write(p);
+      appended |= append(p);
     }
     if (appended) {
       segment().sync(syncer);
@@ -78,7 +78,7 @@
     folder.close();
   }
 
-  private boolean write(Persist p) throws IOException {
+  private boolean append(Persist p) throws IOException {
     Snapshot s = p.snapshot();
     if (s != null) {
       takeSnapshot(s, p.resetLog());
