The test of a full guard fails without its record

Cause: the test passed on a guard that forgot its refusals, since room came back only with the key of the refused task. It now comes back before.

--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -204,7 +204,7 @@
       return;
     }
     if (m.code() != ResultCode.COMPLETE) {
-      fail(j, refusalOf(m), now, effects);
+      fail(j, failureOf(m), now, effects);
       return;
     }
     j.taskEnded(TaskResult.complete(m.task().index(), m.output()));
@@ -213,7 +213,7 @@
     }
   }
 
-  private Refusal refusalOf(TaskEnded m) {
+  private Refusal failureOf(TaskEnded m) {
     return switch (m.code()) {
       case TASK_FAILED -> Refusals.taskFailed(m.task());
       case KEY_EXPIRED -> Refusals.keyExpired(m.task().job().key(), retained.retention());
--- a/cassiastack-core/src/test/java/org/cassiastack/guard/StartGuardTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/guard/StartGuardTest.java
@@ -93,16 +93,19 @@
   void holds_to_a_refusal_for_lack_of_room_when_there_is_room_again() {
     for (int i = 0; i < CAPACITY - 1; i++) {
       on(dispatch(i, 1));
-    }
-    List<Effect> refused = on(dispatch(CAPACITY, 1));
-    for (int i = 0; i < CAPACITY - 1; i++) {
       guard.on(new TaskStopped(task(i), ResultCode.COMPLETE, Payload.EMPTY), now);
     }
+    Dispatch later = dispatchOf(laterTask(), 1);
+    List<Effect> refused = on(later);
+    now = START.plus(RETENTION).plusMillis(1);
+    guard.on(new Tick(), now);
 
-    List<Effect> again = on(dispatch(CAPACITY, 1));
+    List<Effect> again = on(later);
+    List<Effect> next = on(dispatchOf(laterTask(), 2));
 
     assertThat(only(refused, TaskNotStarted.class).reason()).isEqualTo(ResultCode.GUARD_FULL);
     assertThat(starts(again)).isZero();
+    assertThat(starts(next)).isEqualTo(1);
   }
 
   @Test
@@ -121,14 +124,23 @@
   }
 
   private static Dispatch dispatch(int index, int attempt) {
+    return dispatchOf(task(index), attempt);
+  }
+
+  private static Dispatch dispatchOf(TaskId task, int attempt) {
     Payload input = Payload.ofText("input");
-    return new Dispatch(task(index), EPOCH, attempt, LIFE, MINION, input, Duration.ofSeconds(30));
+    return new Dispatch(task, EPOCH, attempt, LIFE, MINION, input, Duration.ofSeconds(30));
   }
 
   private static TaskId task(int index) {
     return new TaskId(new JobId(new Customer("ayaz"), JobKey.of(START, 1, 1)), index);
   }
 
+  private static TaskId laterTask() {
+    JobKey key = JobKey.of(START.plusSeconds(60), 2, 2);
+    return new TaskId(new JobId(new Customer("ayaz"), key), 0);
+  }
+
   private static Minion minion() {
     FailureDomain north = new FailureDomain("north");
     Worker worker = new Worker("worker-1", "rack-1", north, 32, 65_536);
