A minion without room is left alone until a slot may be free

Cause: a refusal for want of room could be answered at once by the same dispatch, as long as the minion was the only candidate.

--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/routing/Trial.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/routing/Trial.java
@@ -147,7 +147,7 @@
         at(now.plus(ONE_WAY), send.to(), new Received(s.to, send.message()));
       } else if (e instanceof StartTask start) {
         outcome.started();
-        run(s.to, start.dispatch());
+        startTask(s.to, start.dispatch());
       } else if (e instanceof AnswerCaller a) {
         Job job = jobs.remove(a.caller());
         Instant from = submitted.remove(a.caller());
@@ -159,7 +159,7 @@
     }
   }
 
-  private void run(NodeId agent, Dispatch d) {
+  private void startTask(NodeId agent, Dispatch d) {
     boolean fails = scenario.fails(agent);
     Duration runs = fails ? FAILS_AFTER : scenario.runTime(agent, d.payload());
     ResultCode code = fails ? ResultCode.TASK_FAILED : ResultCode.COMPLETE;
--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -238,7 +238,7 @@
 
   private void refused(Assignment a, ResultCode reason, Instant now, List<Effect> effects) {
     if (reason == ResultCode.OVERLOADED) {
-      a.load().refusedForRoom();
+      a.load().refusedForRoom(now);
     } else if (reason != ResultCode.CANCELLED_NOT_RUN) {
       a.load().pauseUntil(now.plus(PAUSE_AFTER_REFUSAL));
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/routing/MinionLoad.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/MinionLoad.java
@@ -26,6 +26,8 @@
   private static final double RAMP_START = 0.25;
   private static final double WEIGHT_OF_NEWEST = 0.1;
   private static final double LEAST_SECONDS = 1e-6;
+  private static final double LEAST_PAUSE_SECONDS = 0.01;
+  private static final double LONGEST_PAUSE_SECONDS = 1;
   private static final double GROWTH = 0.1;
   private static final int FIRST_OBSERVATIONS = 10;
 
@@ -115,9 +117,12 @@
     window = Math.ceil((double) target.minion().slots() / coordinators);
   }
 
-  /** Learns that the agent had no room: others use the minion too. */
-  public void refusedForRoom() {
+  /** Learns that the agent had no room: others use the minion too, until a slot may be free. */
+  public void refusedForRoom(Instant now) {
     window = Math.max(1, Math.min(window, inFlight));
+    double untilNextSlot = expectedSeconds() / target.minion().slots();
+    double pause = Math.min(LONGEST_PAUSE_SECONDS, Math.max(LEAST_PAUSE_SECONDS, untilNextSlot));
+    pausedUntil = now.plusNanos((long) (pause * 1e9));
   }
 
   /** Returns the expected time of one task here, from hand-over to report. */
