A withdrawal covers its attempt, unless the job is over

Cause: with stragglers withdrawn from running jobs, the tombstone for every attempt made its agent refuse each later attempt, at once and for ever: JobFaultProperties never ended, the stack stood in taskNotStarted. Ruled out: failing the job when every minion holds a tombstone, which fails jobs that could go on. Now a withdrawal names the last attempt that it covers; that of a job that is over covers all.

--- a/cassiastack-core/src/main/java/org/cassiastack/guard/StartGuard.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/guard/StartGuard.java
@@ -22,8 +22,8 @@
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Payload;
 import org.cassiastack.model.ResultCode;
-import org.cassiastack.model.TaskId;
 import org.cassiastack.protocol.CancelTasks;
+import org.cassiastack.protocol.CancelTasks.Withdrawal;
 import org.cassiastack.protocol.Dispatch;
 import org.cassiastack.protocol.Message;
 import org.cassiastack.protocol.Received;
@@ -163,24 +163,26 @@
     return null;
   }
 
-  private void withdrawn(NodeId from, TaskId id, CancelTasks c, Instant now, List<Effect> effects) {
-    GuardedTask known = tasks.find(id);
+  private void withdrawn(
+      NodeId from, Withdrawal w, CancelTasks c, Instant now, List<Effect> effects) {
+    GuardedTask known = tasks.find(w.task());
     if (known == null) {
       // Whether a forgotten task ran is not known, and with no room nothing can be held to.
-      if (!tasks.isForgotten(id, now) && !tasks.isFull()) {
-        GuardedTask t = GuardedTask.tombstone(id, from, c.epoch());
+      if (!tasks.isForgotten(w.task(), now) && !tasks.isFull()) {
+        GuardedTask t = GuardedTask.tombstone(w, from, c.epoch());
         tasks.add(t, now);
         effects.addAll(t.report());
       }
       return;
     }
     known.askedBy(from, c.epoch());
-    if (known.isQueued()) {
+    if (known.isQueued() && known.isCoveredBy(w)) {
       minions.values().forEach(m -> m.remove(known));
       tasks.ended(known, now);
+      known.entomb(ResultCode.CANCELLED_NOT_RUN);
     }
-    if (known.isQueued() || known.isTombstone()) {
-      known.withdraw(ResultCode.CANCELLED_NOT_RUN);
+    if (known.isTombstone()) {
+      known.withdraw(w);
     }
     effects.addAll(known.report());
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/guard/internal/GuardedTask.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/guard/internal/GuardedTask.java
@@ -11,6 +11,7 @@
 import org.cassiastack.model.Payload;
 import org.cassiastack.model.ResultCode;
 import org.cassiastack.model.TaskId;
+import org.cassiastack.protocol.CancelTasks.Withdrawal;
 import org.cassiastack.protocol.Dispatch;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.protocol.TaskEnded;
@@ -51,12 +52,12 @@
   }
 
   /** A task that was withdrawn before it came. */
-  public static GuardedTask tombstone(TaskId id, NodeId coordinator, Epoch epoch) {
+  public static GuardedTask tombstone(Withdrawal w, NodeId coordinator, Epoch epoch) {
     Dispatch none =
         new Dispatch(
-            id,
+            w.task(),
             epoch,
-            TaskNotStarted.EVERY_ATTEMPT,
+            w.attempt(),
             new Incarnation(0),
             new MinionId(""),
             Payload.EMPTY,
@@ -96,12 +97,14 @@
     return state == State.TOMBSTONE && (laterEpoch || laterAttempt);
   }
 
-  /** A tombstone that covers every attempt under the epoch that withdrew the task. */
-  public void withdraw(ResultCode reason) {
-    attempt = TaskNotStarted.EVERY_ATTEMPT;
-    if (state != State.TOMBSTONE) {
-      entomb(reason);
-    }
+  /** Tells whether a withdrawal is of this attempt; one of an earlier attempt may come late. */
+  public boolean isCoveredBy(Withdrawal w) {
+    return attempt <= w.attempt();
+  }
+
+  /** Makes a tombstone cover the attempts that were withdrawn, too. */
+  public void withdraw(Withdrawal w) {
+    attempt = Math.max(attempt, w.attempt());
   }
 
   /** Tells whether the task is known never to start under its attempts so far. */
--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -40,7 +40,6 @@
 import org.cassiastack.model.Task;
 import org.cassiastack.model.TaskId;
 import org.cassiastack.model.TaskResult;
-import org.cassiastack.protocol.CancelTasks;
 import org.cassiastack.protocol.Dispatch;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
@@ -382,7 +381,7 @@
     NodeId agent = a.load().target().agent();
     if (j == null) {
       assignments.resent(a, a.dispatch(), now);
-      effects.add(new Send(agent, new CancelTasks(List.of(a.dispatch().task()), epoch)));
+      withdrawals.withdrawForGood(List.of(a), effects);
       return;
     }
     Dispatch again = a.dispatch().withTimeout(Duration.between(now, j.deadline()));
@@ -397,7 +396,7 @@
 
   private void fail(RunningJob j, Refusal refusal, Instant now, List<Effect> effects) {
     queue.removeJob(j);
-    withdrawals.send(assignments.matching(x -> x.job().equals(j.id())), effects);
+    withdrawals.withdrawForGood(assignments.matching(x -> x.job().equals(j.id())), effects);
     finish(j, JobAnswer.failed(j.job().key(), refusal), now, effects);
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/job/internal/Withdrawals.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/internal/Withdrawals.java
@@ -8,13 +8,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToIntFunction;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.job.internal.Assignments.Assignment;
 import org.cassiastack.model.Epoch;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.TaskId;
 import org.cassiastack.protocol.CancelTasks;
+import org.cassiastack.protocol.CancelTasks.Withdrawal;
+import org.cassiastack.protocol.Dispatch;
 import org.cassiastack.protocol.Send;
+import org.cassiastack.protocol.TaskNotStarted;
 
 /**
  * Withdrawals of tasks that may still wait at an agent, one message for each agent. A task that has
@@ -36,15 +40,21 @@
   public void withdraw(List<Assignment> assignments, List<Effect> effects) {
     List<Assignment> first = new ArrayList<>(assignments);
     first.removeIf(a -> !asked.add(a.dispatch().task()));
-    send(first, effects);
+    send(first, Dispatch::attempt, effects);
   }
 
-  /** Withdraws tasks, also those that were withdrawn before. */
-  public void send(List<Assignment> assignments, List<Effect> effects) {
-    Map<NodeId, List<TaskId>> byAgent = new LinkedHashMap<>();
+  /** Withdraws tasks for good, also those that were withdrawn before. */
+  public void withdrawForGood(List<Assignment> assignments, List<Effect> effects) {
+    send(assignments, d -> TaskNotStarted.EVERY_ATTEMPT, effects);
+  }
+
+  private void send(
+      List<Assignment> assignments, ToIntFunction<Dispatch> lastAttempt, List<Effect> effects) {
+    Map<NodeId, List<Withdrawal>> byAgent = new LinkedHashMap<>();
     for (Assignment a : assignments) {
       NodeId agent = a.load().target().agent();
-      byAgent.computeIfAbsent(agent, x -> new ArrayList<>()).add(a.dispatch().task());
+      Withdrawal w = new Withdrawal(a.dispatch().task(), lastAttempt.applyAsInt(a.dispatch()));
+      byAgent.computeIfAbsent(agent, x -> new ArrayList<>()).add(w);
     }
     byAgent.forEach((to, tasks) -> effects.add(new Send(to, new CancelTasks(tasks, epoch))));
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/protocol/CancelTasks.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/protocol/CancelTasks.java
@@ -11,4 +11,22 @@
  * @param epoch epoch of the coordinator's partition
  * @since 0.1
  */
-public record CancelTasks(List<TaskId> tasks, Epoch epoch) implements Message {}
+public record CancelTasks(List<Withdrawal> tasks, Epoch epoch) implements Message {
+  /** Makes a message; the list is copied. */
+  public CancelTasks {
+    tasks = List.copyOf(tasks);
+  }
+
+  /**
+   * One task that is withdrawn.
+   *
+   * @param task the task
+   * @param attempt the last attempt that is withdrawn; a later one may start at the same agent
+   */
+  public record Withdrawal(TaskId task, int attempt) {
+    /** Withdraws a task for good. */
+    public static Withdrawal ofEveryAttempt(TaskId task) {
+      return new Withdrawal(task, TaskNotStarted.EVERY_ATTEMPT);
+    }
+  }
+}
--- a/cassiastack-core/src/test/java/org/cassiastack/guard/StartGuardTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/guard/StartGuardTest.java
@@ -24,6 +24,7 @@
 import org.cassiastack.model.TaskId;
 import org.cassiastack.model.Worker;
 import org.cassiastack.protocol.CancelTasks;
+import org.cassiastack.protocol.CancelTasks.Withdrawal;
 import org.cassiastack.protocol.Dispatch;
 import org.cassiastack.protocol.Message;
 import org.cassiastack.protocol.Received;
@@ -42,7 +43,8 @@
   private static final Epoch EPOCH = new Epoch(1);
   private static final int CAPACITY = 10;
 
-  private final StartGuard guard = StartGuard.create(LIFE, List.of(minion()), RETENTION, CAPACITY);
+  private final StartGuard guard =
+      StartGuard.create(LIFE, List.of(minion(64)), RETENTION, CAPACITY);
   private Instant now = START;
 
   @BeforeEach
@@ -75,7 +77,7 @@
 
   @Test
   void starts_no_attempt_at_a_task_that_was_withdrawn() {
-    on(new CancelTasks(List.of(task(0)), EPOCH));
+    on(withdrawal(task(0)));
 
     List<Effect> effects = on(dispatch(0, 7));
 
@@ -84,6 +86,31 @@
         .isEqualTo(TaskNotStarted.EVERY_ATTEMPT);
   }
 
+  @Test
+  void starts_a_later_attempt_at_a_task_of_which_an_earlier_one_was_withdrawn() {
+    on(new CancelTasks(List.of(new Withdrawal(task(0), 3)), EPOCH));
+
+    List<Effect> withdrawn = on(dispatch(0, 3));
+    List<Effect> later = on(dispatch(0, 4));
+
+    assertThat(starts(withdrawn)).isZero();
+    assertThat(starts(later)).isEqualTo(1);
+  }
+
+  @Test
+  void keeps_a_queued_attempt_when_the_withdrawal_of_an_earlier_one_comes_late() {
+    StartGuard narrow = StartGuard.create(LIFE, List.of(minion(1)), RETENTION, CAPACITY);
+    narrow.on(new StartsAllowed(Instant.MAX, Configurations.north(1, true)), now);
+    narrow.on(new Received(ENTRY, dispatch(0, 1)), now);
+    narrow.on(new Received(ENTRY, dispatch(1, 4)), now);
+    CancelTasks late = new CancelTasks(List.of(new Withdrawal(task(1), 3)), EPOCH);
+
+    narrow.on(new Received(ENTRY, late), now);
+    TaskStopped stopped = new TaskStopped(task(0), ResultCode.COMPLETE, Payload.EMPTY);
+
+    assertThat(starts(narrow.on(stopped, now))).isEqualTo(1);
+  }
+
   @Test
   void gives_no_proof_for_a_task_that_it_has_forgotten() {
     on(dispatch(0, 1));
@@ -119,14 +146,18 @@
   @Test
   void remembers_no_more_withdrawals_than_it_has_room_for() {
     for (int i = 0; i < CAPACITY; i++) {
-      on(new CancelTasks(List.of(task(i)), EPOCH));
+      on(withdrawal(task(i)));
     }
 
-    List<Effect> effects = on(new CancelTasks(List.of(task(CAPACITY)), EPOCH));
+    List<Effect> effects = on(withdrawal(task(CAPACITY)));
 
     assertThat(effects).isEmpty();
   }
 
+  private static CancelTasks withdrawal(TaskId task) {
+    return new CancelTasks(List.of(Withdrawal.ofEveryAttempt(task)), EPOCH);
+  }
+
   private List<Effect> on(Message message) {
     return guard.on(new Received(ENTRY, message), now);
   }
@@ -149,10 +180,10 @@
     return new TaskId(new JobId(new Customer("ayaz"), key), 0);
   }
 
-  private static Minion minion() {
+  private static Minion minion(int slots) {
     FailureDomain north = new FailureDomain("north");
     Worker worker = new Worker("worker-1", "rack-1", north, 32, 65_536);
-    return new Minion(MINION, new ServiceName("ice"), worker, 64, 64);
+    return new Minion(MINION, new ServiceName("ice"), worker, slots, 64);
   }
 
   private static long starts(List<Effect> effects) {
