--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -15,8 +15,9 @@
 import org.cassiastack.job.internal.Assignments;
 import org.cassiastack.job.internal.Assignments.Assignment;
 import org.cassiastack.job.internal.DispatchQueue;
-import org.cassiastack.job.internal.DispatchQueue.Waiting;
+import org.cassiastack.job.internal.Dispatcher;
 import org.cassiastack.job.internal.JobDigest;
+import org.cassiastack.job.internal.KeyAges;
 import org.cassiastack.job.internal.MinionLoads;
 import org.cassiastack.job.internal.RetainedAnswers;
 import org.cassiastack.job.internal.RetainedAnswers.Retained;
@@ -26,19 +27,15 @@
 import org.cassiastack.limit.DeadlineLimit;
 import org.cassiastack.limit.QuotaShare;
 import org.cassiastack.membership.MinionsChanged;
-import org.cassiastack.model.Customer;
 import org.cassiastack.model.Epoch;
 import org.cassiastack.model.Job;
 import org.cassiastack.model.JobAnswer;
 import org.cassiastack.model.JobId;
-import org.cassiastack.model.JobKey;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Refusal;
 import org.cassiastack.model.Refusals;
 import org.cassiastack.model.ResultCode;
-import org.cassiastack.model.ServiceName;
 import org.cassiastack.model.Task;
-import org.cassiastack.model.TaskId;
 import org.cassiastack.model.TaskResult;
 import org.cassiastack.protocol.Dispatch;
 import org.cassiastack.protocol.Received;
@@ -47,8 +44,6 @@
 import org.cassiastack.protocol.TaskNotStarted;
 import org.cassiastack.retry.RetryReason;
 import org.cassiastack.retry.WorkRetried;
-import org.cassiastack.routing.Candidates;
-import org.cassiastack.routing.MinionLoad;
 import org.cassiastack.routing.MinionPicker;
 import org.jspecify.annotations.Nullable;
 
@@ -66,28 +61,25 @@
  * @since 0.1
  */
 public final class JobCoordinator implements Controller {
-  private static final Duration MAX_CLOCK_SKEW = Duration.ofSeconds(1);
   private static final Duration PAUSE_AFTER_REFUSAL = Duration.ofMillis(100);
 
-  private final Epoch epoch;
-  private final MinionPicker picker;
   private final Map<JobId, RunningJob> running = new LinkedHashMap<>();
   private final DispatchQueue queue = new DispatchQueue();
   private final Assignments assignments = new Assignments();
   private final MinionLoads loads = new MinionLoads();
   private final CustomerQuotas quotas = CustomerQuotas.create();
   private final Withdrawals withdrawals;
+  private final Dispatcher dispatcher;
+  private final KeyAges keyAges;
   private final RetainedAnswers retained;
   // Before the first renewal there is no configuration, so no service is known either.
   private Instant freshUntil = Instant.MAX;
   private MinionsChanged minions = new MinionsChanged(List.of(), Map.of());
-  private final Instant birth;
 
   private JobCoordinator(Epoch epoch, MinionPicker picker, Duration retention, Instant birth) {
-    this.epoch = epoch;
-    this.picker = picker;
     this.withdrawals = new Withdrawals(epoch);
-    this.birth = birth;
+    this.dispatcher = new Dispatcher(epoch, picker, queue, assignments, loads, quotas);
+    this.keyAges = new KeyAges(retention, birth);
     this.retained = new RetainedAnswers(retention);
   }
 
@@ -143,7 +135,7 @@
     } else {
       return effects;
     }
-    dispatchAll(now, effects);
+    dispatcher.dispatchAll(now, effects);
     return effects;
   }
 
@@ -162,7 +154,7 @@
     }
     RunningJob j = running.get(JobId.of(job));
     if (j == null) {
-      j = new RunningJob(job, digest, deadline(job, now));
+      j = new RunningJob(job, digest, keyAges.deadline(job, now));
       running.put(j.id(), j);
       for (Task t : job.tasks()) {
         queue.addLast(j, t);
@@ -180,12 +172,9 @@
     if (retained.find(id) != null) {
       return null;
     }
-    Refusal forgotten = forgotten(job.key(), now);
-    if (forgotten != null) {
-      return forgotten;
-    }
-    if (job.key().issuedAt().isAfter(now.plus(MAX_CLOCK_SKEW))) {
-      return Refusals.keyFromTheFuture(job.key(), MAX_CLOCK_SKEW);
+    Refusal wrongAge = keyAges.refusalOf(job.key(), now);
+    if (wrongAge != null) {
+      return wrongAge;
     }
     if (!now.isBefore(freshUntil)) {
       return Refusals.stale();
@@ -204,25 +193,6 @@
     return refusal == null ? quotas.admit(job.customer(), tasks, now) : refusal;
   }
 
-  private boolean mayStart(Customer customer) {
-    return quotas.mayStart(customer, assignments.inFlight(customer));
-  }
-
-  /** Why it is not known whether a job that is not found here ran, or null when it did not. */
-  private @Nullable Refusal forgotten(JobKey key, Instant now) {
-    if (key.issuedAt().isBefore(now.minus(retained.retention()))) {
-      return Refusals.keyExpired(key, retained.retention());
-    }
-    return key.issuedAt().isBefore(birth) ? Refusals.coordinatorLost(key) : null;
-  }
-
-  /** Agents forget a task by the age of its key, so no job outlives its key. */
-  private Instant deadline(Job job, Instant now) {
-    Instant asked = now.plus(job.timeout());
-    Instant latest = job.key().issuedAt().plus(retained.retention());
-    return asked.isBefore(latest) ? asked : latest;
-  }
-
   private @Nullable JobDigest knownDigest(JobId id) {
     RunningJob j = running.get(id);
     if (j != null) {
@@ -321,7 +291,7 @@
 
   /** The answer to a cancellation that overtook its job or names none. */
   private JobAnswer unknown(JobId id, Instant now) {
-    Refusal forgotten = forgotten(id.key(), now);
+    Refusal forgotten = keyAges.forgotten(id.key(), now);
     if (forgotten != null) {
       return JobAnswer.failed(id.key(), forgotten);
     }
@@ -338,7 +308,7 @@
     }
     Retained kept = retained.find(id);
     if (kept == null) {
-      Refusal forgotten = forgotten(id.key(), now);
+      Refusal forgotten = keyAges.forgotten(id.key(), now);
       Refusal reason = forgotten == null ? Refusals.unknownJob(id.key()) : forgotten;
       return new JobState(id.key(), 0, 0, JobAnswer.failed(id.key(), reason));
     }
@@ -407,59 +377,4 @@
       effects.add(new AnswerCaller(caller, answer));
     }
   }
-
-  private void dispatchAll(Instant now, List<Effect> effects) {
-    for (ServiceName service : queue.services()) {
-      List<MinionLoad> all = loads.inService(service);
-      List<MinionLoad> free = new ArrayList<>(all);
-      free.removeIf(m -> !m.hasFreeSlot(now));
-      Waiting next = queue.peek(service, this::mayStart, now);
-      while (next != null && !free.isEmpty()) {
-        List<MinionLoad> open = preferred(next, free, all);
-        MinionLoad load = picker.pick(new Candidates(open, all, queue.size(service)), now);
-        if (load == null) {
-          break;
-        }
-        queue.takeFirst(service);
-        dispatch(next, load, now, effects);
-        if (!load.hasFreeSlot(now)) {
-          free.remove(load);
-        }
-        next = queue.peek(service, this::mayStart, now);
-      }
-    }
-  }
-
-  private static List<MinionLoad> notEntombed(Waiting w, List<MinionLoad> loads) {
-    int index = w.task().index();
-    if (!w.job().isEntombed(index)) {
-      return loads;
-    }
-    return loads.stream().filter(m -> !w.job().isEntombed(index, m.target())).toList();
-  }
-
-  /**
-   * Minions that turned the task down are left out while others remain. A tombstone holds for its
-   * attempt, so once every minion has one, all are open again.
-   */
-  private static List<MinionLoad> preferred(
-      Waiting w, List<MinionLoad> free, List<MinionLoad> all) {
-    return notEntombed(w, all).isEmpty() ? free : notEntombed(w, free);
-  }
-
-  private void dispatch(Waiting next, MinionLoad load, Instant now, List<Effect> effects) {
-    RunningJob j = next.job();
-    Dispatch message =
-        new Dispatch(
-            new TaskId(j.id(), next.task().index()),
-            epoch,
-            j.nextAttempt(),
-            load.target().incarnation(),
-            load.target().minion().id(),
-            next.task().payload(),
-            Duration.between(now, j.deadline()));
-    j.taskHandedOver();
-    assignments.add(Assignment.first(j.id(), load, message, now));
-    effects.add(new Send(load.target().agent(), message));
-  }
 }
