Control members keep their log on disk; refusals before the coordinator are true

Control: an entry with [control] members and folder runs RaftController over its data folder in place of the log in memory; LeaderFreshness turns the leader's lease into the moment up to which its configuration is known to be the newest. ControlMembersTest kills one of three members and then all (SIGKILL): the accepted revision is in force after each start, and no second one appears. Several members without a data folder are refused at the start.

Refusals: ProcessFaultsTest found 20 answers UNKNOWN_SERVICE or UNKNOWN_CUSTOMER, 'not run', to jobs that had run. Cause: an entry that had just started had no configuration yet, and its filters answered before the coordinator looked at the key. Ruled out: loading the configuration before serving, which leaves the same fault to a service that was taken away and to an entry that is stopping. Now a filter marks the request and the coordinator, which alone knows the key, refuses it if it is new.

--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/spread/SpreadSystem.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/spread/SpreadSystem.java
@@ -166,6 +166,6 @@
 
   private static EntrySettings settings(NodeId name, Map<NodeId, InetSocketAddress> members) {
     InetSocketAddress any = Loopback.port(0);
-    return new EntrySettings(name, any, any, any, null, RETENTION, LEASE, members);
+    return new EntrySettings(name, any, any, any, null, RETENTION, LEASE, members, null);
   }
 }
--- /dev/null
+++ b/cassiastack-bench/src/test/java/org/cassiastack/bench/ControlMembersTest.java
@@ -0,0 +1,136 @@
+package org.cassiastack.bench;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.cassiastack.daemon.EntryMain;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+@Timeout(value = 120, unit = TimeUnit.SECONDS)
+class ControlMembersTest {
+  private static final int MEMBERS = 3;
+
+  /** A loopback address of its own, on which no other program takes ports. */
+  private static final String HOST = "127.17.0.1";
+
+  private static final String IN_FORCE = "event=configuration_in_force revision=1";
+
+  @TempDir private Path folder;
+  private final List<Process> processes = new ArrayList<>();
+  private String members = "";
+
+  @BeforeEach
+  void name_the_members_and_their_first_configuration() throws IOException {
+    Path declared = Files.createDirectory(folder.resolve("configuration"));
+    Files.writeString(declared.resolve("all.ini"), "[failure-domain north]\n[service ice]\n");
+    List<ServerSocket> taken = new ArrayList<>();
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < MEMBERS; i++) {
+      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(HOST));
+      taken.add(socket);
+      names.add("entry-" + i + "@" + HOST + ":" + socket.getLocalPort());
+    }
+    for (ServerSocket s : taken) {
+      s.close();
+    }
+    members = String.join(", ", names);
+  }
+
+  @AfterEach
+  void end_processes() {
+    processes.forEach(Process::destroyForcibly);
+  }
+
+  @Test
+  void an_accepted_configuration_survives_the_kill_of_one_member_and_of_all() throws Exception {
+    for (BufferedReader log : startAll()) {
+      awaitLine(log, IN_FORCE);
+    }
+
+    kill(0);
+    awaitLine(start(0), IN_FORCE);
+    for (int i = 0; i < MEMBERS; i++) {
+      kill(i);
+    }
+
+    for (BufferedReader log : startAll()) {
+      // Each applies its first configuration again, on the empty revision: one change was accepted.
+      assertThat(awaitLine(log, "event=bootstrap ")).contains("code=STALE_BASE revision=1");
+    }
+  }
+
+  private List<BufferedReader> startAll() throws IOException {
+    List<BufferedReader> logs = new ArrayList<>();
+    for (int i = 0; i < MEMBERS; i++) {
+      logs.add(start(i));
+    }
+    return logs;
+  }
+
+  private BufferedReader start(int i) throws IOException {
+    String settings =
+        """
+        [node]
+        name = entry-%1$d
+        [callers]
+        listen = 127.0.0.1:0
+        [operators]
+        listen = 127.0.0.1:0
+        [peers]
+        listen = %2$s
+        [configuration]
+        folder = %3$s
+        [control]
+        members = %4$s
+        folder = %5$s
+        """
+            .formatted(
+                i,
+                members.split(", ", -1)[i].split("@", -1)[1],
+                folder.resolve("configuration"),
+                members,
+                folder.resolve("data-" + i));
+    Path file = Files.writeString(folder.resolve("entry-" + i + ".ini"), settings);
+    Process process =
+        new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-cp",
+                System.getProperty("java.class.path"),
+                EntryMain.class.getName(),
+                "--settings",
+                file.toString())
+            .redirectErrorStream(true)
+            .start();
+    if (processes.size() > i) {
+      processes.set(i, process);
+    } else {
+      processes.add(process);
+    }
+    return process.inputReader();
+  }
+
+  private void kill(int i) throws InterruptedException {
+    processes.get(i).destroyForcibly().waitFor();
+  }
+
+  private static String awaitLine(BufferedReader log, String part) throws IOException {
+    for (String line = log.readLine(); line != null; line = log.readLine()) {
+      if (line.contains(part)) {
+        return line;
+      }
+    }
+    throw new AssertionError("process ended before it logged " + part);
+  }
+}
--- a/cassiastack-core/src/main/java/org/cassiastack/filter/internal/AdmissionFilter.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/AdmissionFilter.java
@@ -21,7 +21,7 @@
   @Override
   public Mono<JobAnswer> filter(Request request, Instant now, FilterChain next) {
     if (stopping.getAsBoolean()) {
-      return Mono.just(JobAnswer.failed(request.job().key(), Refusals.stopping()));
+      return next.proceed(request.refusedAs(Refusals.stopping()), now);
     }
     return next.proceed(request, now);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/filter/internal/CustomerFilter.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/CustomerFilter.java
@@ -22,9 +22,8 @@
   @Override
   public Mono<JobAnswer> filter(Request request, Instant now, FilterChain next) {
     if (!inForce.get().customers().containsKey(request.job().customer())) {
-      return Mono.just(
-          JobAnswer.failed(
-              request.job().key(), Refusals.unknownCustomer(request.job().customer())));
+      return next.proceed(
+          request.refusedAs(Refusals.unknownCustomer(request.job().customer())), now);
     }
     return next.proceed(request, now);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/filter/internal/ServiceFilter.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/ServiceFilter.java
@@ -22,8 +22,7 @@
   @Override
   public Mono<JobAnswer> filter(Request request, Instant now, FilterChain next) {
     if (!inForce.get().services().containsKey(request.job().service())) {
-      return Mono.just(
-          JobAnswer.failed(request.job().key(), Refusals.unknownService(request.job().service())));
+      return next.proceed(request.refusedAs(Refusals.unknownService(request.job().service())), now);
     }
     return next.proceed(request, now);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/filter/internal/TaskCountFilter.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/TaskCountFilter.java
@@ -16,7 +16,7 @@
     Job job = request.job();
     int count = job.tasks().size();
     if (count < 1 || count > Job.MAX_TASKS) {
-      return Mono.just(JobAnswer.failed(job.key(), Refusals.invalidTaskCount(count)));
+      return next.proceed(request.refusedAs(Refusals.invalidTaskCount(count)), now);
     }
     return next.proceed(request, now);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/job/JobCoordinator.java
@@ -142,7 +142,7 @@
   private void submitted(JobSubmitted s, Instant now, List<Effect> effects) {
     Job job = s.job();
     JobDigest digest = JobDigest.of(job);
-    Refusal refusal = refusalOf(job, digest, now);
+    Refusal refusal = refusalOf(s, digest, now);
     if (refusal != null) {
       effects.add(new AnswerCaller(s.caller(), JobAnswer.failed(job.key(), refusal)));
       return;
@@ -163,7 +163,8 @@
     j.callers().add(s.caller());
   }
 
-  private @Nullable Refusal refusalOf(Job job, JobDigest digest, Instant now) {
+  private @Nullable Refusal refusalOf(JobSubmitted s, JobDigest digest, Instant now) {
+    Job job = s.job();
     JobId id = JobId.of(job);
     JobDigest known = knownDigest(id);
     if (known != null) {
@@ -176,6 +177,9 @@
     if (wrongAge != null) {
       return wrongAge;
     }
+    if (s.refusal() != null) {
+      return s.refusal();
+    }
     if (!now.isBefore(freshUntil)) {
       return Refusals.stale();
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/model/Refusals.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/Refusals.java
@@ -203,6 +203,15 @@
         "Task %s ran and its minion reported an error. See the minion's log.".formatted(task));
   }
 
+  /** A data folder that cannot be used. */
+  public static Refusal dataFolder(String folder, String reason) {
+    return new Refusal(
+        ResultCode.INVALID_SETTINGS,
+        ("Data folder %s cannot be used: %s. Check that it is this member's and that no other "
+                + "process uses it.")
+            .formatted(folder, reason));
+  }
+
   /** A fault of the system itself. */
   public static Refusal internalError() {
     return new Refusal(
--- a/cassiastack-core/src/test/java/org/cassiastack/job/JobCoordinatorTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/job/JobCoordinatorTest.java
@@ -26,6 +26,7 @@
 import org.cassiastack.model.MinionId;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Payload;
+import org.cassiastack.model.Refusals;
 import org.cassiastack.model.ResultCode;
 import org.cassiastack.model.Revision;
 import org.cassiastack.model.ServiceName;
@@ -110,6 +111,37 @@
     assertThat(dispatches(effects)).isEmpty();
   }
 
+  @Test
+  void gives_the_kept_answer_of_a_job_that_would_be_refused_if_it_were_new() {
+    Job job = job(1);
+    Dispatch sent = dispatches(on(new JobSubmitted(FIRST, job))).get(0);
+    on(ended(sent, "done"));
+
+    List<Effect> effects = on(new JobSubmitted(SECOND, job, Refusals.unknownService(ICE)));
+
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.COMPLETE);
+  }
+
+  @Test
+  void says_may_have_run_of_a_job_of_an_earlier_life_that_a_filter_would_refuse() {
+    JobCoordinator reborn =
+        JobCoordinator.create(
+            new Epoch(1), MinionPickers.leastLoaded(), RETENTION, START.plusMillis(1));
+
+    List<Effect> effects =
+        reborn.on(new JobSubmitted(FIRST, job(1), Refusals.unknownService(ICE)), now);
+
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.COORDINATOR_LOST);
+  }
+
+  @Test
+  void refuses_a_new_job_as_a_filter_asked() {
+    List<Effect> effects = on(new JobSubmitted(FIRST, job(1), Refusals.unknownService(ICE)));
+
+    assertThat(dispatches(effects)).isEmpty();
+    assertThat(onlyAnswer(effects).code()).isEqualTo(ResultCode.UNKNOWN_SERVICE);
+  }
+
   @Test
   void refuses_a_key_that_was_used_for_other_content() {
     on(new JobSubmitted(FIRST, job(1)));
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/CallerDesk.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/CallerDesk.java
@@ -34,7 +34,7 @@
   }
 
   Mono<JobAnswer> submit(Request request) {
-    return ask(answers, caller -> new JobSubmitted(caller, request.job()));
+    return ask(answers, caller -> new JobSubmitted(caller, request.job(), request.refusal()));
   }
 
   @Override
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
@@ -1,5 +1,8 @@
 package org.cassiastack.daemon.entry;
 
+import java.io.IOException;
+import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,6 +17,10 @@
 import org.cassiastack.configuration.Configuration;
 import org.cassiastack.configuration.ConfigurationChanged;
 import org.cassiastack.configuration.ConfigurationController;
+import org.cassiastack.consensus.MemberGreeting;
+import org.cassiastack.consensus.Persist;
+import org.cassiastack.consensus.RaftMessage;
+import org.cassiastack.consensus.RaftSettings;
 import org.cassiastack.consensus.SingleMemberLog;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.ControllerLoop;
@@ -21,6 +28,8 @@
 import org.cassiastack.controller.EffectHandler;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.TimeSource;
+import org.cassiastack.daemon.control.LeaderFreshness;
+import org.cassiastack.daemon.control.RaftDriver;
 import org.cassiastack.daemon.settings.ConfigurationFiles;
 import org.cassiastack.daemon.settings.ConfigurationText;
 import org.cassiastack.daemon.settings.EntrySettings;
@@ -58,24 +67,24 @@
 
   private final NodeId self;
   private final boolean member;
+  private final @Nullable RaftDriver raft;
   private final EffectHandler traffic;
   private final ControllerLoop loop;
   private final ConfigurationHistory history = new ConfigurationHistory();
   private final Map<UUID, MonoSink<ApplyResult>> waiting = new ConcurrentHashMap<>();
 
-  private ControlPlane(EntrySettings settings, EffectHandler traffic, TimeSource time) {
+  private ControlPlane(EntrySettings settings, EffectHandler traffic, TimeSource time)
+      throws CassiaException {
     this.self = settings.node();
     this.traffic = traffic;
-    // The log in memory has one member: the first that the settings name.
-    NodeId logOwner = settings.members().keySet().stream().findFirst().orElse(self);
-    this.member = logOwner.equals(self);
-    Predicate<NodeId> isMember = logOwner::equals;
-    List<Controller> controllers = new ArrayList<>();
+    Predicate<NodeId> isMember = settings.memberNames()::contains;
+    this.member = isMember.test(self);
+    this.raft = open(settings);
+    List<Controller> controllers = new ArrayList<>(log(settings));
     controllers.add(MembershipController.create(self, settings.lease()));
     controllers.add(FreshnessController.create(isMember, ASK_INTERVAL, FRESHNESS_LIMIT));
     controllers.add(ApplyRouter.create(self, isMember));
     if (member) {
-      controllers.add(SingleMemberLog.create());
       controllers.add(ConfigurationController.create(MessagePackConfigurationCodec.create()));
     }
     loop =
@@ -92,12 +101,16 @@
    *
    * @param traffic carries out what does not end here, such as messages and views
    */
-  static ControlPlane create(EntrySettings settings, EffectHandler traffic, TimeSource time) {
+  static ControlPlane create(EntrySettings settings, EffectHandler traffic, TimeSource time)
+      throws CassiaException {
     return new ControlPlane(settings, traffic, time);
   }
 
   /** Begins to act on time passing, and applies the files of a trial while nothing is in force. */
   void start(@Nullable Configuration bootstrap) {
+    if (raft != null) {
+      raft.start(loop::post);
+    }
     loop.tickEvery(TICK);
     if (!member) {
       return;
@@ -116,6 +129,8 @@
   /** Tells whether a message is for the control loop. */
   static boolean takes(Message m) {
     return m instanceof Announce
+        || m instanceof RaftMessage
+        || m instanceof MemberGreeting
         || m instanceof AskConfiguration
         || m instanceof ConfigurationAge
         || m instanceof ConfigurationUpdate
@@ -156,6 +171,33 @@
   @Override
   public void close() {
     loop.close();
+    if (raft != null) {
+      raft.close();
+    }
+  }
+
+  private List<Controller> log(EntrySettings settings) {
+    if (raft != null) {
+      Duration lease = raftSettings(settings).lease();
+      return List.of(raft.controller(), LeaderFreshness.create(lease));
+    }
+    return member ? List.of(SingleMemberLog.create()) : List.of();
+  }
+
+  private static @Nullable RaftDriver open(EntrySettings settings) throws CassiaException {
+    Path folder = settings.data();
+    if (folder == null || !settings.memberNames().contains(settings.node())) {
+      return null;
+    }
+    try {
+      return RaftDriver.open(folder, settings.node(), raftSettings(settings), new SecureRandom());
+    } catch (IOException e) {
+      throw CassiaException.of(Refusals.dataFolder(folder.toString(), e.toString()));
+    }
+  }
+
+  private static RaftSettings raftSettings(EntrySettings settings) {
+    return RaftSettings.of(List.copyOf(settings.memberNames()));
   }
 
   private Mono<ApplyResult> submit(ChangeId change, Revision base, Configuration content) {
@@ -176,6 +218,10 @@
       }
       return;
     }
+    if (effect instanceof Persist p && raft != null) {
+      raft.persist(p);
+      return;
+    }
     if (effect instanceof ConfigurationChanged c) {
       history.add(c.configuration());
     }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
@@ -67,7 +67,7 @@
   private volatile MinionsChanged minions = new MinionsChanged(List.of(), Map.of());
   private volatile boolean stopping;
 
-  private Entry(EntrySettings settings, TimeSource time) {
+  private Entry(EntrySettings settings, TimeSource time) throws CassiaException {
     self = settings.node();
     Incarnation incarnation = Incarnation.startedAt(time.now());
     Hello hello = new Hello(Hello.PROTOCOL_VERSION, self, incarnation);
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/EntrySettings.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/EntrySettings.java
@@ -6,6 +6,7 @@
 import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import org.cassiastack.model.CassiaException;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.ResultCode;
@@ -23,6 +24,8 @@
  * @param retention how long answers are kept
  * @param lease how long an agent is known after its last announcement
  * @param members where the control members' peers connect, in order; none means this entry alone
+ * @param data folder of the replicated log of a control member; none keeps the log in memory, which
+ *     only a single member may do
  * @since 0.1
  */
 public record EntrySettings(
@@ -33,7 +36,8 @@
     @Nullable Path configuration,
     Duration retention,
     Duration lease,
-    Map<NodeId, InetSocketAddress> members) {
+    Map<NodeId, InetSocketAddress> members,
+    @Nullable Path data) {
   private static final Duration DEFAULT_RETENTION = Duration.ofMinutes(10);
   private static final Duration DEFAULT_LEASE = Duration.ofSeconds(3);
 
@@ -58,8 +62,21 @@
             f.has("configuration", "folder") ? Path.of(f.text("configuration", "folder")) : null,
             f.duration("jobs", "retention", DEFAULT_RETENTION),
             f.duration("agents", "lease", DEFAULT_LEASE),
-            f.nodes("control", "members"));
+            f.nodes("control", "members"),
+            f.has("control", "folder") ? Path.of(f.text("control", "folder")) : null);
+    settings.checkMembers(f);
     f.finish();
     return settings;
   }
+
+  /** Returns the control members by name; this entry alone when none are named. */
+  public Set<NodeId> memberNames() {
+    return members.isEmpty() ? Set.of(node) : members.keySet();
+  }
+
+  private void checkMembers(IniFile f) throws CassiaException {
+    if (members.size() > 1 && members.containsKey(node) && data == null) {
+      throw f.refusal("control", "folder", "", "a folder, since several members need a disk each");
+    }
+  }
 }
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/command/OperatorCommandsTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/command/OperatorCommandsTest.java
@@ -37,7 +37,8 @@
     InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
     Duration minute = Duration.ofMinutes(1);
     EntrySettings settings =
-        new EntrySettings(new NodeId("entry-1"), any, any, any, null, minute, minute, Map.of());
+        new EntrySettings(
+            new NodeId("entry-1"), any, any, any, null, minute, minute, Map.of(), null);
     entry = Entry.start(settings, TimeSource.system());
     Files.writeString(folder.resolve("all.ini"), FILES);
   }
@@ -89,7 +90,7 @@
     run("apply", "--base", "0", folder.toString());
 
     assertThat(run("drain", "north")).isEqualTo(ExitCodes.OK);
-    run("status");
+    run("status", "--json");
     assertThat(output).contains("\"north\":false", "\"south\":true");
     run("show", "--from", "1");
     assertThat(output)
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/metrics/DaemonMetricsTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/metrics/DaemonMetricsTest.java
@@ -54,7 +54,7 @@
   void counts_a_refusal_under_its_number() {
     FilterChain chain = chain(JobAnswer.failed(job().key(), Refusals.stopping()));
 
-    chain.proceed(new Request(job()), NOW).block();
+    chain.proceed(Request.of(job()), NOW).block();
 
     assertThat(metrics.text()).contains("cassia_requests_total{code=\"210\"} 1.0");
   }
@@ -63,7 +63,7 @@
   void measures_the_time_from_arrival_to_answer() {
     FilterChain chain = chain(JobAnswer.complete(job().key(), List.of()));
 
-    chain.proceed(new Request(job()), NOW).block();
+    chain.proceed(Request.of(job()), NOW).block();
 
     assertThat(metrics.text())
         .contains("cassia_response_time_seconds_bucket{le=\"1.0\"} 0")
@@ -73,7 +73,7 @@
   @Test
   void counts_a_task_that_did_not_start_by_its_reason() {
     TaskId task = new TaskId(JobId.of(job()), 0);
-    TaskNotStarted proof = new TaskNotStarted(task, new Epoch(1), ResultCode.GUARD_FULL);
+    TaskNotStarted proof = new TaskNotStarted(task, new Epoch(1), 1, ResultCode.GUARD_FULL);
 
     metrics.effect(new Send(new NodeId("entry-1"), proof));
 
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/settings/EntrySettingsTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/settings/EntrySettingsTest.java
@@ -54,8 +54,23 @@
     assertThat(settings.members()).isEmpty();
   }
 
+  @Test
+  void refuses_several_control_members_without_a_data_folder() {
+    CassiaException e =
+        catchThrowableOfType(
+            CassiaException.class,
+            () -> read("entry-1@127.0.0.1:7002, entry-2@127.0.0.1:7102", ""));
+
+    assertThat(e.refusal().code()).isEqualTo(ResultCode.INVALID_SETTINGS);
+    assertThat(e).hasMessageContaining("[control]").hasMessageContaining("'folder'");
+  }
+
   private EntrySettings read(String members) throws IOException, CassiaException {
-    String text = "[node]\nname = entry-1\n[control]\nmembers = " + members + "\n";
+    return read(members, "folder = data\n");
+  }
+
+  private EntrySettings read(String members, String data) throws IOException, CassiaException {
+    String text = "[node]\nname = entry-1\n[control]\nmembers = " + members + "\n" + data;
     return EntrySettings.read(Files.writeString(folder.resolve("entry.ini"), text));
   }
 }
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/http/CallerApi.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/http/CallerApi.java
@@ -85,7 +85,7 @@
                 body -> {
                   try {
                     Instant now = time.now();
-                    return chain.proceed(new Request(job(request, body)), now);
+                    return chain.proceed(Request.of(job(request, body)), now);
                   } catch (CassiaException e) {
                     return Mono.error(e);
                   }
