--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/http/CallerApi.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/http/CallerApi.java
@@ -2,7 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.time.Instant;
+import java.util.concurrent.Callable;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.filter.FilterChain;
 import org.cassiastack.filter.Request;
@@ -82,43 +82,23 @@
     Mono<JobAnswer> answer =
         Bodies.read(request, MAX_BODY_BYTES)
             .flatMap(
-                body -> {
-                  try {
-                    Instant now = time.now();
-                    return chain.proceed(Request.of(job(request, body)), now);
-                  } catch (CassiaException e) {
-                    return Mono.error(e);
-                  }
-                });
+                body -> deferred(() -> chain.proceed(Request.of(job(request, body)), time.now())));
     return HttpReply.respond(request, response, answer.map(CallerApi::reply));
   }
 
   private Publisher<Void> state(HttpServerRequest request, HttpServerResponse response) {
-    return HttpReply.respond(
-        request,
-        response,
-        Mono.defer(
-            () -> {
-              try {
-                return desk.state(customer(request), pathKey(request)).map(CallerApi::reply);
-              } catch (CassiaException e) {
-                return Mono.error(e);
-              }
-            }));
+    Mono<JobState> state = deferred(() -> desk.state(customer(request), pathKey(request)));
+    return HttpReply.respond(request, response, state.map(CallerApi::reply));
   }
 
   private Publisher<Void> cancel(HttpServerRequest request, HttpServerResponse response) {
-    return HttpReply.respond(
-        request,
-        response,
-        Mono.defer(
-            () -> {
-              try {
-                return desk.cancel(customer(request), pathKey(request)).map(CallerApi::reply);
-              } catch (CassiaException e) {
-                return Mono.error(e);
-              }
-            }));
+    Mono<JobAnswer> answer = deferred(() -> desk.cancel(customer(request), pathKey(request)));
+    return HttpReply.respond(request, response, answer.map(CallerApi::reply));
+  }
+
+  /** Turns a refusal that is thrown while a request is read into one that is answered. */
+  private static <T> Mono<T> deferred(Callable<Mono<T>> work) {
+    return Mono.fromCallable(work).flatMap(answer -> answer);
   }
 
   private static Job job(HttpServerRequest request, byte[] body) throws CassiaException {
