--- a/cassiastack-core/src/main/java/org/cassiastack/routing/internal/MinionHealth.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/MinionHealth.java
@@ -1,8 +1,7 @@
-package org.cassiastack.routing.internal;
+package org.cassiastack.routing;
 
 import java.time.Duration;
 import java.time.Instant;
-import org.cassiastack.model.JobId;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -23,7 +22,7 @@
   private int successes;
   private int ejections;
   private boolean probed;
-  private @Nullable JobId lastFailed;
+  private @Nullable Object lastFailed;
   private Instant ejectedUntil = Instant.MIN;
 
   /** Counts a task that completed; a probed minion is trusted again. */
@@ -39,7 +38,7 @@
   }
 
   /** Counts a task that failed or was never begun. */
-  public void failed(JobId job) {
+  public void failed(Object job) {
     successes = 0;
     failures++;
     if (!job.equals(lastFailed)) {
--- a/cassiastack-core/src/main/java/org/cassiastack/routing/MinionLoad.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/routing/MinionLoad.java
@@ -5,7 +5,6 @@
 import java.util.function.DoubleSupplier;
 import org.cassiastack.membership.AvailableMinion;
 import org.cassiastack.model.JobId;
-import org.cassiastack.routing.internal.MinionHealth;
 import org.cassiastack.routing.internal.RunTimeMean;
 
 /**
