Replicated log: any node may join, silent voters make room

Cause: on the users' platform a member is replaced by an empty one at another address, and no process is given a list of members. JoinPolicy says who may found and who may join; listed nodes behave as before. MembersChanged tells the rest of the process. Ruled out: removing a silent voter before another is there, which would leave too small a quorum.

--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/RaftSettings.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/RaftSettings.java
@@ -13,6 +13,7 @@
  * @param batch most entries in one message
  * @param window most unanswered messages with entries to one follower
  * @param snapshotEntries number of applied entries after which a snapshot is wanted
+ * @param joining who may join the log
  * @since 0.1
  */
 public record RaftSettings(
@@ -21,7 +22,8 @@
     Duration electionTimeout,
     int batch,
     int window,
-    long snapshotEntries) {
+    long snapshotEntries,
+    JoinPolicy joining) {
   private static final int LEASE_NUMERATOR = 3;
   private static final int LEASE_DENOMINATOR = 4;
 
@@ -30,6 +32,30 @@
     nodes = nodes.stream().sorted(NodeId.BY_NAME).toList();
   }
 
+  /** Settings of members that are exactly the nodes of a list. */
+  public RaftSettings(
+      List<NodeId> nodes,
+      Duration heartbeat,
+      Duration electionTimeout,
+      int batch,
+      int window,
+      long snapshotEntries) {
+    this(
+        nodes,
+        heartbeat,
+        electionTimeout,
+        batch,
+        window,
+        snapshotEntries,
+        JoinPolicy.listedNodes());
+  }
+
+  /** Returns these settings with another rule on who may join. */
+  public RaftSettings withJoining(JoinPolicy policy) {
+    return new RaftSettings(
+        nodes, heartbeat, electionTimeout, batch, window, snapshotEntries, policy);
+  }
+
   /** Settings for members of one region. */
   public static RaftSettings of(List<NodeId> nodes) {
     return new RaftSettings(nodes, Duration.ofMillis(100), Duration.ofMillis(1_000), 256, 8, 4_096);
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Admission.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Admission.java
@@ -1,9 +1,13 @@
 package org.cassiastack.consensus.internal;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.cassiastack.consensus.JoinPolicy;
 import org.cassiastack.consensus.LogEntry;
 import org.cassiastack.consensus.MemberGreeting;
 import org.cassiastack.consensus.MemberId;
@@ -15,6 +19,10 @@
 /**
  * Founds the log and admits new members, one change at a time.
  *
+ * <p>Where any node may join, a learner of a new node takes the place of a voter that has fallen
+ * silent, and silent voters are removed while enough others remain. One that comes back greets the
+ * others and is admitted again.
+ *
  * <p>The node with the lowest name founds the log once every node has answered it, in this life,
  * that its log is empty. A new folder is admitted as a learner; once caught up it takes the place
  * of the voter that its node was before: first that voter is removed, then the learner votes.
@@ -41,7 +49,8 @@
       return;
     }
     wanting.clear();
-    if (!state.isVoter() && !state.isLeaderRecent(now) && !now.isBefore(nextGreeting)) {
+    boolean outside = !state.isVoter() || state.settings.joining().anyNode();
+    if (outside && !state.isLeaderRecent(now) && !now.isBefore(nextGreeting)) {
       nextGreeting = now.plus(state.settings.electionTimeout());
       greetAll();
       found(now);
@@ -53,7 +62,8 @@
     greeted.put(from.node(), from);
     if (g.answerTo() == null) {
       state.emit(greeting(from, from));
-      if (state.leads() && state.settings.nodes().contains(from.node())) {
+      boolean listed = state.settings.nodes().contains(from.node());
+      if (state.leads() && (listed || state.settings.joining().anyNode())) {
         wanting.put(from.node(), from);
       }
     } else if (state.self.equals(g.answerTo())) {
@@ -76,7 +86,10 @@
   }
 
   private void greetAll() {
-    for (NodeId n : state.settings.nodes()) {
+    Set<NodeId> nodes = new TreeSet<>(NodeId.BY_NAME);
+    nodes.addAll(state.settings.nodes());
+    state.log.members().all().forEach(m -> nodes.add(m.node()));
+    for (NodeId n : nodes) {
       if (!n.equals(state.self.node())) {
         state.emit(new Send(n, new MemberGreeting(state.self, state.log.isEmpty(), null)));
       }
@@ -88,6 +101,9 @@
   }
 
   private void found(Instant now) {
+    if (!state.settings.joining().mayFound()) {
+      return;
+    }
     boolean lowest = state.settings.nodes().get(0).equals(state.self.node());
     emptyNodes.put(state.self.node(), state.self);
     if (!lowest || !state.log.isEmpty() || emptyNodes.size() < state.settings.nodes().size()) {
@@ -128,12 +144,35 @@
         return;
       }
     }
+    JoinPolicy joining = state.settings.joining();
+    if (members.voters().size() > joining.leastVoters()) {
+      removeSilent(members, joining.silence(), now);
+    }
+  }
+
+  private boolean removeSilent(MemberSet members, Duration silence, Instant now) {
+    for (MemberId v : members.voters()) {
+      if (!v.equals(state.self) && leadership.isSilent(v, silence, now)) {
+        leadership.changeMembers(members.withoutVoter(v), now);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Makes room for a learner; never below the quorum that has been kept so far. */
+  private boolean replaceSilent(MemberSet members, Duration silence, Instant now) {
+    return members.voters().size() >= state.settings.joining().leastVoters()
+        && removeSilent(members, silence, now);
   }
 
   private void promote(MemberId learner, MemberSet members, Instant now) {
     MemberId former = members.voterOf(learner.node());
     if (former == null) {
-      leadership.changeMembers(members.withVoter(learner), now);
+      Duration silence = state.settings.joining().silence();
+      if (!state.settings.joining().anyNode() || !replaceSilent(members, silence, now)) {
+        leadership.changeMembers(members.withVoter(learner), now);
+      }
     } else if (!former.equals(state.self)) {
       leadership.changeMembers(members.withoutVoter(former), now);
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Leadership.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Leadership.java
@@ -1,5 +1,6 @@
 package org.cassiastack.consensus.internal;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -97,6 +98,13 @@
         && p.answered.plus(state.settings.electionTimeout()).isAfter(now);
   }
 
+  /** Tells whether a member has not answered for some time of this leadership. */
+  boolean isSilent(MemberId member, Duration silence, Instant now) {
+    Instant answered = answeredBy(member, now);
+    Instant since = answered.isBefore(electedAt) ? electedAt : answered;
+    return since.plus(silence).isBefore(now);
+  }
+
   private void append(LogEntry entry, Instant now) {
     state.log.append(entry);
     state.emit(state.disk.entries(List.of(entry)));
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
@@ -10,6 +10,7 @@
 import org.cassiastack.consensus.LeaderChanged;
 import org.cassiastack.consensus.LogEntry;
 import org.cassiastack.consensus.MemberId;
+import org.cassiastack.consensus.MembersChanged;
 import org.cassiastack.consensus.RaftMessage;
 import org.cassiastack.consensus.RaftSettings;
 import org.cassiastack.consensus.RecoveredLog;
@@ -17,6 +18,7 @@
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Raise;
+import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Send;
 import org.jspecify.annotations.Nullable;
 
@@ -37,6 +39,7 @@
   private @Nullable MemberId vote;
   private @Nullable MemberId leader;
   private long snapshotWantedAt;
+  private List<NodeId> publishedMembers = List.of();
   private LeaderChanged published = new LeaderChanged(0, null, false);
 
   RaftState(RaftSettings settings, RecoveredLog recovered, RandomGenerator random) {
@@ -159,5 +162,10 @@
       published = view;
       raise(view);
     }
+    List<NodeId> nodes = log.members().all().stream().map(MemberId::node).distinct().toList();
+    if (!nodes.equals(publishedMembers)) {
+      publishedMembers = nodes;
+      raise(new MembersChanged(nodes));
+    }
   }
 }
