Ledger of durable jobs: a state machine on the replicated log

Cause: jobs lived in one entry's memory; on the platform an accepted job outlives its processes. Runs stay out of the log: a new leader asks the agents for them.

--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerBatch.java
@@ -0,0 +1,68 @@
+package org.cassiastack.queue;
+
+import java.time.Instant;
+import java.util.List;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.NodeId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * One command of the replicated log: changes that are committed together. They take effect in the
+ * order of the components.
+ *
+ * @param at the leader's time; it decides when ended jobs are forgotten
+ * @param newGeneration whether a new leader begins, which numbers its runs above all earlier ones
+ * @param configuration a configuration to store, or null
+ * @param domains failure domains to take out or bring back
+ * @param agents agents that may be given leases from now on
+ * @param forgotten agents that hold no lease any more
+ * @param accepted jobs to accept
+ * @param ends ends of tasks
+ * @param cancelled jobs to cancel
+ * @since 0.2
+ */
+public record LedgerBatch(
+    Instant at,
+    boolean newGeneration,
+    @Nullable QueueConfiguration configuration,
+    List<DomainSwitch> domains,
+    List<NodeId> agents,
+    List<NodeId> forgotten,
+    List<Acceptance> accepted,
+    List<TaskEnd> ends,
+    List<QueuedJobId> cancelled) {
+  /** Makes a batch; the lists are copied. */
+  public LedgerBatch {
+    domains = List.copyOf(domains);
+    agents = List.copyOf(agents);
+    forgotten = List.copyOf(forgotten);
+    accepted = List.copyOf(accepted);
+    ends = List.copyOf(ends);
+    cancelled = List.copyOf(cancelled);
+  }
+
+  /**
+   * A failure domain is taken out or brought back.
+   *
+   * @param domain the failure domain
+   * @param out whether nothing may start there
+   */
+  public record DomainSwitch(FailureDomain domain, boolean out) {}
+
+  /**
+   * A job is accepted.
+   *
+   * @param job the job
+   * @param queue name of its queue
+   * @param mostAttempts failed runs of one task that fail the job
+   */
+  public record Acceptance(QueuedJob job, String queue, int mostAttempts) {}
+
+  /**
+   * A run of a task has ended by itself.
+   *
+   * @param task the task
+   * @param done whether it did its work; otherwise it failed
+   */
+  public record TaskEnd(TaskName task, boolean done) {}
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerCodec.java
@@ -0,0 +1,23 @@
+package org.cassiastack.queue;
+
+import org.cassiastack.model.Payload;
+
+/**
+ * Encodes what the replicated log holds. Bytes that cannot be read stop the member, since going on
+ * without a committed command would let it differ from the others.
+ *
+ * @since 0.2
+ */
+public interface LedgerCodec {
+  /** Encodes a command. */
+  Payload encode(LedgerBatch batch);
+
+  /** Decodes a command. */
+  LedgerBatch decodeBatch(Payload bytes);
+
+  /** Encodes a snapshot. */
+  Payload encode(LedgerSnapshot snapshot);
+
+  /** Decodes a snapshot. */
+  LedgerSnapshot decodeSnapshot(Payload bytes);
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerSnapshot.java
@@ -0,0 +1,49 @@
+package org.cassiastack.queue;
+
+import java.time.Instant;
+import java.util.List;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.NodeId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The whole state of a {@link JobLedger}.
+ *
+ * @param at time of the last batch
+ * @param generation number of leaders so far
+ * @param configuration the configuration in force, or null
+ * @param retiredQueues queues that are no longer declared but have live jobs
+ * @param domainsOut failure domains that are out
+ * @param agents agents that may hold leases
+ * @param live jobs that have not ended
+ * @param ended jobs that have
+ * @since 0.2
+ */
+public record LedgerSnapshot(
+    Instant at,
+    long generation,
+    @Nullable QueueConfiguration configuration,
+    List<Queue> retiredQueues,
+    List<FailureDomain> domainsOut,
+    List<NodeId> agents,
+    List<Live> live,
+    List<Ended> ended) {
+  /**
+   * A job that has not ended.
+   *
+   * @param acceptance the job as it was accepted
+   * @param done numbers of the tasks that are done, counted over all steps
+   * @param failures tasks that have failed, once for each failed run
+   */
+  public record Live(
+      LedgerBatch.Acceptance acceptance, List<Integer> done, List<Integer> failures) {}
+
+  /**
+   * A job that has ended.
+   *
+   * @param id its identity
+   * @param phase how it ended
+   * @param at when it ended
+   */
+  public record Ended(QueuedJobId id, JobPhase phase, Instant at) {}
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/QueuedJobId.java
@@ -0,0 +1,38 @@
+package org.cassiastack.queue;
+
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Identity of a job of a queue, chosen by its caller; the same identity is the same job.
+ *
+ * @param bits the 64 bits of the identity
+ * @since 0.2
+ */
+public record QueuedJobId(long bits) implements Comparable<QueuedJobId> {
+  private static final int HEX_DIGITS = 16;
+  private static final int HEX = 16;
+
+  /** Reads 16 hexadecimal digits, or returns null when the text is anything else. */
+  public static @Nullable QueuedJobId parse(String text) {
+    if (text.length() != HEX_DIGITS) {
+      return null;
+    }
+    for (int i = 0; i < HEX_DIGITS; i++) {
+      char c = text.charAt(i);
+      if (!(c >= '0' && c <= '9') && !(c >= 'a' && c <= 'f')) {
+        return null;
+      }
+    }
+    return new QueuedJobId(Long.parseUnsignedLong(text, HEX));
+  }
+
+  @Override
+  public int compareTo(QueuedJobId other) {
+    return Long.compareUnsigned(bits, other.bits);
+  }
+
+  @Override
+  public String toString() {
+    return String.format("%016x", bits);
+  }
+}
