Runs, agents and the desk: what processes tell each other of durable jobs

The agent proves which runs cannot exist: what neither the minion's lists nor its own unanswered starts hold. The desk resends requests, which are idempotent, until the leader answers.

--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/CallStart.java
@@ -0,0 +1,18 @@
+package org.cassiastack.agent;
+
+import org.cassiastack.controller.Effect;
+import org.cassiastack.runs.MinionLife;
+import org.cassiastack.runs.StartOrder;
+
+/**
+ * The effect of asking the minion to start a run; answered by {@link StartAnswered}.
+ *
+ * @param life the life of the minion that is meant
+ * @param order the run
+ * @param fence fence of the leader that ordered it
+ * @param deadlineMillis time on the minion's clock after which it must not start, and at which its
+ *     lease runs out
+ * @since 0.2
+ */
+public record CallStart(MinionLife life, StartOrder order, long fence, long deadlineMillis)
+    implements Effect {}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/CallStop.java
@@ -0,0 +1,15 @@
+package org.cassiastack.agent;
+
+import org.cassiastack.controller.Effect;
+import org.cassiastack.runs.MinionLife;
+import org.cassiastack.runs.RunId;
+
+/**
+ * The effect of asking the minion to stop a run; what becomes of it is seen in its lists.
+ *
+ * @param life the life of the minion that is meant
+ * @param run the run
+ * @param fence fence of the leader that ordered it
+ * @since 0.2
+ */
+public record CallStop(MinionLife life, RunId run, long fence) implements Effect {}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionClock.java
@@ -0,0 +1,45 @@
+package org.cassiastack.agent;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/**
+ * Bounds on the clock of a minion, from the times that it tells. Its clock may be slow by a
+ * fiftieth and its words take time, so at any moment it shows at least what is reckoned here.
+ */
+final class MinionClock {
+  /** Share of true time that the slowest allowed clock shows, in hundredths. */
+  private static final long SLOWEST_PERCENT = 98;
+
+  private static final long PERCENT = 100;
+
+  private long sampleMillis;
+  private Instant sampledAt = Instant.MIN;
+
+  void reset() {
+    sampledAt = Instant.MIN;
+  }
+
+  void told(long millis, Instant now) {
+    if (!isKnown() || millis > atLeast(now)) {
+      sampleMillis = millis;
+      sampledAt = now;
+    }
+  }
+
+  boolean isKnown() {
+    return !sampledAt.equals(Instant.MIN);
+  }
+
+  /** Returns a time that the clock has reached by now. */
+  long atLeast(Instant now) {
+    long elapsed = Duration.between(sampledAt, now).toMillis();
+    return sampleMillis + elapsed * SLOWEST_PERCENT / PERCENT;
+  }
+
+  /** Returns a moment at which the clock has surely passed a time. */
+  Instant surelyPast(long millis) {
+    long ahead = Math.max(0, millis - sampleMillis) + 1;
+    return sampledAt.plusMillis(ahead * PERCENT / SLOWEST_PERCENT + 1);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -0,0 +1,271 @@
+package org.cassiastack.agent;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.runs.EndedRun;
+import org.cassiastack.runs.MinionLife;
+import org.cassiastack.runs.MinionProfile;
+import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunningRun;
+import org.cassiastack.runs.StartOrder;
+import org.jspecify.annotations.Nullable;
+
+/** What an agent knows of its minion, and the calls between the two. */
+final class MinionLink {
+  /** How long a minion with runs waits for an end; a lease is renewed five times. */
+  private static final Duration BUSY_WAIT = Duration.ofMillis(200);
+
+  /** The same while nothing runs; a run that starts meanwhile has a lease of its own. */
+  private static final Duration IDLE_WAIT = Duration.ofMillis(500);
+
+  /** Pause before the lists are asked for again while the leader has not acknowledged an end. */
+  private static final Duration ACKNOWLEDGE_PAUSE = Duration.ofMillis(30);
+
+  /** Pause after a call that failed. */
+  private static final Duration RETRY_PAUSE = Duration.ofMillis(50);
+
+  /** A minion that has not answered for this long, beyond the wait, gets no more work. */
+  private static final Duration SILENCE = Duration.ofMillis(400);
+
+  /** Calls for one start: a minion that leaves so many unanswered is left to the deadline. */
+  private static final int MOST_CALLS = 3;
+
+  private final AgentSettings settings;
+  private final MinionClock clock = new MinionClock();
+  private final Map<RunId, PendingStart> starts = new LinkedHashMap<>();
+  private @Nullable MinionProfile profile;
+  private long sequence;
+  private List<RunningRun> running = List.of();
+  private List<EndedRun> ended = List.of();
+  private long acknowledged;
+  private long listedAcknowledged;
+  private long holds;
+  private boolean holding;
+  private Instant nextHold = Instant.MIN;
+  private Instant answeredAt = Instant.MIN;
+  private Instant lapsesAt = Instant.MIN;
+
+  MinionLink(AgentSettings settings) {
+    this.settings = settings;
+  }
+
+  @Nullable MinionProfile profile() {
+    return profile;
+  }
+
+  boolean isLife(MinionLife life) {
+    MinionProfile p = profile;
+    return p != null && p.life().equals(life);
+  }
+
+  List<RunningRun> running() {
+    return running;
+  }
+
+  List<EndedRun> ended() {
+    return ended;
+  }
+
+  List<RunId> unresolved() {
+    return List.copyOf(starts.keySet());
+  }
+
+  boolean isReachable(Instant now) {
+    return !now.isAfter(answeredAt.plus(IDLE_WAIT).plus(SILENCE));
+  }
+
+  /** Takes an announcement; tells whether it changes anything. */
+  boolean announced(MinionAnnounced a, Instant now) {
+    MinionProfile former = profile;
+    if (former != null && former.life().equals(a.minion().life())) {
+      if (a.sequence() <= sequence) {
+        return false;
+      }
+    } else if (former != null && a.minion().life().bornMillis() < former.life().bornMillis()) {
+      return false;
+    } else {
+      beginLife();
+    }
+    sequence = a.sequence();
+    profile = a.minion();
+    clock.told(a.clockMillis(), now);
+    return !a.minion().equals(former);
+  }
+
+  /** The minion ends, and all that it runs with it. */
+  boolean left(MinionId id) {
+    MinionProfile p = profile;
+    if (p == null || !p.life().id().equals(id)) {
+      return false;
+    }
+    forgetRuns();
+    profile = new MinionProfile(p.life(), p.service(), p.domain(), p.capacity(), p.labels(), true);
+    answeredAt = Instant.MIN;
+    return true;
+  }
+
+  void acknowledged(@Nullable MinionLife life, long through) {
+    if (life != null && isLife(life) && through > acknowledged) {
+      acknowledged = through;
+      nextHold = Instant.MIN;
+    }
+  }
+
+  /** Starts a run; returns false when it must not start. */
+  boolean start(
+      StartOrder order, long fence, Instant leaseUntil, Instant now, List<Effect> effects) {
+    MinionProfile p = profile;
+    if (p == null || p.draining() || !clock.isKnown() || !now.isBefore(leaseUntil)) {
+      return false;
+    }
+    long deadline = deadline(leaseUntil, now);
+    starts.put(order.run(), new PendingStart(order, deadline, now));
+    effects.add(new CallStart(p.life(), order, fence, deadline));
+    return true;
+  }
+
+  void stop(RunId run, long fence, List<Effect> effects) {
+    MinionProfile p = profile;
+    if (p != null) {
+      effects.add(new CallStop(p.life(), run, fence));
+    }
+  }
+
+  /** Takes the outcome of a start; tells whether the leader should hear of it. */
+  boolean startAnswered(StartAnswered a) {
+    PendingStart s = starts.get(a.run());
+    if (s == null) {
+      return false;
+    }
+    s.calling = false;
+    s.shownByHold = holds + 1;
+    if (a.outcome() == StartAnswered.Outcome.UNANSWERED) {
+      s.doubtful = true;
+    } else if (a.outcome() == StartAnswered.Outcome.REFUSED && !s.doubtful) {
+      starts.remove(a.run());
+      return true;
+    }
+    return false;
+  }
+
+  /** Takes the minion's lists; tells whether they bring news. */
+  boolean holdAnswered(HoldAnswered h, Instant now) {
+    if (h.number() != holds || !holding) {
+      return false;
+    }
+    holding = false;
+    answeredAt = now;
+    clock.told(h.clockMillis(), now);
+    boolean news = !runs(h.running()).equals(runs(running)) || !h.ended().equals(ended);
+    running = h.running();
+    ended = h.ended();
+    listedAcknowledged = acknowledged;
+    Set<RunId> listed = runs(running);
+    ended.forEach(e -> listed.add(e.run()));
+    for (Iterator<PendingStart> i = starts.values().iterator(); i.hasNext(); ) {
+      PendingStart s = i.next();
+      if (listed.contains(s.order.run())) {
+        if (!s.calling) {
+          i.remove();
+        }
+      } else if (s.isDisprovedBy(h.number(), h.clockMillis())) {
+        i.remove();
+        news = true;
+      }
+    }
+    nextHold = ended.isEmpty() ? Instant.MIN : now.plus(ACKNOWLEDGE_PAUSE);
+    return news;
+  }
+
+  void holdFailed(long number) {
+    if (number == holds && holding) {
+      holding = false;
+      nextHold = Instant.MAX;
+    }
+  }
+
+  /** Lets time pass; tells whether runs are known to have lapsed by it. */
+  boolean tick(Instant now) {
+    if (nextHold.equals(Instant.MAX)) {
+      nextHold = now.plus(RETRY_PAUSE);
+    }
+    boolean any = !running.isEmpty() || !starts.isEmpty();
+    if (any && !isReachable(now) && now.isAfter(lapsesAt)) {
+      running = List.of();
+      starts.values().removeIf(s -> !s.calling);
+      return true;
+    }
+    return false;
+  }
+
+  /** Makes the calls that are due. */
+  void call(long fence, Instant leaseUntil, Instant now, List<Effect> effects) {
+    MinionProfile p = profile;
+    if (p == null) {
+      return;
+    }
+    for (PendingStart s : starts.values()) {
+      if (!s.calling && s.doubtful && s.calls < MOST_CALLS && now.isBefore(leaseUntil)) {
+        s.calling = true;
+        s.calls++;
+        s.calledAt = now;
+        effects.add(new CallStart(p.life(), s.order, fence, s.deadlineMillis));
+      }
+    }
+    if (holding || now.isBefore(nextHold)) {
+      return;
+    }
+    holding = true;
+    holds++;
+    boolean idle = running.isEmpty() && starts.isEmpty();
+    long deadline = now.isBefore(leaseUntil) && clock.isKnown() ? deadline(leaseUntil, now) : 0;
+    boolean unacknowledged = !ended.isEmpty() && listedAcknowledged == acknowledged;
+    Duration wait = idle ? IDLE_WAIT : BUSY_WAIT;
+    effects.add(
+        new CallHold(
+            holds, p.life(), fence, acknowledged, deadline, unacknowledged ? Duration.ZERO : wait));
+  }
+
+  /** Returns the end of the lease on the minion's clock, and takes note of when it surely is. */
+  private long deadline(Instant leaseUntil, Instant now) {
+    Duration left = Duration.between(now, leaseUntil);
+    Duration length = left.compareTo(settings.longestHold()) < 0 ? left : settings.longestHold();
+    long millis = clock.atLeast(now) + length.toMillis();
+    Instant past = clock.surelyPast(millis).plus(settings.stopGrace().multipliedBy(2));
+    lapsesAt = past.isAfter(lapsesAt) ? past : lapsesAt;
+    return millis;
+  }
+
+  private void beginLife() {
+    forgetRuns();
+    clock.reset();
+    sequence = 0;
+    acknowledged = 0;
+    listedAcknowledged = 0;
+    holding = false;
+    holds++;
+    nextHold = Instant.MIN;
+    lapsesAt = Instant.MIN;
+  }
+
+  private void forgetRuns() {
+    starts.clear();
+    running = List.of();
+    ended = List.of();
+  }
+
+  private static Set<RunId> runs(List<RunningRun> list) {
+    List<RunId> ids = new ArrayList<>();
+    list.forEach(r -> ids.add(r.run()));
+    return new HashSet<>(ids);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStart.java
@@ -0,0 +1,34 @@
+package org.cassiastack.agent;
+
+import java.time.Instant;
+import org.cassiastack.runs.StartOrder;
+
+/** A start that the minion's lists do not show yet. */
+final class PendingStart {
+  final StartOrder order;
+  final long deadlineMillis;
+
+  /** Whether a call is under way. */
+  boolean calling = true;
+
+  /** Whether a call was not answered, so that it may still be carried out until the deadline. */
+  boolean doubtful;
+
+  int calls = 1;
+  Instant calledAt;
+
+  /** The first hold whose lists show what became of it. */
+  long shownByHold = Long.MAX_VALUE;
+
+  PendingStart(StartOrder order, long deadlineMillis, Instant calledAt) {
+    this.order = order;
+    this.deadlineMillis = deadlineMillis;
+    this.calledAt = calledAt;
+  }
+
+  /** Tells whether lists that do not have the run prove that it is not there and never will be. */
+  boolean isDisprovedBy(long hold, long clockMillis) {
+    boolean shown = !calling && hold >= shownByHold;
+    return shown && (!doubtful || clockMillis > deadlineMillis);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
@@ -0,0 +1,142 @@
+package org.cassiastack.desk;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cassiastack.controller.Controller;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.protocol.PeerDisconnected;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+
+/**
+ * Hands requests to the leader and keeps them until they are answered.
+ *
+ * <ol>
+ *   <li>A request is sent again to each new leader, and to the same one when it keeps silent.
+ *   <li>Without a leader a request waits for a short while, then it is refused: it had no effect.
+ *   <li>At its deadline a request that was sent is {@link DeskCode#UNANSWERED}: nobody knows.
+ * </ol>
+ *
+ * @since 0.2
+ */
+public final class DeskController implements Controller {
+  /** How long a request waits for a leader before it is refused; most elections are longer. */
+  static final Duration LEADER_PATIENCE = Duration.ofMillis(300);
+
+  /** Silence of the leader after which a request is sent again; a commit takes a tenth of it. */
+  static final Duration RESEND = Duration.ofMillis(400);
+
+  private final LeaderTracker tracker = LeaderTracker.create();
+  private final Map<Long, Waiting> calls = new LinkedHashMap<>();
+
+  private DeskController() {}
+
+  /** Makes a controller that knows no leader. */
+  public static DeskController create() {
+    return new DeskController();
+  }
+
+  @Override
+  public List<Effect> on(Event event, Instant now) {
+    List<Effect> effects = new ArrayList<>();
+    if (event instanceof DeskCall c) {
+      Waiting w = new Waiting(c.request(), now, c.deadline());
+      calls.put(c.request().call(), w);
+      send(w, now, effects);
+    } else if (event instanceof Received r && r.message() instanceof LeaderReply a) {
+      answered(a, effects);
+    } else if (event instanceof Received r && r.message() instanceof LeaderNotice n) {
+      if (tracker.noticed(r.from(), n)) {
+        leaderChanged(now, effects);
+      }
+    } else if (event instanceof PeerDisconnected d) {
+      if (tracker.lost(d.peer())) {
+        leaderChanged(now, effects);
+      }
+    } else if (event instanceof Tick) {
+      tick(now, effects);
+    }
+    return effects;
+  }
+
+  private void answered(LeaderReply reply, List<Effect> effects) {
+    Waiting w = calls.get(reply.call());
+    if (w == null) {
+      return;
+    }
+    if (reply.answer().code() == DeskCode.NOT_LEADER) {
+      // It is sent again with the next notice or tick.
+      w.refused();
+      return;
+    }
+    calls.remove(reply.call());
+    effects.add(new DeskAnswered(reply.call(), reply.answer()));
+  }
+
+  private void leaderChanged(Instant now, List<Effect> effects) {
+    effects.add(new LeaderSeen(tracker.leader(), tracker.members()));
+    for (Waiting w : calls.values()) {
+      send(w, now, effects);
+    }
+  }
+
+  private void tick(Instant now, List<Effect> effects) {
+    for (Iterator<Waiting> i = calls.values().iterator(); i.hasNext(); ) {
+      Waiting w = i.next();
+      boolean hopeless = !w.mayHaveEffect && !now.isBefore(w.since.plus(LEADER_PATIENCE));
+      if (!now.isBefore(w.deadline) || (hopeless && tracker.leader() == null)) {
+        i.remove();
+        DeskCode code = w.mayHaveEffect ? DeskCode.UNANSWERED : DeskCode.NO_LEADER;
+        effects.add(new DeskAnswered(w.request.call(), DeskAnswer.of(code)));
+      } else if (!now.isBefore(w.sentAt.plus(RESEND))) {
+        send(w, now, effects);
+      }
+    }
+  }
+
+  private void send(Waiting w, Instant now, List<Effect> effects) {
+    NodeId leader = tracker.leader();
+    if (leader != null) {
+      w.sent(now);
+      effects.add(new Send(leader, w.request));
+    }
+  }
+
+  private static final class Waiting {
+    final LeaderRequest request;
+    final Instant since;
+    final Instant deadline;
+    Instant sentAt = Instant.MIN;
+    boolean mayHaveEffect;
+    private int sends;
+
+    Waiting(LeaderRequest request, Instant since, Instant deadline) {
+      this.request = request;
+      this.since = since;
+      this.deadline = deadline;
+    }
+
+    void sent(Instant now) {
+      sends++;
+      sentAt = now;
+      mayHaveEffect = true;
+    }
+
+    /** A refusal by the only process that was ever asked proves that nothing happened. */
+    void refused() {
+      if (sends == 1) {
+        mayHaveEffect = false;
+        sends = 0;
+      }
+      sentAt = Instant.MIN;
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/LeaderNotice.java
@@ -0,0 +1,22 @@
+package org.cassiastack.desk;
+
+import java.util.List;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.protocol.Message;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A control member tells who leads and who else is a member.
+ *
+ * @param term term of the leader
+ * @param leader the leader, or null while none is known
+ * @param members nodes of the control members
+ * @since 0.2
+ */
+public record LeaderNotice(long term, @Nullable NodeId leader, List<NodeId> members)
+    implements Message {
+  /** Makes a notice; the list is copied. */
+  public LeaderNotice {
+    members = List.copyOf(members);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/LeaderTracker.java
@@ -0,0 +1,65 @@
+package org.cassiastack.desk;
+
+import java.util.List;
+import java.util.Objects;
+import org.cassiastack.model.NodeId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Finds out who leads from the notices of control members: the highest term is right.
+ *
+ * @since 0.2
+ */
+public final class LeaderTracker {
+  private @Nullable NodeId leader;
+  private long term;
+  private List<NodeId> members = List.of();
+
+  private LeaderTracker() {}
+
+  /** Makes a tracker that knows nobody. */
+  public static LeaderTracker create() {
+    return new LeaderTracker();
+  }
+
+  /**
+   * Takes a notice.
+   *
+   * @param from who sent it
+   * @return whether the leader or the members have changed
+   */
+  public boolean noticed(NodeId from, LeaderNotice n) {
+    NodeId former = leader;
+    if (n.leader() != null && n.term() >= term) {
+      leader = n.leader();
+      term = n.term();
+    } else if (n.leader() == null && from.equals(leader)) {
+      leader = null;
+    }
+    boolean changed = !Objects.equals(former, leader);
+    if (n.term() >= term && !n.members().isEmpty() && !n.members().equals(members)) {
+      members = n.members();
+      changed = true;
+    }
+    return changed;
+  }
+
+  /** Takes note that a process can no longer be reached; tells whether it led. */
+  public boolean lost(NodeId peer) {
+    if (peer.equals(leader)) {
+      leader = null;
+      return true;
+    }
+    return false;
+  }
+
+  /** Returns the leader, or null while none is known. */
+  public @Nullable NodeId leader() {
+    return leader;
+  }
+
+  /** Returns the nodes of the control members as far as they are known. */
+  public List<NodeId> members() {
+    return members;
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/SwitchDomain.java
@@ -0,0 +1,13 @@
+package org.cassiastack.desk;
+
+import org.cassiastack.model.FailureDomain;
+
+/**
+ * An operator takes a failure domain out or brings it back.
+ *
+ * @param call identity of the request
+ * @param domain the failure domain
+ * @param out whether nothing may start there
+ * @since 0.2
+ */
+public record SwitchDomain(long call, FailureDomain domain, boolean out) implements LeaderRequest {}
