--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
@@ -0,0 +1,173 @@
+package org.cassiastack.schedule;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.UUID;
+import java.util.function.Supplier;
+import org.cassiastack.consensus.CommandCommitted;
+import org.cassiastack.consensus.LeaderChanged;
+import org.cassiastack.consensus.LeaseExtended;
+import org.cassiastack.consensus.MembersChanged;
+import org.cassiastack.consensus.SnapshotRestored;
+import org.cassiastack.consensus.SnapshotTaken;
+import org.cassiastack.consensus.SnapshotWanted;
+import org.cassiastack.controller.Controller;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Raise;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.desk.DeskAnswer;
+import org.cassiastack.desk.DeskCode;
+import org.cassiastack.desk.LeaderNotice;
+import org.cassiastack.desk.LeaderReply;
+import org.cassiastack.desk.LeaderRequest;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.protocol.PeerConnected;
+import org.cassiastack.protocol.PeerDisconnected;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.queue.JobLedger;
+import org.cassiastack.queue.LedgerBatch;
+import org.cassiastack.queue.LedgerCodec;
+import org.cassiastack.runs.AgentReport;
+import org.cassiastack.schedule.internal.DispatchTerm;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Keeps the ledger of a control member, and does the leader's work while this member leads.
+ *
+ * <pre>{@code
+ * ControllerLoop.start("control", List.of(raft.controller(), leader), ...);
+ * }</pre>
+ *
+ * @since 0.2
+ */
+public final class LeaderController implements Controller {
+  /** How often every process is told who leads, should it have missed the last change. */
+  private static final Duration NOTICE_INTERVAL = Duration.ofMillis(500);
+
+  private final NodeId self;
+  private final ScheduleSettings settings;
+  private final LedgerCodec codec;
+  private final Supplier<UUID> proposals;
+  private final JobLedger ledger;
+  private final Set<NodeId> peers = new TreeSet<>(NodeId.BY_NAME);
+  private LeaderNotice notice = new LeaderNotice(0, null, List.of());
+  private Instant nextNotice = Instant.MIN;
+  private @Nullable DispatchTerm term;
+
+  private LeaderController(
+      NodeId self, ScheduleSettings settings, LedgerCodec codec, Supplier<UUID> proposals) {
+    this.self = self;
+    this.settings = settings;
+    this.codec = codec;
+    this.proposals = proposals;
+    this.ledger = JobLedger.create(settings.retention());
+  }
+
+  /**
+   * Makes the controller of one control member.
+   *
+   * @param self the member's node
+   * @param settings its settings
+   * @param codec encodes what the log holds
+   * @param proposals gives each proposal an identity of its own
+   */
+  public static LeaderController create(
+      NodeId self, ScheduleSettings settings, LedgerCodec codec, Supplier<UUID> proposals) {
+    return new LeaderController(self, settings, codec, proposals);
+  }
+
+  @Override
+  public List<Effect> on(Event event, Instant now) {
+    List<Effect> effects = new ArrayList<>();
+    if (event instanceof CommandCommitted c) {
+      committed(c, now, effects);
+    } else if (event instanceof SnapshotRestored s) {
+      ledger.restore(codec.decodeSnapshot(s.state()));
+    } else if (event instanceof SnapshotWanted w) {
+      effects.add(new Raise(new SnapshotTaken(w.index(), codec.encode(ledger.snapshot()))));
+    } else if (event instanceof LeaderChanged l) {
+      leaderChanged(l, now, effects);
+    } else if (event instanceof MembersChanged m) {
+      noticeChanged(new LeaderNotice(notice.term(), notice.leader(), m.nodes()), effects);
+    } else if (event instanceof PeerConnected p) {
+      peers.add(p.peer());
+      effects.add(new Send(p.peer(), notice));
+    } else if (event instanceof PeerDisconnected p) {
+      peers.remove(p.peer());
+    } else {
+      work(event, now, effects);
+    }
+    return effects;
+  }
+
+  private void work(Event event, Instant now, List<Effect> effects) {
+    DispatchTerm t = term;
+    if (event instanceof Received r && r.message() instanceof LeaderRequest q) {
+      if (t == null || !t.isSure(now)) {
+        LeaderReply reply = new LeaderReply(q.call(), DeskAnswer.of(DeskCode.NOT_LEADER));
+        effects.add(new Send(r.from(), reply));
+        return;
+      }
+      t.requested(r.from(), q, now);
+    } else if (event instanceof Received r && r.message() instanceof AgentReport a) {
+      if (t != null) {
+        t.reported(r.from(), a, now);
+      }
+    } else if (event instanceof LeaseExtended l) {
+      if (t != null) {
+        t.extended(l.until());
+      }
+    } else if (event instanceof Tick) {
+      if (t != null) {
+        t.tick(now);
+      }
+      if (!now.isBefore(nextNotice)) {
+        nextNotice = now.plus(NOTICE_INTERVAL);
+        tellAll(effects);
+      }
+    } else {
+      return;
+    }
+    if (t != null) {
+      effects.addAll(t.turn(now));
+    }
+  }
+
+  private void committed(CommandCommitted c, Instant now, List<Effect> effects) {
+    LedgerBatch batch = codec.decodeBatch(c.command());
+    ledger.apply(batch);
+    DispatchTerm t = term;
+    if (t != null) {
+      t.committed(c.proposal(), batch, now);
+      effects.addAll(t.turn(now));
+    }
+  }
+
+  private void leaderChanged(LeaderChanged l, Instant now, List<Effect> effects) {
+    if (!l.self()) {
+      term = null;
+    } else if (term == null || term.fence() != l.term()) {
+      term = DispatchTerm.begin(l.term(), ledger, settings, codec, proposals, now);
+      effects.addAll(term.turn(now));
+    }
+    noticeChanged(new LeaderNotice(l.term(), l.leader(), notice.members()), effects);
+  }
+
+  private void noticeChanged(LeaderNotice next, List<Effect> effects) {
+    notice = next;
+    tellAll(effects);
+  }
+
+  private void tellAll(List<Effect> effects) {
+    for (NodeId p : peers) {
+      effects.add(new Send(p, notice));
+    }
+    effects.add(new Raise(new Received(self, notice)));
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -0,0 +1,177 @@
+package org.cassiastack.schedule.internal;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.queue.Resources;
+import org.cassiastack.runs.AgentReport;
+import org.cassiastack.runs.EndedRun;
+import org.cassiastack.runs.MinionProfile;
+import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunningRun;
+import org.cassiastack.schedule.ScheduleSettings;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The workers, brought up to date by their agents' reports.
+ *
+ * <ol>
+ *   <li>A run that the agent neither lists nor may still start, although it has the order, is gone.
+ *   <li>A run that the leader did not order was ordered by an earlier one and is taken over.
+ *   <li>When an agent falls silent, its runs are gone once every lease has run out.
+ * </ol>
+ */
+final class Fleet {
+  private final ScheduleSettings settings;
+  private final RunListener listener;
+  private final Map<NodeId, WorkerState> workers = new LinkedHashMap<>();
+
+  Fleet(ScheduleSettings settings, RunListener listener) {
+    this.settings = settings;
+    this.listener = listener;
+  }
+
+  Collection<WorkerState> workers() {
+    return workers.values();
+  }
+
+  /** Tells whether an agent obeys this leader, or holds no lease. */
+  boolean isAccountedFor(NodeId agent) {
+    WorkerState w = workers.get(agent);
+    return w != null && w.known;
+  }
+
+  /** Returns the processors of the workers of a service, in thousandths of a core at speed 1. */
+  double milliCpu(ServiceName service, Instant now) {
+    double sum = 0;
+    for (WorkerState w : workers.values()) {
+      MinionProfile m = w.minion;
+      if (m != null && m.service().equals(service) && w.isUsable(now)) {
+        sum += m.capacity().milliCpu() * w.speed.value();
+      }
+    }
+    return sum;
+  }
+
+  /** Tells whether a worker of a service could ever hold a task, were it empty. */
+  boolean couldHold(ServiceName service, Resources need) {
+    boolean any = false;
+    for (WorkerState w : workers.values()) {
+      MinionProfile m = w.minion;
+      if (m != null && m.service().equals(service)) {
+        any = true;
+        if (m.capacity().covers(need)) {
+          return true;
+        }
+      }
+    }
+    return !any;
+  }
+
+  /** Takes a report; returns the worker, or null when the report is outdated. */
+  @Nullable WorkerState reported(NodeId agent, AgentReport r, long fence, Instant now) {
+    WorkerState w = workers.computeIfAbsent(agent, WorkerState::new);
+    AgentReport last = w.report;
+    if (last != null) {
+      int order = r.incarnation().compareTo(last.incarnation());
+      if (order < 0 || (order == 0 && !r.sentAt().isAfter(last.sentAt()))) {
+        return null;
+      }
+      if (order > 0) {
+        w.newAgent();
+      }
+    }
+    expire(w, now);
+    w.report = r;
+    w.reportedAt = now;
+    MinionProfile m = r.minion();
+    if (m == null) {
+      return w;
+    }
+    MinionProfile former = w.minion;
+    if (former != null && !former.life().equals(m.life())) {
+      loseRuns(w, now);
+      w.newLife();
+    }
+    w.minion = m;
+    w.heldAt = now;
+    if (r.fence() == fence) {
+      takeLists(w, r, now);
+      w.known = true;
+    }
+    return w;
+  }
+
+  /** Gives up the runs of agents that have been silent for longer than any lease. */
+  void tick(Instant now) {
+    workers.values().forEach(w -> expire(w, now));
+  }
+
+  /** Forgets an agent that has been silent for long. */
+  void forget(NodeId agent) {
+    workers.remove(agent);
+  }
+
+  private void expire(WorkerState w, Instant now) {
+    if (!w.heldAt.equals(Instant.MIN) && now.isAfter(w.heldAt.plus(settings.lapse()))) {
+      w.heldAt = Instant.MIN;
+      loseRuns(w, now);
+    }
+  }
+
+  private void loseRuns(WorkerState w, Instant now) {
+    for (RunId id : List.copyOf(w.runs.keySet())) {
+      Run run = w.remove(id);
+      if (run != null) {
+        listener.gone(w, run, now);
+      }
+    }
+  }
+
+  private void takeLists(WorkerState w, AgentReport r, Instant now) {
+    Set<RunId> listed = new HashSet<>();
+    List<EndedRun> ends = new ArrayList<>();
+    Map<RunId, Integer> running = new HashMap<>();
+    for (RunningRun x : r.running()) {
+      running.put(x.run(), x.percent());
+      listed.add(x.run());
+    }
+    listed.addAll(r.unresolved());
+    for (EndedRun e : r.ended()) {
+      if (e.sequence() > w.endsThrough) {
+        ends.add(e);
+      }
+      listed.remove(e.run());
+      running.remove(e.run());
+    }
+    for (EndedRun e : ends) {
+      w.endsThrough = Math.max(w.endsThrough, e.sequence());
+      listener.ended(w, w.remove(e.run()), e, now);
+    }
+    for (RunId id : listed) {
+      Run run = w.runs.get(id);
+      if (run == null) {
+        run = listener.found(w, id, now);
+        w.add(run);
+      }
+      Integer percent = running.get(id);
+      if (percent != null) {
+        listener.atWork(w, run, percent, now);
+      }
+    }
+    for (Run run : List.copyOf(w.runs.values())) {
+      if (!listed.contains(run.id) && run.order <= r.ordersThrough()) {
+        w.remove(run.id);
+        listener.gone(w, run, now);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
@@ -0,0 +1,127 @@
+package org.cassiastack.schedule.internal;
+
+import java.time.Instant;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.queue.LedgerJob;
+import org.cassiastack.queue.Queue;
+import org.cassiastack.queue.QueuedJob;
+import org.cassiastack.queue.QueuedJobId;
+import org.cassiastack.queue.TaskName;
+import org.jspecify.annotations.Nullable;
+
+/** The jobs that have not ended, and which of their steps are ready. */
+final class JobBoard {
+  private final Map<QueuedJobId, LiveJob> jobs = new LinkedHashMap<>();
+  private final Map<String, Integer> unstarted = new HashMap<>();
+  private final WorkEstimates estimates = new WorkEstimates();
+  final ReadyQueue ready = new ReadyQueue();
+  private long sequence;
+
+  WorkEstimates estimates() {
+    return estimates;
+  }
+
+  @Nullable LiveJob find(QueuedJobId id) {
+    return jobs.get(id);
+  }
+
+  Collection<LiveJob> jobs() {
+    return jobs.values();
+  }
+
+  /** Returns the step that a task belongs to while its job is live, or null. */
+  @Nullable LiveStep stepOf(TaskName task) {
+    LiveJob job = jobs.get(task.job());
+    return job != null && job.has(task) ? job.step(task) : null;
+  }
+
+  LiveJob add(QueuedJob spec, Queue queue, Instant now, Instant abandonedAt) {
+    sequence++;
+    LiveJob job = new LiveJob(spec, queue, sequence, estimates, now, abandonedAt);
+    jobs.put(spec.id(), job);
+    unstarted.merge(queue.name(), 1, Integer::sum);
+    for (LiveStep s : job.steps) {
+      s.lateness = job.lateness(s, now);
+    }
+    openSteps(job);
+    return job;
+  }
+
+  /** Adds a job that an earlier leader has worked on. */
+  void restore(LedgerJob kept, Queue queue, Instant now) {
+    LiveJob job = add(kept.job(), queue, now, Instant.MAX);
+    for (LiveStep s : job.steps) {
+      for (int i = 0; i < s.spec.tasks(); i++) {
+        s.failedBefore(i, kept.failures(s.task(i)));
+        if (kept.isDone(s.task(i))) {
+          s.complete(i);
+          markStarted(job);
+        }
+      }
+      ready.removeIfEmpty(s);
+    }
+    openSteps(job);
+  }
+
+  void remove(LiveJob job) {
+    jobs.remove(job.job.id());
+    job.steps.forEach(ready::remove);
+    if (!job.started) {
+      unstarted.merge(job.queue.name(), -1, Integer::sum);
+    }
+  }
+
+  void markStarted(LiveJob job) {
+    if (!job.started) {
+      job.started = true;
+      unstarted.merge(job.queue.name(), -1, Integer::sum);
+    }
+  }
+
+  /** Returns the number of jobs of a queue of which no task has started. */
+  int unstarted(String queue) {
+    return unstarted.getOrDefault(queue, 0);
+  }
+
+  /** Puts the steps whose tasks may start into the ready queue. */
+  void openSteps(LiveJob job) {
+    for (LiveStep s : job.steps) {
+      if (!s.waiting.isEmpty() && job.isOpen(s)) {
+        ready.add(s);
+      }
+    }
+  }
+
+  /** A run of a task is over without its work being done. */
+  void release(LiveStep step, int index) {
+    step.release(index);
+    if (jobs.get(step.job.job.id()) == step.job && step.job.isOpen(step)) {
+      ready.add(step);
+    }
+  }
+
+  /**
+   * Returns the work that waits in front of a new job of a priority, in thousandths of a core times
+   * nanoseconds.
+   */
+  double backlog(ServiceName service, int priority) {
+    double sum = 0;
+    for (LiveStep s : ready.all()) {
+      boolean before = s.job.queue.priority() <= priority && s.lateness != Lateness.USELESS;
+      if (before && s.job.queue.service().equals(service)) {
+        sum += (double) s.waiting.size() * s.spec.milliCpu() * s.work.toNanos();
+      }
+    }
+    return sum;
+  }
+
+  /** Tells which jobs nobody waits for any more. */
+  Iterator<LiveJob> abandoned(Instant now) {
+    return jobs.values().stream().filter(j -> now.isAfter(j.abandonedAt)).toList().iterator();
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
@@ -0,0 +1,102 @@
+package org.cassiastack.schedule.internal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.cassiastack.queue.Queue;
+import org.cassiastack.queue.QueuedJob;
+import org.cassiastack.queue.StepSpec;
+import org.cassiastack.queue.TaskName;
+
+/** A job that has not ended, as the leader works on it. */
+final class LiveJob {
+  /** A job that ends later than this many objectives is of no use to its caller. */
+  private static final int USEFUL_OBJECTIVES = 3;
+
+  final QueuedJob job;
+  final Queue queue;
+  final long sequence;
+  final List<LiveStep> steps = new ArrayList<>();
+  final Instant receivedAt;
+  final Instant dueAt;
+  final Instant uselessAt;
+
+  /** When its caller stops waiting; only a job that is not kept has one who waits. */
+  final Instant abandonedAt;
+
+  boolean started;
+
+  LiveJob(
+      QueuedJob job,
+      Queue queue,
+      long sequence,
+      WorkEstimates estimates,
+      Instant receivedAt,
+      Instant abandonedAt) {
+    this.job = job;
+    this.queue = queue;
+    this.sequence = sequence;
+    this.receivedAt = receivedAt;
+    this.abandonedAt = abandonedAt;
+    for (int i = 0; i < job.steps().size(); i++) {
+      StepSpec s = job.steps().get(i);
+      steps.add(new LiveStep(this, i, s, estimates.work(queue.name(), s)));
+    }
+    Duration objective = objective();
+    this.dueAt = receivedAt.plus(objective);
+    this.uselessAt = receivedAt.plus(objective.multipliedBy(USEFUL_OBJECTIVES));
+  }
+
+  boolean isDone() {
+    return steps.stream().allMatch(LiveStep::isDone);
+  }
+
+  /** Tells whether a step's tasks may start. */
+  boolean isOpen(LiveStep step) {
+    return step.spec.after().stream().allMatch(s -> steps.get(s).isDone());
+  }
+
+  LiveStep step(TaskName task) {
+    return steps.get(task.step());
+  }
+
+  /** Tells whether the job has a task of that name. */
+  boolean has(TaskName t) {
+    return t.occurrence() == 0
+        && t.step() >= 0
+        && t.step() < steps.size()
+        && t.index() >= 0
+        && t.index() < steps.get(t.step()).spec.tasks();
+  }
+
+  /** Returns how useful the job is when a task of a step starts now and ends as estimated. */
+  Lateness lateness(LiveStep step, Instant now) {
+    Instant end = step.doneIfStarted(now);
+    if (end.isAfter(uselessAt)) {
+      return Lateness.USELESS;
+    }
+    return end.isAfter(dueAt) ? Lateness.LATE : Lateness.ON_TIME;
+  }
+
+  private Duration objective() {
+    double nanos = chain().toNanos() * queue.stretch();
+    return queue.targetLatency().plusNanos((long) nanos);
+  }
+
+  /** Returns the longest chain of work: steps wait for the steps before them. */
+  private Duration chain() {
+    List<Duration> ends = new ArrayList<>();
+    Duration longest = Duration.ZERO;
+    for (LiveStep s : steps) {
+      Duration end = s.work;
+      for (int before : s.spec.after()) {
+        Duration with = ends.get(before).plus(s.work);
+        end = with.compareTo(end) > 0 ? with : end;
+      }
+      ends.add(end);
+      longest = end.compareTo(longest) > 0 ? end : longest;
+    }
+    return longest;
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveStep.java
@@ -0,0 +1,108 @@
+package org.cassiastack.schedule.internal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.cassiastack.queue.StepSpec;
+import org.cassiastack.queue.TaskName;
+
+/** One step of a job that has not ended: which of its tasks wait, and what became of the others. */
+final class LiveStep {
+  final LiveJob job;
+  final int number;
+  final StepSpec spec;
+
+  /** Run time of one task at a worker of speed 1, as estimated when the job came. */
+  final Duration work;
+
+  final Deque<Integer> waiting = new ArrayDeque<>();
+  private final boolean[] done;
+  private final boolean[] assigned;
+  private final int[] failures;
+  private final long[] runs;
+  private int left;
+
+  /** Whether its objective is still within reach; part of its place in the ready queue. */
+  Lateness lateness = Lateness.ON_TIME;
+
+  LiveStep(LiveJob job, int number, StepSpec spec, Duration work) {
+    this.job = job;
+    this.number = number;
+    this.spec = spec;
+    this.work = work;
+    this.done = new boolean[spec.tasks()];
+    this.assigned = new boolean[spec.tasks()];
+    this.failures = new int[spec.tasks()];
+    this.runs = new long[spec.tasks()];
+    this.left = spec.tasks();
+    for (int i = 0; i < spec.tasks(); i++) {
+      waiting.add(i);
+    }
+  }
+
+  TaskName task(int index) {
+    return new TaskName(job.job.id(), 0, number, index);
+  }
+
+  boolean isDone() {
+    return left == 0;
+  }
+
+  boolean isDone(int index) {
+    return done[index];
+  }
+
+  boolean isAssigned(int index) {
+    return assigned[index];
+  }
+
+  /** Takes the next waiting task for a run and returns the number of that run. */
+  long assign(int index, long firstRun) {
+    waiting.remove(index);
+    assigned[index] = true;
+    runs[index] = Math.max(runs[index] + 1, firstRun);
+    return runs[index];
+  }
+
+  /** Takes over a run that another leader has started. */
+  void adopt(int index, long run) {
+    waiting.remove(index);
+    assigned[index] = true;
+    runs[index] = Math.max(runs[index], run);
+  }
+
+  /** The run of a task is over without its work being done; the task waits again. */
+  void release(int index) {
+    assigned[index] = false;
+    if (!done[index] && !waiting.contains(index)) {
+      waiting.addFirst(index);
+    }
+  }
+
+  /** Takes note that a task is done; tells whether that is news. */
+  boolean complete(int index) {
+    if (done[index]) {
+      return false;
+    }
+    done[index] = true;
+    assigned[index] = false;
+    waiting.remove(index);
+    left--;
+    return true;
+  }
+
+  void failedBefore(int index, int times) {
+    failures[index] = times;
+  }
+
+  int fail(int index) {
+    failures[index]++;
+    return failures[index];
+  }
+
+  /** Returns when a task that starts now would be done at a worker of speed 1. */
+  Instant doneIfStarted(Instant now) {
+    return now.plus(work);
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
@@ -0,0 +1,144 @@
+package org.cassiastack.schedule.internal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.function.Consumer;
+import org.cassiastack.queue.LedgerBatch;
+import org.cassiastack.queue.Resources;
+import org.cassiastack.queue.TaskName;
+import org.cassiastack.runs.EndedRun;
+import org.cassiastack.runs.RunEnd;
+import org.cassiastack.runs.RunId;
+import org.jspecify.annotations.Nullable;
+
+/** Draws the conclusions for jobs from what happens to runs. */
+final class Runs implements RunListener {
+  /** A stop that has had no effect for this long is ordered again. */
+  private static final Duration STOP_AGAIN = Duration.ofMillis(200);
+
+  private final JobBoard board;
+  private final PendingCommits commits;
+  private final Consumer<LiveJob> failed;
+  private final Consumer<LiveJob> completed;
+
+  Runs(
+      JobBoard board,
+      PendingCommits commits,
+      Consumer<LiveJob> failed,
+      Consumer<LiveJob> completed) {
+    this.board = board;
+    this.commits = commits;
+    this.failed = failed;
+    this.completed = completed;
+  }
+
+  @Override
+  public void atWork(WorkerState w, Run run, int percent, Instant now) {
+    run.percent = percent;
+  }
+
+  @Override
+  public void ended(WorkerState w, @Nullable Run run, EndedRun end, Instant now) {
+    LiveStep step = board.stepOf(end.run().task());
+    int index = end.run().task().index();
+    if (run != null && run.step != null) {
+      observe(w, run, end, now);
+    }
+    if (step == null) {
+      return;
+    }
+    boolean own = run != null && run.step == step;
+    if (end.how() == RunEnd.DONE) {
+      commit(w, step, end, true);
+      if (step.complete(index)) {
+        board.ready.removeIfEmpty(step);
+        board.openSteps(step.job);
+        if (step.job.isDone()) {
+          completed.accept(step.job);
+        }
+      }
+    } else if (end.how() == RunEnd.FAILED) {
+      commit(w, step, end, false);
+      int failures = step.fail(index);
+      if (own) {
+        board.release(step, index);
+      }
+      if (failures >= step.job.queue.mostAttempts() && !step.isDone(index)) {
+        failed.accept(step.job);
+      }
+    } else if (own) {
+      board.release(step, index);
+    }
+  }
+
+  @Override
+  public void gone(WorkerState w, Run run, Instant now) {
+    LiveStep step = run.step;
+    if (step != null && board.stepOf(run.id.task()) == step) {
+      board.release(step, run.id.task().index());
+    }
+  }
+
+  @Override
+  public Run found(WorkerState w, RunId id, Instant now) {
+    LiveStep step = board.stepOf(id.task());
+    int index = id.task().index();
+    if (step == null || step.isDone(index) || step.isAssigned(index)) {
+      Resources need = step == null ? Resources.NONE : step.spec.need();
+      Run orphan = new Run(id, null, need, 0, now);
+      return orphan;
+    }
+    step.adopt(index, id.number());
+    board.ready.removeIfEmpty(step);
+    board.markStarted(step.job);
+    return new Run(id, step, step.spec.need(), 0, now);
+  }
+
+  /** Orders the runs of a job to be stopped; nobody waits for them any more. */
+  void stopRunsOf(LiveJob job, WorkerState w) {
+    for (Run r : w.runs.values()) {
+      LiveStep step = r.step;
+      if (step != null && step.job == job) {
+        r.step = null;
+      }
+    }
+  }
+
+  /** Orders the runs that nobody waits for to be stopped, and again if they do not end. */
+  void stopAgain(WorkerState w, Instant now) {
+    if (!w.known) {
+      return;
+    }
+    for (Run r : w.runs.values()) {
+      if (r.isOrphan() && now.isAfter(r.stopSentAt.plus(STOP_AGAIN))) {
+        r.stopSentAt = now;
+        w.stop(r.id);
+      }
+    }
+  }
+
+  private void commit(WorkerState w, LiveStep step, EndedRun end, boolean done) {
+    if (!step.job.job.kept()) {
+      return;
+    }
+    TaskName task = end.run().task();
+    w.awaitCommit(end.sequence());
+    commits.ended(new LedgerBatch.TaskEnd(task, done), at -> w.committed(end.sequence()));
+  }
+
+  private void observe(WorkerState w, Run run, EndedRun end, Instant now) {
+    LiveStep step = run.step;
+    if (step != null && end.how() == RunEnd.DONE && run.order > 0) {
+      Duration taken = Duration.between(run.orderedAt, now);
+      double before = w.speed.value();
+      w.speed.observed(step.work, taken);
+      board.estimates().observed(step.job.queue.name(), step.spec, taken, before);
+      w.health.succeeded();
+    } else if (step != null && end.how() == RunEnd.FAILED) {
+      w.health.failed(step.job.job.id());
+      if (w.health.isOutlier()) {
+        w.health.eject(now);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkEstimates.java
@@ -0,0 +1,33 @@
+package org.cassiastack.schedule.internal;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import org.cassiastack.queue.StepSpec;
+
+/** How much work a task is: the caller's estimate, corrected by what runs of its queue took. */
+final class WorkEstimates {
+  /** Weight of the newest run. */
+  private static final double WEIGHT = 0.05;
+
+  /** Work of a task whose caller gives no estimate, until runs of its queue have ended. */
+  private static final Duration UNKNOWN = Duration.ofMillis(300);
+
+  private final Map<String, Double> ratios = new HashMap<>();
+
+  /** Returns the run time of a task at a worker of speed 1. */
+  Duration work(String queue, StepSpec step) {
+    double millis = base(step).toMillis() * ratios.getOrDefault(queue, 1.0);
+    return Duration.ofMillis(Math.max(1, Math.round(millis)));
+  }
+
+  /** Takes note of what a run took at a worker of a speed. */
+  void observed(String queue, StepSpec step, Duration taken, double speed) {
+    double ratio = taken.toNanos() * speed / base(step).toNanos();
+    ratios.merge(queue, ratio, (old, seen) -> old + WEIGHT * (seen - old));
+  }
+
+  private static Duration base(StepSpec step) {
+    return step.estimate().isZero() ? UNKNOWN : step.estimate();
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
@@ -0,0 +1,163 @@
+package org.cassiastack.schedule.internal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.queue.Resources;
+import org.cassiastack.routing.MinionHealth;
+import org.cassiastack.runs.AgentReport;
+import org.cassiastack.runs.MinionProfile;
+import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunOrders;
+import org.cassiastack.runs.StartOrder;
+import org.jspecify.annotations.Nullable;
+
+/** One worker with its agent and minion, as the leader sees it. */
+final class WorkerState {
+  /** Agents report five times a second; two reports missed make a worker doubtful. */
+  private static final Duration DOUBT = Duration.ofMillis(500);
+
+  final NodeId agent;
+  final MinionHealth health = new MinionHealth();
+  final WorkerSpeed speed = new WorkerSpeed();
+  final Map<RunId, Run> runs = new LinkedHashMap<>();
+
+  /** Last report of this life of the agent, or null. */
+  @Nullable AgentReport report;
+
+  /** The minion of the last report that named one, or null. */
+  @Nullable MinionProfile minion;
+
+  /** Whether the agent obeys this leader, so that its lists are complete. */
+  boolean known;
+
+  /** When the runs were last known to be under a lease. */
+  Instant heldAt = Instant.MIN;
+
+  /** When the last report came. */
+  Instant reportedAt = Instant.MIN;
+
+  /** Highest end of the minion's life that has been dealt with. */
+  long endsThrough;
+
+  private Resources used = Resources.NONE;
+  private int unknownNeeds;
+  private final TreeSet<Long> uncommitted = new TreeSet<>();
+  private long orders;
+  private List<StartOrder> starts = new ArrayList<>();
+  private List<RunId> stops = new ArrayList<>();
+  private Instant orderedAt = Instant.MIN;
+
+  WorkerState(NodeId agent) {
+    this.agent = agent;
+  }
+
+  /** Begins a new life of the minion, which knows nothing of the one before. */
+  void newLife() {
+    endsThrough = 0;
+    uncommitted.clear();
+    starts.clear();
+    stops.clear();
+  }
+
+  /** Begins a new life of the agent, which has taken no orders. */
+  void newAgent() {
+    orders = 0;
+    known = false;
+    starts.clear();
+    stops.clear();
+  }
+
+  void add(Run run) {
+    runs.put(run.id, run);
+    used = used.plus(run.need);
+    unknownNeeds += run.need.equals(Resources.NONE) ? 1 : 0;
+  }
+
+  @Nullable Run remove(RunId id) {
+    Run run = runs.remove(id);
+    if (run != null) {
+      used = used.minus(run.need);
+      unknownNeeds -= run.need.equals(Resources.NONE) ? 1 : 0;
+    }
+    return run;
+  }
+
+  /** Returns what new runs may take up; nothing while a run of unknown size is there. */
+  Resources free() {
+    MinionProfile m = minion;
+    return m == null || unknownNeeds > 0 ? Resources.NONE : m.capacity().minus(used);
+  }
+
+  /** Tells whether the worker answers and may be given work. */
+  boolean isUsable(Instant now) {
+    MinionProfile m = minion;
+    AgentReport r = report;
+    return known
+        && m != null
+        && r != null
+        && r.reachable()
+        && !m.draining()
+        && !now.isAfter(reportedAt.plus(DOUBT));
+  }
+
+  /** Orders a start and returns the number of its orders. */
+  long start(StartOrder order) {
+    starts.add(order);
+    return orders + 1;
+  }
+
+  void stop(RunId run) {
+    stops.add(run);
+  }
+
+  /** Returns the orders that have gathered, or null when there are none. */
+  @Nullable RunOrders takeOrders(long fence, Instant now) {
+    return starts.isEmpty() && stops.isEmpty() ? null : next(fence, now);
+  }
+
+  /**
+   * Returns empty orders when earlier ones seem to be lost: the agent shows by their number which
+   * ones it never got.
+   */
+  @Nullable RunOrders probe(long fence, Duration silence, Instant now) {
+    AgentReport r = report;
+    boolean behind = r != null && r.ordersThrough() < orders;
+    return behind && known && now.isAfter(orderedAt.plus(silence)) ? next(fence, now) : null;
+  }
+
+  /** Takes note of an end that may be acknowledged once it is committed. */
+  void awaitCommit(long sequence) {
+    uncommitted.add(sequence);
+  }
+
+  void committed(long sequence) {
+    uncommitted.remove(sequence);
+  }
+
+  /** Returns the number up to which ends may be acknowledged. */
+  long acknowledgedThrough() {
+    return uncommitted.isEmpty() ? endsThrough : uncommitted.first() - 1;
+  }
+
+  private @Nullable RunOrders next(long fence, Instant now) {
+    AgentReport r = report;
+    MinionProfile m = minion;
+    if (r == null || m == null) {
+      return null;
+    }
+    Incarnation agentLife = r.incarnation();
+    orders++;
+    orderedAt = now;
+    RunOrders o = new RunOrders(fence, agentLife, orders, m.life(), starts, stops);
+    starts = new ArrayList<>();
+    stops = new ArrayList<>();
+    return o;
+  }
+}
