--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
@@ -0,0 +1,139 @@
+package org.cassiastack.daemon.queue;
+
+import java.io.IOException;
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.List;
+import java.util.UUID;
+import org.cassiastack.consensus.JoinPolicy;
+import org.cassiastack.consensus.Persist;
+import org.cassiastack.consensus.RaftSettings;
+import org.cassiastack.controller.ControllerLoop;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.TimeSource;
+import org.cassiastack.daemon.control.RaftDriver;
+import org.cassiastack.desk.DeskAnswered;
+import org.cassiastack.desk.DeskController;
+import org.cassiastack.desk.LeaderSeen;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.schedule.LeaderController;
+import org.cassiastack.transport.codec.MessagePackLedgerCodec;
+import org.tinylog.Logger;
+
+/**
+ * A control member: it keeps the ledger on its disk, and may lead.
+ *
+ * @since 0.2
+ */
+public final class ControlNode implements AutoCloseable {
+  /** How finely elections, leases and ready tasks are kept. */
+  private static final Duration TICK = Duration.ofMillis(20);
+
+  /** Five of these missed make an election. */
+  private static final Duration HEARTBEAT = Duration.ofMillis(100);
+
+  /** Shortest silence of a leader before another is elected; a sync may take a tenth of it. */
+  private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(800);
+
+  /** A voter that is silent for so long makes room for another. */
+  private static final Duration VOTER_SILENCE = Duration.ofMillis(2_500);
+
+  private static final int BATCH_ENTRIES = 256;
+  private static final int WINDOW_MESSAGES = 8;
+
+  /** Entries between snapshots; at a kilobyte an entry the log stays under a tenth of the disk. */
+  private static final long SNAPSHOT_ENTRIES = 4_096;
+
+  private final ControlNodeSettings settings;
+  private final RaftDriver raft;
+  private final DeskPort port;
+  private final MemberNetwork network;
+  private final ControllerLoop loop;
+
+  private ControlNode(ControlNodeSettings settings, TimeSource time) throws IOException {
+    this.settings = settings;
+    this.raft =
+        RaftDriver.open(settings.data(), settings.self(), raftSettings(), new SecureRandom());
+    EventSink sink = new EventSink();
+    port = new DeskPort(time, sink);
+    network =
+        MemberNetwork.create(
+            settings.self(), Incarnation.startedAt(time.now()), settings.memberPort(), sink::post);
+    LeaderController leader =
+        LeaderController.create(
+            settings.self(),
+            settings.schedule(),
+            MessagePackLedgerCodec.create(),
+            UUID::randomUUID);
+    loop =
+        ControllerLoop.start(
+            "control",
+            List.of(raft.controller(), leader, DeskController.create()),
+            this::carryOut,
+            time,
+            e -> Logger.error(e, "event=controller_failed loop=control"));
+    sink.connect(loop);
+    raft.start(loop::post);
+    network.listen(settings.self().name());
+    network.dial(settings.seeds());
+    loop.tickEvery(TICK);
+  }
+
+  /**
+   * Starts a control member.
+   *
+   * @throws IOException when its data folder is damaged or cannot be written
+   */
+  public static ControlNode start(ControlNodeSettings settings, TimeSource time)
+      throws IOException {
+    return new ControlNode(settings, time);
+  }
+
+  /** Returns where the leader is asked. */
+  public DeskPort port() {
+    return port;
+  }
+
+  @Override
+  public void close() {
+    network.close();
+    loop.close();
+    raft.close();
+  }
+
+  private RaftSettings raftSettings() {
+    JoinPolicy joining =
+        JoinPolicy.anyNode(settings.firstStart(), 2 * settings.tolerated() + 1, VOTER_SILENCE);
+    return new RaftSettings(
+        settings.seeds(),
+        HEARTBEAT,
+        ELECTION_TIMEOUT,
+        BATCH_ENTRIES,
+        WINDOW_MESSAGES,
+        SNAPSHOT_ENTRIES,
+        joining);
+  }
+
+  private void carryOut(Effect effect) {
+    if (effect instanceof Send s) {
+      send(s);
+    } else if (effect instanceof Persist p) {
+      raft.persist(p);
+    } else if (effect instanceof DeskAnswered a) {
+      port.answered(a);
+    } else if (effect instanceof LeaderSeen l) {
+      network.dial(l.members());
+      Logger.info("event=leader_seen leader={} members={}", l.leader(), l.members());
+    }
+  }
+
+  private void send(Send s) {
+    if (s.to().equals(settings.self())) {
+      loop.post(new Received(s.to(), s.message()));
+    } else {
+      network.send(s.to(), s.message());
+    }
+  }
+}
--- /dev/null
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/DeskPort.java
@@ -0,0 +1,67 @@
+package org.cassiastack.daemon.queue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
+import org.cassiastack.controller.TimeSource;
+import org.cassiastack.desk.DeskAnswer;
+import org.cassiastack.desk.DeskAnswered;
+import org.cassiastack.desk.DeskCall;
+import org.cassiastack.desk.LeaderRequest;
+import reactor.core.publisher.Mono;
+import reactor.core.publisher.MonoSink;
+
+/**
+ * Where front ends ask the leader.
+ *
+ * <pre>{@code
+ * Mono<DeskAnswer> answer = port.ask(call -> new AskJob(call, address), Duration.ofSeconds(1));
+ * }</pre>
+ *
+ * @since 0.2
+ */
+public final class DeskPort {
+  private final TimeSource time;
+  private final EventSink events;
+  private final AtomicLong calls = new AtomicLong();
+  private final Map<Long, MonoSink<DeskAnswer>> waiting = new ConcurrentHashMap<>();
+
+  DeskPort(TimeSource time, EventSink events) {
+    this.time = time;
+    this.events = events;
+    // Calls of an earlier life of this process must not be taken for calls of this one.
+    Instant start = time.now();
+    calls.set(start.getEpochSecond() * 1_000_000 + start.getNano() / 1_000);
+  }
+
+  /**
+   * Asks the leader.
+   *
+   * @param request makes the request, given its identity
+   * @param patience how long an answer is of use
+   * @return the answer, exactly once
+   */
+  public Mono<DeskAnswer> ask(LongFunction<LeaderRequest> request, Duration patience) {
+    return Mono.create(
+        sink -> {
+          long call = calls.incrementAndGet();
+          waiting.put(call, sink);
+          events.post(new DeskCall(request.apply(call), time.now().plus(patience)));
+        });
+  }
+
+  /** Returns the number of requests without an answer. */
+  public int waiting() {
+    return waiting.size();
+  }
+
+  void answered(DeskAnswered a) {
+    MonoSink<DeskAnswer> sink = waiting.remove(a.call());
+    if (sink != null) {
+      sink.success(a.answer());
+    }
+  }
+}
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
@@ -8,6 +8,14 @@
 import org.cassiastack.consensus.MemberGreeting;
 import org.cassiastack.consensus.VoteReply;
 import org.cassiastack.consensus.VoteRequest;
+import org.cassiastack.desk.AskJob;
+import org.cassiastack.desk.AskQueueConfiguration;
+import org.cassiastack.desk.CancelJob;
+import org.cassiastack.desk.LeaderNotice;
+import org.cassiastack.desk.LeaderReply;
+import org.cassiastack.desk.StoreConfiguration;
+import org.cassiastack.desk.SubmitJob;
+import org.cassiastack.desk.SwitchDomain;
 import org.cassiastack.protocol.Announce;
 import org.cassiastack.protocol.CancelTasks;
 import org.cassiastack.protocol.Dispatch;
@@ -17,6 +25,9 @@
 import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
 import org.cassiastack.protocol.Welcome;
+import org.cassiastack.runs.AgentLease;
+import org.cassiastack.runs.AgentReport;
+import org.cassiastack.runs.RunOrders;
 import org.cassiastack.spread.AskConfiguration;
 import org.cassiastack.spread.ConfigurationAge;
 import org.cassiastack.spread.ConfigurationUpdate;
@@ -66,7 +77,29 @@
   /** Entry to control member. */
   FORWARD_APPLY(63, ForwardApply.class),
   /** Control member to entry. */
-  FORWARDED_APPLY(64, ForwardedApply.class);
+  FORWARDED_APPLY(64, ForwardedApply.class),
+  /** Control member to every connected process. */
+  LEADER_NOTICE(80, LeaderNotice.class),
+  /** Entry to leader. */
+  SUBMIT_JOB(81, SubmitJob.class),
+  /** Entry to leader. */
+  ASK_JOB(82, AskJob.class),
+  /** Entry to leader. */
+  CANCEL_JOB(83, CancelJob.class),
+  /** Control member to leader. */
+  STORE_CONFIGURATION(84, StoreConfiguration.class),
+  /** Control member to leader. */
+  ASK_QUEUE_CONFIGURATION(85, AskQueueConfiguration.class),
+  /** Control member to leader. */
+  SWITCH_DOMAIN(86, SwitchDomain.class),
+  /** Leader to whoever asked. */
+  LEADER_REPLY(87, LeaderReply.class),
+  /** Agent to leader. */
+  AGENT_REPORT(90, AgentReport.class),
+  /** Leader to agent. */
+  AGENT_LEASE(91, AgentLease.class),
+  /** Leader to agent. */
+  RUN_ORDERS(92, RunOrders.class);
 
   private static final Map<Class<?>, MessageType> BY_TYPE = new HashMap<>();
 
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
@@ -1,6 +1,7 @@
 package org.cassiastack.transport.peer;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
@@ -104,6 +105,7 @@
             .doBeforeRetry(s -> Logger.debug("event=dial_retry address={}", address));
     resources.add(
         TcpClient.create()
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timings.silenceLimit().toMillis())
             .remoteAddress(() -> address)
             .doOnChannelInit((observer, channel, remote) -> initialize(channel))
             .handle(this::run)
