--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
@@ -0,0 +1,113 @@
+package org.cassiastack.desk;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.protocol.PeerDisconnected;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.junit.jupiter.api.Test;
+
+class DeskControllerTest {
+  private static final Instant NOW = Instant.parse("2026-12-04T08:00:00Z");
+  private static final NodeId FIRST = new NodeId("10.0.0.1");
+  private static final NodeId SECOND = new NodeId("10.0.0.2");
+  private static final AskJob REQUEST = new AskJob(1, new QueueAddress("h", "/p/1"));
+
+  private final DeskController desk = DeskController.create();
+
+  @Test
+  void sends_a_request_to_the_leader_and_hands_on_its_answer() {
+    on(notice(FIRST, 1, FIRST), 0);
+
+    List<Effect> sent = on(call(), 0);
+    List<Effect> answered = on(reply(FIRST, DeskCode.FOUND), 5);
+
+    assertThat(sent).containsExactly(new Send(FIRST, REQUEST));
+    assertThat(answered).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.FOUND)));
+  }
+
+  @Test
+  void sends_a_request_again_to_the_next_leader() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(call(), 0);
+
+    List<Effect> effects = on(notice(SECOND, 2, SECOND), 50);
+
+    assertThat(effects).contains(new Send(SECOND, REQUEST));
+  }
+
+  @Test
+  void ignores_a_leader_of_an_earlier_term() {
+    on(notice(FIRST, 2, FIRST), 0);
+
+    assertThat(on(notice(SECOND, 1, SECOND), 10)).isEmpty();
+  }
+
+  @Test
+  void refuses_a_request_soon_when_there_is_no_leader() {
+    on(call(), 0);
+
+    List<Effect> early = on(new Tick(), 200);
+    List<Effect> late = on(new Tick(), 301);
+
+    assertThat(early).isEmpty();
+    assertThat(late).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.NO_LEADER)));
+  }
+
+  @Test
+  void does_not_say_that_a_request_had_no_effect_once_a_leader_may_have_it() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(call(), 0);
+    on(new PeerDisconnected(FIRST), 10);
+
+    List<Effect> soon = on(new Tick(), 500);
+    List<Effect> atDeadline = on(new Tick(), 1_001);
+
+    assertThat(soon).isEmpty();
+    assertThat(atDeadline).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.UNANSWERED)));
+  }
+
+  @Test
+  void a_refusal_by_the_only_process_that_was_asked_proves_that_nothing_happened() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(call(), 0);
+    on(reply(FIRST, DeskCode.NOT_LEADER), 5);
+    on(notice(FIRST, 1, null), 6);
+
+    List<Effect> effects = on(new Tick(), 400);
+
+    assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.NO_LEADER)));
+  }
+
+  @Test
+  void asks_a_silent_leader_again() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(call(), 0);
+
+    assertThat(on(new Tick(), 300)).isEmpty();
+    assertThat(on(new Tick(), 400)).containsExactly(new Send(FIRST, REQUEST));
+  }
+
+  private List<Effect> on(Event event, long millis) {
+    return desk.on(event, NOW.plusMillis(millis));
+  }
+
+  private static DeskCall call() {
+    return new DeskCall(REQUEST, NOW.plus(Duration.ofSeconds(1)));
+  }
+
+  private static Received notice(NodeId from, long term, NodeId leader) {
+    return new Received(from, new LeaderNotice(term, leader, List.of(FIRST, SECOND)));
+  }
+
+  private static Received reply(NodeId from, DeskCode code) {
+    return new Received(from, new LeaderReply(1, DeskAnswer.of(code)));
+  }
+}
