Time goes on while a machine is suspended

Cause: the monotonic clock does not count a suspension, so a woken leader or agent took a lease for valid that had long run out. Ruled out: the wall clock alone, whose steps would reach leases. SteppedTimeTest fails on the former time source.

--- a/cassiastack-core/src/main/java/org/cassiastack/controller/TimeSource.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/TimeSource.java
@@ -14,11 +14,11 @@
 
   /**
    * The time source of a running process: the wall clock at the moment of this call, carried on by
-   * the monotonic clock, so that steps of the wall clock reach no lease and no timeout.
+   * the monotonic clock. While a machine is suspended only the wall clock goes on, so the further
+   * of the two steps counts; a step of the wall clock ahead ends leases early, which is safe, and a
+   * step back has no effect.
    */
   static TimeSource system() {
-    Instant origin = Instant.now();
-    long originNanos = System.nanoTime();
-    return () -> origin.plusNanos(System.nanoTime() - originNanos);
+    return SteppedTime.following(Instant::now, System::nanoTime);
   }
 }
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/controller/SteppedTimeTest.java
@@ -0,0 +1,54 @@
+package org.cassiastack.controller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+class SteppedTimeTest {
+  private static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
+
+  private Instant wall = START;
+  private long nanos = 1_000;
+  private final TimeSource time = SteppedTime.following(() -> wall, () -> nanos);
+
+  @Test
+  void goes_on_with_the_monotonic_clock() {
+    pass(Duration.ofSeconds(2));
+
+    assertThat(time.now()).isEqualTo(START.plusSeconds(2));
+  }
+
+  @Test
+  void counts_the_time_for_which_the_machine_was_suspended() {
+    pass(Duration.ofSeconds(1));
+    time.now();
+    wall = wall.plusSeconds(5);
+
+    assertThat(time.now()).isEqualTo(START.plusSeconds(6));
+  }
+
+  @Test
+  void does_not_go_back_with_the_wall_clock() {
+    time.now();
+    wall = wall.minusSeconds(5);
+    time.now();
+    pass(Duration.ofSeconds(1));
+
+    assertThat(time.now()).isEqualTo(START.plusSeconds(1));
+  }
+
+  @Test
+  void leaves_small_corrections_of_the_wall_clock_aside() {
+    time.now();
+    wall = wall.plusMillis(40);
+
+    assertThat(time.now()).isEqualTo(START);
+  }
+
+  private void pass(Duration d) {
+    wall = wall.plus(d);
+    nanos += d.toNanos();
+  }
+}
