Decisions in the log, counters, and a filter chain for callers' requests

One line for each decision that touches a request or changes what a process believes, with what decided it; each kind up to 400 lines a second, what is dropped is counted; another thread writes. Counters and answer times at the metrics address of each role. Callers' requests pass a filter chain: recorder, refusal while the process ends, refusal of callers without time left. Elections begin after 0.5 s of silence instead of 0.8 s: a frozen leader cost 1.2 s of service. DispatchTerm split: JobIntake answers requests, the term keeps agents and leases.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -8,6 +8,7 @@
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Tick;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.desk.LeaderNotice;
 import org.cassiastack.desk.LeaderSeen;
 import org.cassiastack.desk.LeaderTracker;
@@ -66,7 +67,12 @@
       startedAt = now;
     }
     if (event instanceof MinionAnnounced a) {
-      reportDue |= minion.announced(a, now);
+      if (minion.announced(a, now)) {
+        reportDue = true;
+        String state = a.minion().draining() ? "leaving" : "available";
+        effects.add(
+            Decision.of("minion_announced", a.minion().life(), state, "seq=" + a.sequence()));
+      }
     } else if (event instanceof MinionLeft l) {
       reportDue |= minion.left(l.minion());
     } else if (event instanceof StartAnswered s) {
@@ -125,6 +131,8 @@
     }
     for (StartOrder s : o.starts()) {
       if (!minion.start(s, fence, leaseUntil, now, effects)) {
+        String inputs = "fence=" + fence + " lease_left=" + Duration.between(now, leaseUntil);
+        effects.add(Decision.of("start_refused", s.run(), minion.whyNotStarted(now), inputs));
         reportDue = true;
       }
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -142,6 +142,18 @@
     return true;
   }
 
+  /** Words why nothing can start now; for operators. */
+  String whyNotStarted(Instant now) {
+    MinionProfile p = profile;
+    if (p == null) {
+      return "no_minion";
+    }
+    if (p.draining()) {
+      return "minion_leaving";
+    }
+    return isVerified(now) ? "no_lease" : "minion_silent";
+  }
+
   void stop(RunId run, long fence, List<Effect> effects) {
     MinionProfile p = profile;
     if (p != null) {
--- a/cassiastack-core/src/main/java/org/cassiastack/desk/DeskCode.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/DeskCode.java
@@ -1,7 +1,7 @@
 package org.cassiastack.desk;
 
 /**
- * What became of a request to the leader. docs/RESULT-CODES.md numbers them.
+ * What became of a request to the leader. docs/QUEUES.md lists them.
  *
  * @since 0.2
  */
@@ -20,6 +20,8 @@
   OVERLOADED(613),
   /** No minion could ever run the job, or it asks for what is not built; it never runs. */
   UNSUPPORTED(614),
+  /** The caller left no time for an answer; the request had no effect. */
+  TOO_LATE(615),
   /** The process that was asked does not lead; the request had no effect there. */
   NOT_LEADER(620),
   /** No leader was known, so the request was never handed on; it had no effect. */
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/DeskFilters.java
@@ -0,0 +1,29 @@
+package org.cassiastack.desk;
+
+import java.util.function.BooleanSupplier;
+import reactor.core.publisher.Mono;
+
+/**
+ * The filters that the library brings for callers' requests.
+ *
+ * @since 0.2
+ */
+public final class DeskFilters {
+  private DeskFilters() {}
+
+  /** Refuses every request while a condition holds; none of them has any effect. */
+  public static DeskFilter refuseWhile(BooleanSupplier condition) {
+    return (request, now, next) ->
+        condition.getAsBoolean()
+            ? Mono.just(DeskAnswer.of(DeskCode.NO_LEADER))
+            : next.proceed(request, now);
+  }
+
+  /** Refuses requests whose callers have no time left to wait for an answer. */
+  public static DeskFilter refuseLate() {
+    return (request, now, next) ->
+        request.patience().isNegative() || request.patience().isZero()
+            ? Mono.just(DeskAnswer.of(DeskCode.TOO_LATE))
+            : next.proceed(request, now);
+  }
+}
--- a/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerCodec.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerCodec.java
@@ -12,12 +12,12 @@
   /** Encodes a command. */
   Payload encode(LedgerBatch batch);
 
-  /** Decodes a command. */
-  LedgerBatch decodeBatch(Payload bytes);
-
   /** Encodes a snapshot. */
   Payload encode(LedgerSnapshot snapshot);
 
+  /** Decodes a command. */
+  LedgerBatch decodeBatch(Payload bytes);
+
   /** Decodes a snapshot. */
   LedgerSnapshot decodeSnapshot(Payload bytes);
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
@@ -20,6 +20,7 @@
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Raise;
 import org.cassiastack.controller.Tick;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.desk.DeskAnswer;
 import org.cassiastack.desk.DeskCode;
 import org.cassiastack.desk.LeaderNotice;
@@ -151,6 +152,9 @@
 
   private void leaderChanged(LeaderChanged l, Instant now, List<Effect> effects) {
     if (!l.self()) {
+      if (term != null) {
+        effects.add(Decision.of("leadership_ended", term.fence(), "lost", "leader=" + l.leader()));
+      }
       term = null;
     } else if (term == null || term.fence() != l.term()) {
       term = DispatchTerm.begin(l.term(), ledger, settings, codec, proposals, now);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -3,42 +3,25 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cassiastack.controller.Effect;
-import org.cassiastack.desk.AskJob;
-import org.cassiastack.desk.AskQueueConfiguration;
-import org.cassiastack.desk.CancelJob;
-import org.cassiastack.desk.DeskAnswer;
-import org.cassiastack.desk.DeskCode;
-import org.cassiastack.desk.LeaderReply;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.desk.LeaderRequest;
-import org.cassiastack.desk.QueueAddress;
-import org.cassiastack.desk.StoreConfiguration;
-import org.cassiastack.desk.SubmitJob;
-import org.cassiastack.desk.SwitchDomain;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
-import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.LedgerBatch;
 import org.cassiastack.queue.LedgerCodec;
 import org.cassiastack.queue.LedgerJob;
-import org.cassiastack.queue.Queue;
-import org.cassiastack.queue.QueueConfiguration;
-import org.cassiastack.queue.QueuedJobId;
-import org.cassiastack.queue.StepSpec;
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.schedule.ScheduleSettings;
-import org.jspecify.annotations.Nullable;
 
 /**
  * The work of one leader from its election until it is no longer sure to lead.
@@ -63,8 +46,7 @@
   private final Fleet fleet;
   private final Dispatcher dispatcher;
   private final Set<NodeId> joining = new HashSet<>();
-  private final Map<QueuedJobId, Caller> callers = new HashMap<>();
-  private final RecentAnswers recent = new RecentAnswers();
+  private final JobIntake intake;
   private List<Effect> effects = new ArrayList<>();
   private Instant sureUntil = Instant.MIN;
   private boolean begun;
@@ -82,9 +64,21 @@
     this.settings = settings;
     this.beganAt = now;
     this.commits = new PendingCommits(codec, proposals);
-    this.runs = new Runs(board, commits, this::failed, this::completed);
+    Consumer<Decision> decisions = d -> effects.add(d);
+    EndListener ends = new EndListener();
+    this.runs = new Runs(board, commits, decisions, ends);
     this.fleet = new Fleet(settings, runs);
-    this.dispatcher = new Dispatcher(board, fleet, ledger);
+    this.intake =
+        new JobIntake(
+            ledger,
+            board,
+            fleet,
+            commits,
+            runs,
+            decisions,
+            (to, m) -> effects.add(new Send(to, m)));
+    ends.connect(intake);
+    this.dispatcher = new Dispatcher(board, fleet, ledger, decisions);
   }
 
   /** Begins a term with the jobs that the ledger holds. */
@@ -96,6 +90,8 @@
       Supplier<UUID> proposals,
       Instant now) {
     DispatchTerm t = new DispatchTerm(fence, ledger, settings, codec, proposals, now);
+    String inputs = "jobs=" + ledger.live().size() + " agents=" + ledger.agents().size();
+    t.decide("leadership_began", fence, "waiting_for_agents", inputs);
     for (LedgerJob j : ledger.live()) {
       t.board.restore(j, ledger.queueOf(j), now);
     }
@@ -127,8 +123,7 @@
   public void tick(Instant now) {
     fleet.tick(now);
     board.ready.age(now);
-    dropAbandoned(now);
-    recent.forget(now);
+    intake.tick(now);
     for (WorkerState w : fleet.workers()) {
       runs.stopAgain(w, now);
       dispatcher.probe(w, fence, now, effects);
@@ -177,192 +172,21 @@
   }
 
   /** Answers a request, at once or when it is committed. */
-  public void requested(NodeId from, LeaderRequest q, Instant now) {
-    Caller caller = new Caller(from, q.call());
-    if (q instanceof SubmitJob s) {
-      submitted(caller, s, now);
-    } else if (q instanceof AskJob a) {
-      answer(caller, asked(a.address()));
-    } else if (q instanceof CancelJob c) {
-      cancelled(caller, c.address());
-    } else if (q instanceof StoreConfiguration s) {
-      commits.configuration(s.configuration(), at -> answer(caller, DeskCode.ACCEPTED));
-    } else if (q instanceof SwitchDomain d) {
-      commits.domain(
-          new LedgerBatch.DomainSwitch(d.domain(), d.out()),
-          at -> answer(caller, DeskCode.ACCEPTED));
-    } else if (q instanceof AskQueueConfiguration) {
-      QueueConfiguration c = ledger.configuration();
-      answer(
-          caller,
-          c == null ? DeskAnswer.of(DeskCode.NOT_CONFIGURED) : DeskAnswer.document(c.document()));
-    }
-  }
-
-  private void submitted(Caller caller, SubmitJob s, Instant now) {
-    QueuedJobId id = s.job().id();
-    JobPhase known = recent.find(id);
-    if (known != null) {
-      answer(caller, DeskAnswer.phase(DeskCode.ACCEPTED, known));
-      return;
-    }
-    if (ledger.knows(id)) {
-      answer(caller, DeskCode.ACCEPTED);
-      return;
-    }
-    if (board.find(id) != null) {
-      callers.put(id, caller);
-      return;
-    }
-    if (commits.isAccepting(id)) {
-      // The first one is answered once it is stored; this one asks again if that is too late.
-      callers.put(id, caller);
-      return;
-    }
-    QueueConfiguration c = ledger.configuration();
-    if (c == null) {
-      answer(caller, DeskCode.NOT_CONFIGURED);
-      return;
-    }
-    Queue queue = c.find(s.address().host(), s.address().path());
-    if (queue == null) {
-      answer(caller, DeskCode.NO_SUCH_QUEUE);
-      return;
-    }
-    admit(caller, s, queue, now);
-  }
-
-  private void admit(Caller caller, SubmitJob s, Queue queue, Instant now) {
-    for (StepSpec step : s.job().steps()) {
-      if (!fleet.couldHold(queue.service(), step.need())) {
-        answer(caller, DeskCode.UNSUPPORTED);
-        return;
-      }
-    }
-    Duration delay =
-        Admission.delay(
-            board.backlog(queue.service(), queue.priority()), fleet.milliCpu(queue.service(), now));
-    LiveJob asIf = new LiveJob(s.job(), queue, 0, board.estimates(), now, Instant.MAX);
-    if (!Admission.isOfUse(asIf, delay, now)) {
-      answer(caller, DeskAnswer.overloaded(Admission.retryAfter(delay)));
-      return;
-    }
-    callers.put(s.job().id(), caller);
-    if (!s.job().kept()) {
-      board.add(s.job(), queue, now, now.plus(s.patience()));
-      return;
-    }
-    LedgerBatch.Acceptance a =
-        new LedgerBatch.Acceptance(s.job(), queue.name(), Math.max(1, queue.mostAttempts()));
-    commits.accept(a, at -> accepted(a, queue, now));
-  }
-
-  private void accepted(LedgerBatch.Acceptance a, Queue queue, Instant receivedAt) {
-    QueuedJobId id = a.job().id();
-    if (ledger.live(id) != null) {
-      board.add(a.job(), queue, receivedAt, Instant.MAX);
-    }
-    Caller caller = callers.remove(id);
-    if (caller != null) {
-      answer(caller, DeskCode.ACCEPTED);
-    }
-  }
-
-  private DeskAnswer asked(QueueAddress address) {
-    QueueConfiguration c = ledger.configuration();
-    if (c == null) {
-      return DeskAnswer.of(DeskCode.NOT_CONFIGURED);
-    }
-    Queue queue = c.find(address.host(), address.path());
-    if (queue == null) {
-      return DeskAnswer.of(DeskCode.NO_SUCH_QUEUE);
-    }
-    String rest = address.path().substring(queue.pathPrefix().length());
-    if (rest.isEmpty()) {
-      return DeskAnswer.pending(board.unstarted(queue.name()));
-    }
-    QueuedJobId id = QueuedJobId.parse(rest);
-    JobPhase phase = id == null ? null : phase(id);
-    return phase == null
-        ? DeskAnswer.of(DeskCode.NO_SUCH_JOB)
-        : DeskAnswer.phase(DeskCode.FOUND, phase);
-  }
-
-  private @Nullable JobPhase phase(QueuedJobId id) {
-    JobPhase end = ledger.endOf(id);
-    if (end != null || ledger.live(id) == null) {
-      return end;
-    }
-    LiveJob job = board.find(id);
-    return job == null || job.started ? JobPhase.RUNNING : JobPhase.QUEUED;
-  }
-
-  private void cancelled(Caller caller, QueueAddress address) {
-    int slash = address.path().lastIndexOf('/');
-    QueuedJobId id = QueuedJobId.parse(address.path().substring(slash + 1));
-    if (id == null || (!ledger.knows(id) && !commits.isAccepting(id) && board.find(id) == null)) {
-      answer(caller, DeskCode.NO_SUCH_JOB);
-    } else if (ledger.endOf(id) != null) {
-      answer(caller, DeskCode.ACCEPTED);
-    } else if (ledger.live(id) != null || commits.isAccepting(id)) {
-      commits.cancel(
-          id,
-          at -> {
-            drop(id);
-            answer(caller, DeskCode.ACCEPTED);
-          });
-    } else {
-      drop(id);
-      finish(id, JobPhase.CANCELLED);
-      answer(caller, DeskCode.ACCEPTED);
-    }
-  }
-
-  /** Takes a job off the board and stops what runs of it. */
-  private void drop(QueuedJobId id) {
-    LiveJob job = board.find(id);
-    if (job != null) {
-      board.remove(job);
-      fleet.workers().forEach(w -> runs.stopRunsOf(job, w));
-    }
-  }
-
-  private void failed(LiveJob job) {
-    drop(job.job.id());
-    finish(job.job.id(), JobPhase.FAILED);
-  }
-
-  private void completed(LiveJob job) {
-    board.remove(job);
-    finish(job.job.id(), JobPhase.COMPLETED);
-  }
-
-  /** Answers the caller who waits for the end of a job that is not kept. */
-  private void finish(QueuedJobId id, JobPhase phase) {
-    if (ledger.knows(id)) {
-      return;
-    }
-    recent.add(id, phase);
-    Caller caller = callers.remove(id);
-    if (caller != null) {
-      answer(caller, DeskAnswer.phase(DeskCode.ACCEPTED, phase));
-    }
-  }
-
-  private void dropAbandoned(Instant now) {
-    for (Iterator<LiveJob> i = board.abandoned(now); i.hasNext(); ) {
-      LiveJob job = i.next();
-      drop(job.job.id());
-      callers.remove(job.job.id());
-    }
+  public void requested(NodeId from, LeaderRequest request, Instant now) {
+    intake.requested(from, request, now);
   }
 
   /** Tells whether no run can exist that this leader does not know of. */
   private boolean isAccounted(Instant now) {
+    if (accounted) {
+      return true;
+    }
     accounted =
-        accounted
-            || now.isAfter(beganAt.plus(settings.lapse()))
+        now.isAfter(beganAt.plus(settings.lapse()))
             || ledger.agents().stream().allMatch(fleet::isAccountedFor);
+    if (accounted) {
+      decide("starts_allowed", fence, "begun", "after=" + Duration.between(beganAt, now));
+    }
     return accounted;
   }
 
@@ -385,13 +209,7 @@
     }
   }
 
-  private void answer(Caller caller, DeskCode code) {
-    answer(caller, DeskAnswer.of(code));
+  private void decide(String event, Object subject, String outcome, String inputs) {
+    effects.add(Decision.of(event, subject, outcome, inputs));
   }
-
-  private void answer(Caller caller, DeskAnswer answer) {
-    effects.add(new Send(caller.node(), new LeaderReply(caller.call(), answer)));
-  }
-
-  private record Caller(NodeId node, long call) {}
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -4,7 +4,10 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
 import org.cassiastack.controller.Effect;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
@@ -31,9 +34,11 @@
   private final JobBoard board;
   private final Fleet fleet;
   private final JobLedger ledger;
+  private final Consumer<Decision> decisions;
   private final Placer placer = new FastestFit();
 
-  Dispatcher(JobBoard board, Fleet fleet, JobLedger ledger) {
+  Dispatcher(JobBoard board, Fleet fleet, JobLedger ledger, Consumer<Decision> decisions) {
+    this.decisions = decisions;
     this.board = board;
     this.fleet = fleet;
     this.ledger = ledger;
@@ -112,5 +117,8 @@
     long order = w.start(new StartOrder(id, step.job.job.spec()));
     w.add(new Run(id, step, step.spec.need(), order, now));
     board.markStarted(step.job);
+    String inputs = "agent=" + w.agent + " life=" + (w.minion == null ? "" : w.minion.life());
+    decisions.accept(
+        Decision.of("run_ordered", id, step.lateness.name().toLowerCase(Locale.ROOT), inputs));
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Locale;
 import java.util.function.Consumer;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.queue.LedgerBatch;
 import org.cassiastack.queue.Resources;
 import org.cassiastack.queue.TaskName;
@@ -19,18 +21,14 @@
 
   private final JobBoard board;
   private final PendingCommits commits;
-  private final Consumer<LiveJob> failed;
-  private final Consumer<LiveJob> completed;
+  private final Consumer<Decision> decisions;
+  private final JobEnds ends;
 
-  Runs(
-      JobBoard board,
-      PendingCommits commits,
-      Consumer<LiveJob> failed,
-      Consumer<LiveJob> completed) {
+  Runs(JobBoard board, PendingCommits commits, Consumer<Decision> decisions, JobEnds ends) {
     this.board = board;
     this.commits = commits;
-    this.failed = failed;
-    this.completed = completed;
+    this.decisions = decisions;
+    this.ends = ends;
   }
 
   @Override
@@ -40,6 +38,10 @@
 
   @Override
   public void ended(WorkerState w, @Nullable Run run, EndedRun end, Instant now) {
+    if (end.how() != RunEnd.DONE) {
+      String how = end.how().name().toLowerCase(Locale.ROOT);
+      decisions.accept(Decision.of("run_ended", end.run(), how, "agent=" + w.agent));
+    }
     LiveStep step = board.stepOf(end.run().task());
     int index = end.run().task().index();
     if (run != null && run.step != null) {
@@ -55,7 +57,7 @@
         board.ready.removeIfEmpty(step);
         board.openSteps(step.job);
         if (step.job.isDone()) {
-          completed.accept(step.job);
+          ends.completed(step.job);
         }
       }
     } else if (end.how() == RunEnd.FAILED) {
@@ -65,7 +67,7 @@
         board.release(step, index);
       }
       if (failures >= step.job.queue.mostAttempts() && !step.isDone(index)) {
-        failed.accept(step.job);
+        ends.failed(step.job);
       }
     } else if (own) {
       board.release(step, index);
@@ -74,6 +76,8 @@
 
   @Override
   public void gone(WorkerState w, Run run, Instant now) {
+    String age = "agent=" + w.agent + " ordered_ago=" + Duration.between(run.orderedAt, now);
+    decisions.accept(Decision.of("run_gone", run.id, "not_there", age));
     LiveStep step = run.step;
     if (step != null && board.stepOf(run.id.task()) == step) {
       board.release(step, run.id.task().index());
@@ -82,6 +86,7 @@
 
   @Override
   public Run found(WorkerState w, RunId id, Instant now) {
+    decisions.accept(Decision.of("run_found", id, "taken_over", "agent=" + w.agent));
     LiveStep step = board.stepOf(id.task());
     int index = id.task().index();
     if (step == null || step.isDone(index) || step.isAssigned(index)) {
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/desk/DeskFiltersTest.java
@@ -0,0 +1,47 @@
+package org.cassiastack.desk;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import reactor.core.publisher.Mono;
+
+class DeskFiltersTest {
+  private static final Instant NOW = Instant.parse("2026-12-04T08:00:00Z");
+  private static final DeskChain LEADER =
+      (request, now) -> Mono.just(DeskAnswer.of(DeskCode.ACCEPTED));
+
+  @Test
+  void refuses_every_request_while_the_process_ends() {
+    DeskChain chain = DeskChain.of(List.of(DeskFilters.refuseWhile(() -> true)), LEADER);
+
+    assertThat(code(chain, Duration.ofSeconds(1))).isEqualTo(DeskCode.NO_LEADER);
+  }
+
+  @Test
+  void refuses_a_request_whose_caller_has_no_time_left() {
+    DeskChain chain = DeskChain.of(List.of(DeskFilters.refuseLate()), LEADER);
+
+    assertThat(code(chain, Duration.ZERO)).isEqualTo(DeskCode.TOO_LATE);
+    assertThat(code(chain, Duration.ofMillis(-5))).isEqualTo(DeskCode.TOO_LATE);
+  }
+
+  @Test
+  void hands_other_requests_on_to_the_leader() {
+    DeskChain chain =
+        DeskChain.of(
+            List.of(DeskFilters.refuseWhile(() -> false), DeskFilters.refuseLate()), LEADER);
+
+    assertThat(code(chain, Duration.ofSeconds(1))).isEqualTo(DeskCode.ACCEPTED);
+  }
+
+  private static DeskCode code(DeskChain chain, Duration patience) {
+    QueueAddress address = new QueueAddress("h", "/p/1");
+    CallerRequest request =
+        new CallerRequest(
+            CallerRequest.Kind.ASK, address, patience, call -> new AskJob(call, address));
+    return chain.proceed(request, NOW).block().code();
+  }
+}
--- a/cassiastack-core/src/test/java/org/cassiastack/queue/SharedLedgerCodec.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/queue/SharedLedgerCodec.java
@@ -14,13 +14,13 @@
   }
 
   @Override
-  public LedgerBatch decodeBatch(Payload bytes) {
-    return (LedgerBatch) values.get(Integer.parseInt(bytes.toText()));
+  public Payload encode(LedgerSnapshot snapshot) {
+    return number(snapshot);
   }
 
   @Override
-  public Payload encode(LedgerSnapshot snapshot) {
-    return number(snapshot);
+  public LedgerBatch decodeBatch(Payload bytes) {
+    return (LedgerBatch) values.get(Integer.parseInt(bytes.toText()));
   }
 
   @Override
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/AgentNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/AgentNode.java
@@ -11,6 +11,7 @@
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.TimeSource;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.desk.LeaderSeen;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Send;
@@ -25,6 +26,8 @@
   /** How finely leases and retries are kept. */
   private static final Duration TICK = Duration.ofMillis(25);
 
+  private final QueueMetrics metrics = QueueMetrics.create();
+  private final DecisionLog decisions;
   private final MemberNetwork network;
   private final ControllerLoop loop;
   private final MinionPort minion;
@@ -37,6 +40,7 @@
       MinionPort minion,
       TimeSource time) {
     this.minion = minion;
+    decisions = new DecisionLog(time, metrics);
     EventSink sink = new EventSink();
     network = MemberNetwork.create(self, settings.incarnation(), memberPort, sink::post);
     loop =
@@ -76,6 +80,11 @@
     loop.post(event);
   }
 
+  /** Returns the counters of this process. */
+  public QueueMetrics metrics() {
+    return metrics;
+  }
+
   @Override
   public void close() {
     network.close();
@@ -91,6 +100,8 @@
       minion.hold(c).subscribe(loop::post);
     } else if (effect instanceof CallStop c) {
       minion.stop(c).subscribe(loop::post);
+    } else if (effect instanceof Decision d) {
+      decisions.write(d);
     } else if (effect instanceof LeaderSeen l) {
       network.dial(l.members());
       Logger.info("event=leader_seen leader={} members={}", l.leader(), l.members());
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
@@ -12,6 +12,7 @@
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.daemon.control.RaftDriver;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.desk.DeskAnswered;
 import org.cassiastack.desk.DeskController;
 import org.cassiastack.desk.LeaderSeen;
@@ -35,7 +36,7 @@
   private static final Duration HEARTBEAT = Duration.ofMillis(100);
 
   /** Shortest silence of a leader before another is elected; a sync may take a tenth of it. */
-  private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(800);
+  private static final Duration ELECTION_TIMEOUT = Duration.ofMillis(500);
 
   /** A voter that is silent for so long makes room for another. */
   private static final Duration VOTER_SILENCE = Duration.ofMillis(2_500);
@@ -49,6 +50,8 @@
   private final ControlNodeSettings settings;
   private final RaftDriver raft;
   private final DeskPort port;
+  private final QueueMetrics metrics = QueueMetrics.create();
+  private final DecisionLog decisions;
   private final MemberNetwork network;
   private final ControllerLoop loop;
 
@@ -56,6 +59,7 @@
     this.settings = settings;
     this.raft =
         RaftDriver.open(settings.data(), settings.self(), raftSettings(), new SecureRandom());
+    decisions = new DecisionLog(time, metrics);
     EventSink sink = new EventSink();
     port = new DeskPort(time, sink);
     network =
@@ -96,6 +100,11 @@
     return port;
   }
 
+  /** Returns the counters of this process. */
+  public QueueMetrics metrics() {
+    return metrics;
+  }
+
   @Override
   public void close() {
     network.close();
@@ -123,6 +132,8 @@
       raft.persist(p);
     } else if (effect instanceof DeskAnswered a) {
       port.answered(a);
+    } else if (effect instanceof Decision d) {
+      decisions.write(d);
     } else if (effect instanceof LeaderSeen l) {
       network.dial(l.members());
       Logger.info("event=leader_seen leader={} members={}", l.leader(), l.members());
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/DeskPort.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/DeskPort.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
@@ -10,7 +11,9 @@
 import org.cassiastack.desk.DeskAnswer;
 import org.cassiastack.desk.DeskAnswered;
 import org.cassiastack.desk.DeskCall;
+import org.cassiastack.desk.DeskChain;
 import org.cassiastack.desk.DeskCode;
+import org.cassiastack.desk.DeskFilter;
 import org.cassiastack.desk.LeaderRequest;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
@@ -54,6 +57,11 @@
         });
   }
 
+  /** Returns the chain that a caller's request passes on its way to the leader. */
+  public DeskChain chain(List<DeskFilter> filters) {
+    return DeskChain.of(filters, (r, now) -> ask(r.request(), r.patience()));
+  }
+
   /** Returns the number of requests without an answer. */
   public int waiting() {
     return waiting.size();
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/EntryNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/EntryNode.java
@@ -6,6 +6,7 @@
 import org.cassiastack.controller.ControllerLoop;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.TimeSource;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.desk.DeskAnswered;
 import org.cassiastack.desk.DeskController;
 import org.cassiastack.desk.LeaderSeen;
@@ -25,11 +26,14 @@
   private static final Duration TICK = Duration.ofMillis(25);
 
   private final DeskPort port;
+  private final QueueMetrics metrics = QueueMetrics.create();
+  private final DecisionLog decisions;
   private final MemberNetwork network;
   private final ControllerLoop loop;
   private final AtomicReference<@Nullable NodeId> leader = new AtomicReference<>();
 
   private EntryNode(NodeId self, List<NodeId> seeds, int memberPort, TimeSource time) {
+    decisions = new DecisionLog(time, metrics);
     EventSink sink = new EventSink();
     port = new DeskPort(time, sink);
     network = MemberNetwork.create(self, Incarnation.startedAt(time.now()), memberPort, sink::post);
@@ -67,6 +71,11 @@
     return leader.get() != null;
   }
 
+  /** Returns the counters of this process. */
+  public QueueMetrics metrics() {
+    return metrics;
+  }
+
   @Override
   public void close() {
     network.close();
@@ -78,6 +87,8 @@
       network.send(s.to(), s.message());
     } else if (effect instanceof DeskAnswered a) {
       port.answered(a);
+    } else if (effect instanceof Decision d) {
+      decisions.write(d);
     } else if (effect instanceof LeaderSeen l) {
       leader.set(l.leader());
       network.dial(l.members());
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/ReferencePagesTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/ReferencePagesTest.java
@@ -18,6 +18,8 @@
   private static final Path SETTINGS =
       Path.of("src", "main", "java", "org", "cassiastack", "daemon", "settings");
   private static final Pattern EVENT = Pattern.compile("event=([a-z_]+)");
+  private static final Pattern DECISION =
+      Pattern.compile("(?:Decision\\.of|decide)\\(\\s*\"([a-z_]+)\"");
   private static final Pattern EVENT_ROW = Pattern.compile("(?m)^\\| `([a-z_]+)` \\|");
   private static final Pattern KEY =
       Pattern.compile("f\\.\\w+\\(\\s*(\"[a-z-]+\"|s),\\s*\"([a-z.-]+)\"");
@@ -28,7 +30,9 @@
   void the_page_of_log_events_names_every_event_of_the_sources_and_no_other() throws IOException {
     Set<String> found = new TreeSet<>();
     for (Path source : sources()) {
-      found.addAll(first(EVENT, Files.readString(source)));
+      String text = Files.readString(source);
+      found.addAll(first(EVENT, text));
+      found.addAll(first(DECISION, text));
     }
 
     assertThat(first(EVENT_ROW, page("LOGS.md"))).isEqualTo(found).isNotEmpty();
--- /dev/null
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/QueueMetricsTest.java
@@ -0,0 +1,66 @@
+package org.cassiastack.daemon.queue;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.cassiastack.controller.TimeSource;
+import org.cassiastack.decision.Decision;
+import org.cassiastack.desk.CallerRequest;
+import org.cassiastack.desk.DeskCode;
+import org.junit.jupiter.api.Test;
+
+class QueueMetricsTest {
+  private final QueueMetrics metrics = QueueMetrics.create();
+
+  @Test
+  void the_table_in_the_docs_names_every_counter_and_no_other() throws IOException {
+    String source =
+        Files.readString(Path.of("src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java"));
+    String table = Files.readString(Path.of("../docs/QUEUES.md"));
+
+    assertThat(names("`(cassia_[a-z_]+)`", table))
+        .isEqualTo(names("\"(cassia_[a-z_]+)\"", source))
+        .isNotEmpty();
+  }
+
+  @Test
+  void counts_each_refusal_under_its_code() {
+    metrics.answered(CallerRequest.Kind.SUBMIT, DeskCode.OVERLOADED, Duration.ofMillis(3));
+
+    assertThat(text())
+        .contains("cassia_desk_answers_total{code=\"OVERLOADED\",kind=\"SUBMIT\"} 1.0");
+  }
+
+  @Test
+  void counts_decisions_whose_lines_are_too_many_to_be_written() {
+    DecisionLog log = new DecisionLog(TimeSource.system(), metrics);
+
+    for (int i = 0; i < 2_000; i++) {
+      log.write(Decision.of("run_gone", i, "not_there", ""));
+    }
+
+    assertThat(text())
+        .contains("cassia_decisions_total{event=\"run_gone\",outcome=\"not_there\"} 2000.0")
+        .contains("cassia_log_lines_dropped_total{event=\"run_gone\"}");
+  }
+
+  private String text() {
+    return new String(metrics.text(), StandardCharsets.UTF_8);
+  }
+
+  private static Set<String> names(String pattern, String text) {
+    Set<String> found = new TreeSet<>();
+    for (Matcher m = Pattern.compile(pattern).matcher(text); m.find(); ) {
+      found.add(m.group(1));
+    }
+    return found;
+  }
+}
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessagePackLedgerCodec.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessagePackLedgerCodec.java
@@ -37,6 +37,11 @@
     return write(batch);
   }
 
+  @Override
+  public Payload encode(LedgerSnapshot snapshot) {
+    return write(snapshot);
+  }
+
   @Override
   public LedgerBatch decodeBatch(Payload bytes) {
     try {
@@ -46,11 +51,6 @@
     }
   }
 
-  @Override
-  public Payload encode(LedgerSnapshot snapshot) {
-    return write(snapshot);
-  }
-
   @Override
   public LedgerSnapshot decodeSnapshot(Payload bytes) {
     try {
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -25,6 +25,17 @@
 import org.cassiastack.consensus.Snapshot;
 import org.cassiastack.consensus.VoteReply;
 import org.cassiastack.consensus.VoteRequest;
+import org.cassiastack.desk.AskJob;
+import org.cassiastack.desk.AskQueueConfiguration;
+import org.cassiastack.desk.CancelJob;
+import org.cassiastack.desk.DeskAnswer;
+import org.cassiastack.desk.DeskCode;
+import org.cassiastack.desk.LeaderNotice;
+import org.cassiastack.desk.LeaderReply;
+import org.cassiastack.desk.QueueAddress;
+import org.cassiastack.desk.StoreConfiguration;
+import org.cassiastack.desk.SubmitJob;
+import org.cassiastack.desk.SwitchDomain;
 import org.cassiastack.model.Customer;
 import org.cassiastack.model.Epoch;
 import org.cassiastack.model.FailureDomain;
@@ -49,6 +60,24 @@
 import org.cassiastack.protocol.TaskEnded;
 import org.cassiastack.protocol.TaskNotStarted;
 import org.cassiastack.protocol.Welcome;
+import org.cassiastack.queue.JobPhase;
+import org.cassiastack.queue.Queue;
+import org.cassiastack.queue.QueueConfiguration;
+import org.cassiastack.queue.QueuedJob;
+import org.cassiastack.queue.QueuedJobId;
+import org.cassiastack.queue.Resources;
+import org.cassiastack.queue.StepSpec;
+import org.cassiastack.queue.TaskName;
+import org.cassiastack.runs.AgentLease;
+import org.cassiastack.runs.AgentReport;
+import org.cassiastack.runs.EndedRun;
+import org.cassiastack.runs.MinionLife;
+import org.cassiastack.runs.MinionProfile;
+import org.cassiastack.runs.RunEnd;
+import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunOrders;
+import org.cassiastack.runs.RunningRun;
+import org.cassiastack.runs.StartOrder;
 import org.cassiastack.spread.AskConfiguration;
 import org.cassiastack.spread.ConfigurationAge;
 import org.cassiastack.spread.ConfigurationUpdate;
@@ -68,6 +97,10 @@
   private static final MemberSet MEMBERS = new MemberSet(List.of(FIRST), List.of(SECOND));
   private static final Incarnation INCARNATION = new Incarnation(1_700_000_000_000_000L);
 
+  private static final QueueAddress ADDRESS = new QueueAddress("h", "/q/00000000000000aa");
+  private static final MinionLife LIFE = new MinionLife(new MinionId("i-1"), 1_700_000_000_000L);
+  private static final RunId RUN = new RunId(new TaskName(new QueuedJobId(0xaaL), 0, 1, 2), 1_003);
+
   private final MessageCodec codec = MessageCodec.create();
 
   static Stream<Message> messages() {
@@ -95,8 +128,51 @@
         new ConfigurationAge(5, new Revision(7), Duration.ofMillis(120)),
         new ConfigurationUpdate(List.of(delta())),
         new ForwardApply(new UUID(1, 2), new ChangeId(new UUID(3, 4)), new Revision(6), delta()),
-        new ForwardedApply(
-            new UUID(1, 2), new ApplyResult(ResultCode.STALE_BASE, new Revision(7))));
+        new ForwardedApply(new UUID(1, 2), new ApplyResult(ResultCode.STALE_BASE, new Revision(7))),
+        new LeaderNotice(5, new NodeId("10.0.0.1"), List.of(new NodeId("10.0.0.1"))),
+        new LeaderNotice(5, null, List.of()),
+        new SubmitJob(1, ADDRESS, queuedJob(), Duration.ofMillis(1_470)),
+        new AskJob(2, ADDRESS),
+        new CancelJob(3, ADDRESS),
+        new StoreConfiguration(4, queues(payload)),
+        new AskQueueConfiguration(5),
+        new SwitchDomain(6, new FailureDomain("north"), true),
+        new LeaderReply(7, DeskAnswer.phase(DeskCode.FOUND, JobPhase.RUNNING)),
+        new LeaderReply(8, DeskAnswer.document(payload)),
+        new AgentReport(
+            INCARNATION,
+            ISSUED,
+            5,
+            profile(),
+            true,
+            true,
+            9,
+            List.of(new RunningRun(RUN, 40)),
+            List.of(RUN),
+            List.of(new EndedRun(3, RUN, RunEnd.DONE))),
+        new AgentLease(5, ISSUED, Duration.ofSeconds(1), LIFE, 3),
+        new AgentLease(5, ISSUED, Duration.ofSeconds(1), null, 0),
+        new RunOrders(5, INCARNATION, 9, LIFE, List.of(new StartOrder(RUN, "spec")), List.of(RUN)));
+  }
+
+  private static QueuedJob queuedJob() {
+    StepSpec step = new StepSpec(4, 3_100, 64, 1, Duration.ofMillis(86), List.of(0), "a", "r1", 2);
+    return new QueuedJob(new QueuedJobId(-1), "spec", List.of(step), true);
+  }
+
+  private static QueueConfiguration queues(Payload document) {
+    Queue q = new Queue("q", "h", "/q/", new ServiceName("ice"), 2, 3, 1.6, Duration.ofMillis(60));
+    return new QueueConfiguration(7, List.of(q), document);
+  }
+
+  private static MinionProfile profile() {
+    return new MinionProfile(
+        LIFE,
+        new ServiceName("ice"),
+        new FailureDomain("north"),
+        new Resources(32_000, 65_536, 0),
+        List.of("a", "r1"),
+        false);
   }
 
   private static ConfigurationDelta delta() {
