--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -47,7 +47,6 @@
   private long ordersThrough;
   private Instant leaseUntil = Instant.MIN;
   private Instant reportedAt = Instant.MIN;
-  private Instant startedAt = Instant.MIN;
   private boolean reportDue;
 
   private AgentController(AgentSettings settings) {
@@ -63,9 +62,6 @@
   @Override
   public List<Effect> on(Event event, Instant now) {
     List<Effect> effects = new ArrayList<>();
-    if (startedAt.equals(Instant.MIN)) {
-      startedAt = now;
-    }
     if (event instanceof MinionAnnounced a) {
       if (minion.announced(a, now)) {
         reportDue = true;
@@ -170,6 +166,6 @@
    */
   private boolean isSettled(Instant now) {
     Duration longest = settings.longestHold().plus(settings.stopGrace());
-    return !now.isBefore(startedAt.plus(longest));
+    return !now.isBefore(settings.processStartedAt().plus(longest));
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
@@ -22,6 +22,8 @@
  * <ol>
  *   <li>A request is sent again to each new leader, and to the same one when it keeps silent.
  *   <li>Without a leader a request waits for a short while, then it is refused: it had no effect.
+ *   <li>A job that was sent more than once is not refused as "not run": an earlier leader may have
+ *       started it.
  *   <li>At its deadline a request that was sent is {@link DeskCode#UNANSWERED}: nobody knows.
  * </ol>
  *
@@ -78,7 +80,11 @@
       return;
     }
     calls.remove(reply.call());
-    effects.add(new DeskAnswered(reply.call(), reply.answer()));
+    DeskAnswer answer =
+        w.isRefusalUncertain(reply.answer().code())
+            ? DeskAnswer.of(DeskCode.UNANSWERED)
+            : reply.answer();
+    effects.add(new DeskAnswered(reply.call(), answer));
   }
 
   private void leaderChanged(Instant now, List<Effect> effects) {
@@ -130,6 +136,14 @@
       mayHaveEffect = true;
     }
 
+    /**
+     * Tells whether a refusal does not prove that nothing has run: a job that was sent before may
+     * have been started by the leader of that time.
+     */
+    boolean isRefusalUncertain(DeskCode code) {
+      return request instanceof SubmitJob && sends > 1 && code != DeskCode.ACCEPTED;
+    }
+
     /** A refusal by the only process that was ever asked proves that nothing happened. */
     void refused() {
       if (sends == 1) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -76,7 +76,8 @@
             commits,
             runs,
             decisions,
-            (to, m) -> effects.add(new Send(to, m)));
+            (to, m) -> effects.add(new Send(to, m)),
+            () -> accounted);
     ends.connect(intake);
     this.dispatcher = new Dispatcher(board, fleet, ledger, decisions);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -98,7 +98,7 @@
       }
     }
     while (!step.waiting.isEmpty()) {
-      WorkerState w = placer.choose(step, fit, now);
+      WorkerState w = choose(step, fit, now);
       if (w == null) {
         break;
       }
@@ -110,6 +110,18 @@
     board.ready.removeIfEmpty(step);
   }
 
+  /**
+   * Chooses a worker, away from those where the task has failed: a minion may fail all that it is
+   * given. Only when no other has room it is tried there again.
+   */
+  private @Nullable WorkerState choose(LiveStep step, List<WorkerState> fit, Instant now) {
+    int index = step.waiting.getFirst();
+    List<WorkerState> others = new ArrayList<>(fit);
+    others.removeIf(w -> step.hasFailedAt(index, w.agent));
+    WorkerState other = placer.choose(step, others, now);
+    return other != null || others.size() == fit.size() ? other : placer.choose(step, fit, now);
+  }
+
   private void start(LiveStep step, WorkerState w, long firstRun, Instant now) {
     int index = step.waiting.getFirst();
     long number = step.assign(index, firstRun);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cassiastack.decision.Decision;
 import org.cassiastack.desk.AskJob;
@@ -37,6 +38,7 @@
   private final Runs runs;
   private final Consumer<Decision> decisions;
   private final Replies replies;
+  private final BooleanSupplier accounted;
   private final Map<QueuedJobId, Caller> callers = new HashMap<>();
   private final RecentAnswers recent = new RecentAnswers();
 
@@ -47,7 +49,8 @@
       PendingCommits commits,
       Runs runs,
       Consumer<Decision> decisions,
-      Replies replies) {
+      Replies replies,
+      BooleanSupplier accounted) {
     this.ledger = ledger;
     this.board = board;
     this.fleet = fleet;
@@ -55,6 +58,7 @@
     this.runs = runs;
     this.decisions = decisions;
     this.replies = replies;
+    this.accounted = accounted;
   }
 
   /** Answers a request, at once or when it is committed. */
@@ -121,9 +125,7 @@
         return;
       }
     }
-    Duration delay =
-        Admission.delay(
-            board.backlog(queue.service(), queue.priority()), fleet.milliCpu(queue.service(), now));
+    Duration delay = delay(queue, now);
     LiveJob asIf = new LiveJob(s.job(), queue, 0, board.estimates(), now, Instant.MAX);
     String inputs = "queue=" + queue.name() + " version=" + ledger.version() + " delay=" + delay;
     if (!Admission.isOfUse(asIf, delay, now)) {
@@ -142,6 +144,15 @@
     commits.accept(a, at -> accepted(a, queue, now));
   }
 
+  /** Returns how long the work in front of a new job takes; nothing while workers are not known. */
+  private Duration delay(Queue queue, Instant now) {
+    if (!accounted.getAsBoolean()) {
+      return Duration.ZERO;
+    }
+    return Admission.delay(
+        board.backlog(queue.service(), queue.priority()), fleet.milliCpu(queue.service(), now));
+  }
+
   private void accepted(LedgerBatch.Acceptance a, Queue queue, Instant receivedAt) {
     QueuedJobId id = a.job().id();
     if (ledger.live(id) != null) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveStep.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveStep.java
@@ -8,6 +8,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.cassiastack.model.NodeId;
 import org.cassiastack.queue.StepSpec;
 import org.cassiastack.queue.TaskName;
 
@@ -25,6 +26,7 @@
   private final boolean[] assigned;
   private final Map<Integer, Set<Long>> failures = new HashMap<>();
   private final long[] runs;
+  private final Map<Integer, Set<NodeId>> failedAt = new HashMap<>();
   private int left;
 
   /** Whether its objective is still within reach; part of its place in the ready queue. */
@@ -95,6 +97,16 @@
     return true;
   }
 
+  /** Takes note of where a task has failed, so that it is tried elsewhere. */
+  void failedAt(int index, NodeId agent) {
+    failedAt.computeIfAbsent(index, i -> new HashSet<>()).add(agent);
+  }
+
+  /** Tells whether a task has failed at an agent's minion. */
+  boolean hasFailedAt(int index, NodeId agent) {
+    return failedAt.getOrDefault(index, Set.of()).contains(agent);
+  }
+
   /** Takes note of a run that has failed and returns how many have; one told twice counts once. */
   int fail(int index, long run) {
     Set<Long> failed = failures.computeIfAbsent(index, i -> new HashSet<>());
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
@@ -63,6 +63,7 @@
     } else if (end.how() == RunEnd.FAILED) {
       commit(w, step, end, false);
       int failures = step.fail(index, end.run().number());
+      step.failedAt(index, w.agent);
       if (own) {
         board.release(step, index);
       }
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
@@ -42,7 +42,7 @@
 
   private final AgentController agent =
       AgentController.create(
-          new AgentSettings(INCARNATION, Duration.ofSeconds(1), Duration.ofMillis(50)));
+          new AgentSettings(INCARNATION, START, Duration.ofSeconds(1), Duration.ofMillis(50)));
   private Instant now = START;
   private long hold;
   private @Nullable AgentReport lastReport;
@@ -161,7 +161,8 @@
   void a_restarted_agent_says_that_its_lists_are_not_complete_yet() {
     AgentController fresh =
         AgentController.create(
-            new AgentSettings(new Incarnation(8), Duration.ofSeconds(1), Duration.ofMillis(50)));
+            new AgentSettings(
+                new Incarnation(8), now, Duration.ofSeconds(1), Duration.ofMillis(50)));
     fresh.on(new Received(LEADER, new LeaderNotice(1, LEADER, List.of(LEADER))), now);
 
     List<Effect> effects = fresh.on(announced(LIFE, 1, false), now.plusMillis(10));
--- a/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
@@ -12,6 +12,9 @@
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
+import org.cassiastack.queue.QueuedJob;
+import org.cassiastack.queue.QueuedJobId;
+import org.cassiastack.queue.StepSpec;
 import org.junit.jupiter.api.Test;
 
 class DeskControllerTest {
@@ -86,6 +89,24 @@
     assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.NO_LEADER)));
   }
 
+  @Test
+  void a_refusal_by_a_second_leader_does_not_say_that_a_job_has_not_run() {
+    QueuedJob job =
+        new QueuedJob(
+            new QueuedJobId(1),
+            "spec",
+            List.of(StepSpec.plain(1, 100, 1, Duration.ofMillis(50))),
+            false);
+    SubmitJob submit = new SubmitJob(1, new QueueAddress("h", "/p/1"), job, Duration.ofSeconds(1));
+    on(notice(FIRST, 1, FIRST), 0);
+    on(new DeskCall(submit, NOW.plusSeconds(1)), 0);
+    on(notice(SECOND, 2, SECOND), 50);
+
+    List<Effect> effects = on(reply(SECOND, DeskCode.OVERLOADED), 55);
+
+    assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.UNANSWERED)));
+  }
+
   @Test
   void asks_a_silent_leader_again() {
     on(notice(FIRST, 1, FIRST), 0);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/WorldAgent.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/WorldAgent.java
@@ -37,7 +37,10 @@
     tickMinion(life());
     AgentSettings settings =
         new AgentSettings(
-            Incarnation.startedAt(world.now()), QueueWorld.LEASE, Duration.ofMillis(50));
+            Incarnation.startedAt(world.now()),
+            world.now(),
+            QueueWorld.LEASE,
+            Duration.ofMillis(50));
     return List.of(AgentController.create(settings));
   }
 
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
@@ -8,6 +8,7 @@
 import org.cassiastack.consensus.JoinPolicy;
 import org.cassiastack.consensus.Persist;
 import org.cassiastack.consensus.RaftSettings;
+import org.cassiastack.consensus.StorageFailed;
 import org.cassiastack.controller.ControllerLoop;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.TimeSource;
@@ -55,7 +56,8 @@
   private final MemberNetwork network;
   private final ControllerLoop loop;
 
-  private ControlNode(ControlNodeSettings settings, TimeSource time) throws IOException {
+  private ControlNode(ControlNodeSettings settings, TimeSource time, Runnable storageLost)
+      throws IOException {
     this.settings = settings;
     this.raft =
         RaftDriver.open(settings.data(), settings.self(), raftSettings(), new SecureRandom());
@@ -79,7 +81,13 @@
             time,
             e -> Logger.error(e, "event=controller_failed loop=control"));
     sink.connect(loop);
-    raft.start(loop::post);
+    raft.start(
+        e -> {
+          loop.post(e);
+          if (e instanceof StorageFailed) {
+            storageLost.run();
+          }
+        });
     network.listen(settings.self().name());
     network.dial(settings.seeds());
     loop.tickEvery(TICK);
@@ -88,11 +96,15 @@
   /**
    * Starts a control member.
    *
+   * @param settings its settings
+   * @param time tells the time
+   * @param storageLost is told, on the storage thread, when the disk takes no more writes: the
+   *     member takes no further part until its process starts again
    * @throws IOException when its data folder is damaged or cannot be written
    */
-  public static ControlNode start(ControlNodeSettings settings, TimeSource time)
-      throws IOException {
-    return new ControlNode(settings, time);
+  public static ControlNode start(
+      ControlNodeSettings settings, TimeSource time, Runnable storageLost) throws IOException {
+    return new ControlNode(settings, time, storageLost);
   }
 
   /** Returns where the leader is asked. */
