--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/AgentNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/AgentNode.java
@@ -80,6 +80,11 @@
     loop.post(event);
   }
 
+  /** Turns to more control members, besides those that are known. */
+  public void dial(List<NodeId> members) {
+    network.dial(members);
+  }
+
   /** Returns the counters of this process. */
   public QueueMetrics metrics() {
     return metrics;
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
@@ -18,6 +18,7 @@
 import org.cassiastack.desk.DeskController;
 import org.cassiastack.desk.LeaderSeen;
 import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.schedule.LeaderController;
@@ -112,6 +113,11 @@
     return port;
   }
 
+  /** Turns to more control members, besides those that are known. */
+  public void dial(List<NodeId> members) {
+    network.dial(members);
+  }
+
   /** Returns the counters of this process. */
   public QueueMetrics metrics() {
     return metrics;
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/EntryNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/EntryNode.java
@@ -71,6 +71,11 @@
     return leader.get() != null;
   }
 
+  /** Turns to more control members, besides those that are known. */
+  public void dial(List<NodeId> members) {
+    network.dial(members);
+  }
+
   /** Returns the counters of this process. */
   public QueueMetrics metrics() {
     return metrics;
