--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
@@ -32,7 +32,6 @@
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
-import org.cassiastack.queue.LedgerBatch;
 import org.cassiastack.queue.LedgerCodec;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.schedule.internal.DispatchTerm;
@@ -141,11 +140,10 @@
   }
 
   private void committed(CommandCommitted c, Instant now, List<Effect> effects) {
-    LedgerBatch batch = codec.decodeBatch(c.command());
-    ledger.apply(batch);
+    ledger.apply(codec.decodeBatch(c.command()));
     DispatchTerm t = term;
     if (t != null) {
-      t.committed(c.proposal(), batch, now);
+      t.committed(c.proposal(), now);
       effects.addAll(t.turn(now));
     }
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -15,7 +15,6 @@
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
-import org.cassiastack.queue.LedgerBatch;
 import org.cassiastack.queue.LedgerCodec;
 import org.cassiastack.queue.LedgerJob;
 import org.cassiastack.runs.AgentLease;
@@ -115,8 +114,8 @@
     return now.isBefore(sureUntil);
   }
 
-  /** Takes note that a batch is committed and applied. */
-  public void committed(UUID proposal, LedgerBatch batch, Instant now) {
+  /** Takes note that a proposal is committed, and applied to the ledger. */
+  public void committed(UUID proposal, Instant now) {
     commits.committed(proposal, now);
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -3,7 +3,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -16,7 +15,6 @@
 import org.cassiastack.runs.EndedRun;
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.runs.RunId;
-import org.cassiastack.runs.RunningRun;
 import org.cassiastack.schedule.ScheduleSettings;
 import org.jspecify.annotations.Nullable;
 
@@ -139,32 +137,21 @@
   private void takeLists(WorkerState w, AgentReport r, Instant now) {
     Set<RunId> listed = new HashSet<>();
     List<EndedRun> ends = new ArrayList<>();
-    Map<RunId, Integer> running = new HashMap<>();
-    for (RunningRun x : r.running()) {
-      running.put(x.run(), x.percent());
-      listed.add(x.run());
-    }
+    r.running().forEach(x -> listed.add(x.run()));
     listed.addAll(r.unresolved());
     for (EndedRun e : r.ended()) {
       if (e.sequence() > w.endsThrough) {
         ends.add(e);
       }
       listed.remove(e.run());
-      running.remove(e.run());
     }
     for (EndedRun e : ends) {
       w.endsThrough = Math.max(w.endsThrough, e.sequence());
       listener.ended(w, w.remove(e.run()), e, now);
     }
     for (RunId id : listed) {
-      Run run = w.runs.get(id);
-      if (run == null) {
-        run = listener.found(w, id, now);
-        w.add(run);
-      }
-      Integer percent = running.get(id);
-      if (percent != null) {
-        listener.atWork(w, run, percent, now);
+      if (!w.runs.containsKey(id)) {
+        w.add(listener.found(w, id, now));
       }
     }
     for (Run run : List.copyOf(w.runs.values())) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
@@ -1,10 +1,9 @@
 package org.cassiastack.schedule.internal;
 
 import java.time.Instant;
-import java.util.Collection;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.queue.LedgerJob;
@@ -30,10 +29,6 @@
     return jobs.get(id);
   }
 
-  Collection<LiveJob> jobs() {
-    return jobs.values();
-  }
-
   /** Returns the step that a task belongs to while its job is live, or null. */
   @Nullable LiveStep stepOf(TaskName task) {
     LiveJob job = jobs.get(task.job());
@@ -122,8 +117,8 @@
     return sum;
   }
 
-  /** Tells which jobs nobody waits for any more. */
-  Iterator<LiveJob> abandoned(Instant now) {
-    return jobs.values().stream().filter(j -> now.isAfter(j.abandonedAt)).toList().iterator();
+  /** Returns the jobs that nobody waits for any more. */
+  List<LiveJob> abandoned(Instant now) {
+    return jobs.values().stream().filter(j -> now.isAfter(j.abandonedAt)).toList();
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -253,8 +252,7 @@
   /** Gives up the jobs that nobody waits for any more. */
   void tick(Instant now) {
     recent.forget(now);
-    for (Iterator<LiveJob> i = board.abandoned(now); i.hasNext(); ) {
-      LiveJob job = i.next();
+    for (LiveJob job : board.abandoned(now)) {
       drop(job.job.id());
       callers.remove(job.job.id());
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
@@ -24,9 +24,6 @@
   /** When it was ordered, or found at work. */
   final Instant orderedAt;
 
-  /** Share of its work that is done, as last reported. */
-  int percent;
-
   Instant stopSentAt = Instant.MIN;
 
   Run(RunId id, @Nullable LiveStep step, Resources need, long order, Instant orderedAt) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunListener.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunListener.java
@@ -7,9 +7,6 @@
 
 /** Is told what the agents' reports say of runs. */
 interface RunListener {
-  /** A run is at work. */
-  void atWork(WorkerState worker, Run run, int percent, Instant now);
-
   /**
    * A run has ended; each end is told once in the life of a minion.
    *
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
@@ -31,11 +31,6 @@
     this.ends = ends;
   }
 
-  @Override
-  public void atWork(WorkerState w, Run run, int percent, Instant now) {
-    run.percent = percent;
-  }
-
   @Override
   public void ended(WorkerState w, @Nullable Run run, EndedRun end, Instant now) {
     if (end.how() != RunEnd.DONE) {
@@ -92,8 +87,7 @@
     int index = id.task().index();
     if (step == null || step.isDone(index) || step.isAssigned(index)) {
       Resources need = step == null ? Resources.NONE : step.spec.need();
-      Run orphan = new Run(id, null, need, 0, now);
-      return orphan;
+      return new Run(id, null, need, 0, now);
     }
     step.adopt(index, id.number());
     board.ready.removeIfEmpty(step);
@@ -101,7 +95,7 @@
     return new Run(id, step, step.spec.need(), 0, now);
   }
 
-  /** Orders the runs of a job to be stopped; nobody waits for them any more. */
+  /** Gives up the runs of a job; they are stopped with the next tick. */
   void stopRunsOf(LiveJob job, WorkerState w) {
     for (Run r : w.runs.values()) {
       LiveStep step = r.step;
