One loop for the three nodes of the durable queues

Control members, entries and agents each had loop, network, log of decisions and counters, and carried out messages, decisions and leader changes in the same lines; NodeLoop does that once. The bound on log lines stood in DecisionLog and in AnswerRecorder; LineLimiter serves both, so that lines of refused requests that are not written are named by the next one too. DeskPort takes the number of its first call from Incarnation. Behaviour is otherwise the same.

--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/AgentNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/AgentNode.java
@@ -7,15 +7,9 @@
 import org.cassiastack.agent.CallHold;
 import org.cassiastack.agent.CallStart;
 import org.cassiastack.agent.CallStop;
-import org.cassiastack.controller.ControllerLoop;
 import org.cassiastack.controller.Effect;
-import org.cassiastack.controller.Event;
 import org.cassiastack.controller.TimeSource;
-import org.cassiastack.decision.Decision;
-import org.cassiastack.desk.LeaderSeen;
 import org.cassiastack.model.NodeId;
-import org.cassiastack.protocol.Send;
-import org.tinylog.Logger;
 
 /**
  * A process beside one minion, which it runs for the leader.
@@ -26,10 +20,7 @@
   /** How finely leases and retries are kept. */
   private static final Duration TICK = Duration.ofMillis(25);
 
-  private final QueueMetrics metrics = QueueMetrics.create();
-  private final DecisionLog decisions;
-  private final MemberNetwork network;
-  private final ControllerLoop loop;
+  private final NodeLoop loop;
   private final MinionPort minion;
 
   private AgentNode(
@@ -40,19 +31,9 @@
       MinionPort minion,
       TimeSource time) {
     this.minion = minion;
-    decisions = new DecisionLog(time, metrics);
-    EventSink sink = new EventSink();
-    network = MemberNetwork.create(self, settings.incarnation(), memberPort, sink::post);
-    loop =
-        ControllerLoop.start(
-            "agent",
-            List.of(AgentController.create(settings)),
-            this::carryOut,
-            time,
-            e -> Logger.error(e, "event=controller_failed loop=agent"));
-    sink.connect(loop);
-    network.dial(seeds);
-    loop.tickEvery(TICK);
+    loop = NodeLoop.create(self, settings.incarnation(), memberPort, time);
+    loop.start("agent", List.of(AgentController.create(settings)), this::carryOut, TICK);
+    loop.dial(seeds);
   }
 
   /**
@@ -75,41 +56,23 @@
     return new AgentNode(self, settings, seeds, memberPort, minion, time);
   }
 
-  /** Takes what the minion says of itself. */
-  public void post(Event event) {
-    loop.post(event);
-  }
-
-  /** Turns to more control members, besides those that are known. */
-  public void dial(List<NodeId> members) {
-    network.dial(members);
-  }
-
-  /** Returns the counters of this process. */
-  public QueueMetrics metrics() {
-    return metrics;
+  /** Returns what all kinds of nodes have; it also takes what the minion says of itself. */
+  public NodeLoop loop() {
+    return loop;
   }
 
   @Override
   public void close() {
-    network.close();
     loop.close();
   }
 
   private void carryOut(Effect effect) {
-    if (effect instanceof Send s) {
-      network.send(s.to(), s.message());
-    } else if (effect instanceof CallStart c) {
+    if (effect instanceof CallStart c) {
       minion.start(c).subscribe(loop::post);
     } else if (effect instanceof CallHold c) {
       minion.hold(c).subscribe(loop::post);
     } else if (effect instanceof CallStop c) {
       minion.stop(c).subscribe(loop::post);
-    } else if (effect instanceof Decision d) {
-      decisions.write(d);
-    } else if (effect instanceof LeaderSeen l) {
-      network.dial(l.members());
-      Logger.info("event=leader_seen leader={} members={}", l.leader(), l.members());
     }
   }
 }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
@@ -9,21 +9,15 @@
 import org.cassiastack.consensus.Persist;
 import org.cassiastack.consensus.RaftSettings;
 import org.cassiastack.consensus.StorageFailed;
-import org.cassiastack.controller.ControllerLoop;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.daemon.control.RaftDriver;
-import org.cassiastack.decision.Decision;
 import org.cassiastack.desk.DeskAnswered;
 import org.cassiastack.desk.DeskController;
-import org.cassiastack.desk.LeaderSeen;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.NodeId;
-import org.cassiastack.protocol.Received;
-import org.cassiastack.protocol.Send;
 import org.cassiastack.schedule.LeaderController;
 import org.cassiastack.transport.codec.MessagePackLedgerCodec;
-import org.tinylog.Logger;
 
 /**
  * A control member: it keeps the ledger on its disk, and may lead.
@@ -49,39 +43,24 @@
   /** Entries between snapshots; at a kilobyte an entry the log stays under a tenth of the disk. */
   private static final long SNAPSHOT_ENTRIES = 4_096;
 
-  private final ControlNodeSettings settings;
+  private final NodeLoop loop;
   private final RaftDriver raft;
   private final DeskPort port;
-  private final QueueMetrics metrics = QueueMetrics.create();
-  private final DecisionLog decisions;
-  private final MemberNetwork network;
-  private final ControllerLoop loop;
 
   private ControlNode(ControlNodeSettings settings, TimeSource time, Runnable storageLost)
       throws IOException {
-    this.settings = settings;
-    this.raft =
-        RaftDriver.open(settings.data(), settings.self(), raftSettings(), new SecureRandom());
-    decisions = new DecisionLog(time, metrics);
-    EventSink sink = new EventSink();
-    port = new DeskPort(time, sink);
-    network =
-        MemberNetwork.create(
-            settings.self(), Incarnation.startedAt(time.now()), settings.memberPort(), sink::post);
+    NodeId self = settings.self();
+    raft = RaftDriver.open(settings.data(), self, raftSettings(settings), new SecureRandom());
+    loop = NodeLoop.create(self, Incarnation.startedAt(time.now()), settings.memberPort(), time);
+    port = new DeskPort(time, loop::post);
     LeaderController leader =
         LeaderController.create(
-            settings.self(),
-            settings.schedule(),
-            MessagePackLedgerCodec.create(),
-            UUID::randomUUID);
-    loop =
-        ControllerLoop.start(
-            "control",
-            List.of(raft.controller(), leader, DeskController.create()),
-            this::carryOut,
-            time,
-            e -> Logger.error(e, "event=controller_failed loop=control"));
-    sink.connect(loop);
+            self, settings.schedule(), MessagePackLedgerCodec.create(), UUID::randomUUID);
+    loop.start(
+        "control",
+        List.of(raft.controller(), leader, DeskController.create()),
+        this::carryOut,
+        TICK);
     raft.start(
         e -> {
           loop.post(e);
@@ -89,9 +68,8 @@
             storageLost.run();
           }
         });
-    network.listen(settings.self().name());
-    network.dial(settings.seeds());
-    loop.tickEvery(TICK);
+    loop.listen();
+    loop.dial(settings.seeds());
   }
 
   /**
@@ -113,24 +91,18 @@
     return port;
   }
 
-  /** Turns to more control members, besides those that are known. */
-  public void dial(List<NodeId> members) {
-    network.dial(members);
-  }
-
-  /** Returns the counters of this process. */
-  public QueueMetrics metrics() {
-    return metrics;
+  /** Returns what all kinds of nodes have. */
+  public NodeLoop loop() {
+    return loop;
   }
 
   @Override
   public void close() {
-    network.close();
     loop.close();
     raft.close();
   }
 
-  private RaftSettings raftSettings() {
+  private static RaftSettings raftSettings(ControlNodeSettings settings) {
     JoinPolicy joining =
         JoinPolicy.anyNode(settings.firstStart(), 2 * settings.tolerated() + 1, VOTER_SILENCE);
     return new RaftSettings(
@@ -144,25 +116,10 @@
   }
 
   private void carryOut(Effect effect) {
-    if (effect instanceof Send s) {
-      send(s);
-    } else if (effect instanceof Persist p) {
+    if (effect instanceof Persist p) {
       raft.persist(p);
     } else if (effect instanceof DeskAnswered a) {
       port.answered(a);
-    } else if (effect instanceof Decision d) {
-      decisions.write(d);
-    } else if (effect instanceof LeaderSeen l) {
-      network.dial(l.members());
-      Logger.info("event=leader_seen leader={} members={}", l.leader(), l.members());
-    }
-  }
-
-  private void send(Send s) {
-    if (s.to().equals(settings.self())) {
-      loop.post(new Received(s.to(), s.message()));
-    } else {
-      network.send(s.to(), s.message());
     }
   }
 }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/DeskPort.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/DeskPort.java
@@ -1,12 +1,13 @@
 package org.cassiastack.daemon.queue;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.LongFunction;
+import org.cassiastack.controller.Event;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.desk.DeskAnswer;
 import org.cassiastack.desk.DeskAnswered;
@@ -15,6 +16,7 @@
 import org.cassiastack.desk.DeskCode;
 import org.cassiastack.desk.DeskFilter;
 import org.cassiastack.desk.LeaderRequest;
+import org.cassiastack.model.Incarnation;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
@@ -29,16 +31,15 @@
  */
 public final class DeskPort {
   private final TimeSource time;
-  private final EventSink events;
+  private final Consumer<Event> events;
   private final AtomicLong calls = new AtomicLong();
   private final Map<Long, MonoSink<DeskAnswer>> waiting = new ConcurrentHashMap<>();
 
-  DeskPort(TimeSource time, EventSink events) {
+  DeskPort(TimeSource time, Consumer<Event> events) {
     this.time = time;
     this.events = events;
     // Calls of an earlier life of this process must not be taken for calls of this one.
-    Instant start = time.now();
-    calls.set(start.getEpochSecond() * 1_000_000 + start.getNano() / 1_000);
+    calls.set(Incarnation.startedAt(time.now()).value());
   }
 
   /**
@@ -53,7 +54,7 @@
         sink -> {
           long call = calls.incrementAndGet();
           waiting.put(call, sink);
-          events.post(new DeskCall(request.apply(call), time.now().plus(patience)));
+          events.accept(new DeskCall(request.apply(call), time.now().plus(patience)));
         });
   }
 
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
@@ -78,8 +78,7 @@
     decisions.labelValues(event, outcome).inc();
   }
 
-  /** Counts a log line that was not written. */
-  public void lineDropped(String event) {
+  void lineDropped(String event) {
     droppedLines.labelValues(event).inc();
   }
 }
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/QueueMetricsTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/QueueMetricsTest.java
@@ -41,7 +41,7 @@
 
   @Test
   void counts_decisions_whose_lines_are_too_many_to_be_written() {
-    DecisionLog log = new DecisionLog(TimeSource.system(), metrics);
+    DecisionLog log = new DecisionLog(LineLimiter.create(TimeSource.system(), metrics), metrics);
 
     for (int i = 0; i < 2_000; i++) {
       log.write(Decision.of("run_gone", i, "not_there", ""));
