One filter chain for both front ends

DeskChain and DeskFilter were FilterChain and RequestFilter with other types; the two now take the types of request and answer as parameters, and serve both.

--- a/cassiastack-core/src/main/java/org/cassiastack/desk/DeskFilters.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/DeskFilters.java
@@ -1,6 +1,7 @@
 package org.cassiastack.desk;
 
 import java.util.function.BooleanSupplier;
+import org.cassiastack.filter.RequestFilter;
 import reactor.core.publisher.Mono;
 
 /**
@@ -12,7 +13,7 @@
   private DeskFilters() {}
 
   /** Refuses every request while a condition holds; none of them has any effect. */
-  public static DeskFilter refuseWhile(BooleanSupplier condition) {
+  public static RequestFilter<CallerRequest, DeskAnswer> refuseWhile(BooleanSupplier condition) {
     return (request, now, next) ->
         condition.getAsBoolean()
             ? Mono.just(DeskAnswer.of(DeskCode.NO_LEADER))
@@ -20,7 +21,7 @@
   }
 
   /** Refuses requests whose callers have no time left to wait for an answer. */
-  public static DeskFilter refuseLate() {
+  public static RequestFilter<CallerRequest, DeskAnswer> refuseLate() {
     return (request, now, next) ->
         request.patience().isNegative() || request.patience().isZero()
             ? Mono.just(DeskAnswer.of(DeskCode.TOO_LATE))
--- a/cassiastack-core/src/main/java/org/cassiastack/filter/Filters.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/Filters.java
@@ -7,6 +7,7 @@
 import org.cassiastack.filter.internal.CustomerFilter;
 import org.cassiastack.filter.internal.ServiceFilter;
 import org.cassiastack.filter.internal.TaskCountFilter;
+import org.cassiastack.model.JobAnswer;
 
 /**
  * The filters that the library brings.
@@ -17,22 +18,22 @@
   private Filters() {}
 
   /** Refuses every request while the process is stopping. */
-  public static RequestFilter admission(BooleanSupplier stopping) {
+  public static RequestFilter<Request, JobAnswer> admission(BooleanSupplier stopping) {
     return new AdmissionFilter(stopping);
   }
 
   /** Refuses jobs with too few or too many tasks. */
-  public static RequestFilter taskCount() {
+  public static RequestFilter<Request, JobAnswer> taskCount() {
     return new TaskCountFilter();
   }
 
   /** Refuses customers that the configuration in force does not declare. */
-  public static RequestFilter customer(Supplier<Configuration> inForce) {
+  public static RequestFilter<Request, JobAnswer> customer(Supplier<Configuration> inForce) {
     return new CustomerFilter(inForce);
   }
 
   /** Refuses services that the configuration in force does not declare. */
-  public static RequestFilter service(Supplier<Configuration> inForce) {
+  public static RequestFilter<Request, JobAnswer> service(Supplier<Configuration> inForce) {
     return new ServiceFilter(inForce);
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/filter/RequestFilter.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/RequestFilter.java
@@ -1,21 +1,22 @@
 package org.cassiastack.filter;
 
 import java.time.Instant;
-import org.cassiastack.model.JobAnswer;
 import reactor.core.publisher.Mono;
 
 /**
  * One step that each request passes. A filter answers by itself, or hands the request on:
  *
  * <pre>{@code
- * RequestFilter refuseAll = (request, now, next) -> Mono.just(refusal);
- * RequestFilter passAll = (request, now, next) -> next.proceed(request, now);
+ * RequestFilter<Request, JobAnswer> refuseAll = (request, now, next) -> Mono.just(refusal);
+ * RequestFilter<Request, JobAnswer> passAll = (request, now, next) -> next.proceed(request, now);
  * }</pre>
  *
+ * @param <Q> the requests
+ * @param <A> the answers
  * @since 0.1
  */
 @FunctionalInterface
-public interface RequestFilter {
+public interface RequestFilter<Q, A> {
   /**
    * Decides on a request.
    *
@@ -24,5 +25,5 @@
    * @param next the rest of the chain
    * @return the whole answer, exactly once
    */
-  Mono<JobAnswer> filter(Request request, Instant now, FilterChain next);
+  Mono<A> filter(Q request, Instant now, FilterChain<Q, A> next);
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/filter/internal/AdmissionFilter.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/AdmissionFilter.java
@@ -10,7 +10,7 @@
 import reactor.core.publisher.Mono;
 
 /** Refuses every request while the process is stopping. */
-public final class AdmissionFilter implements RequestFilter {
+public final class AdmissionFilter implements RequestFilter<Request, JobAnswer> {
   private final BooleanSupplier stopping;
 
   /** Makes the filter. */
@@ -19,7 +19,8 @@
   }
 
   @Override
-  public Mono<JobAnswer> filter(Request request, Instant now, FilterChain next) {
+  public Mono<JobAnswer> filter(
+      Request request, Instant now, FilterChain<Request, JobAnswer> next) {
     if (stopping.getAsBoolean()) {
       return next.proceed(request.refusedAs(Refusals.stopping()), now);
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/filter/internal/CustomerFilter.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/CustomerFilter.java
@@ -11,7 +11,7 @@
 import reactor.core.publisher.Mono;
 
 /** Refuses customers that are not declared. */
-public final class CustomerFilter implements RequestFilter {
+public final class CustomerFilter implements RequestFilter<Request, JobAnswer> {
   private final Supplier<Configuration> inForce;
 
   /** Makes the filter. */
@@ -20,7 +20,8 @@
   }
 
   @Override
-  public Mono<JobAnswer> filter(Request request, Instant now, FilterChain next) {
+  public Mono<JobAnswer> filter(
+      Request request, Instant now, FilterChain<Request, JobAnswer> next) {
     if (!inForce.get().customers().containsKey(request.job().customer())) {
       return next.proceed(
           request.refusedAs(Refusals.unknownCustomer(request.job().customer())), now);
--- a/cassiastack-core/src/main/java/org/cassiastack/filter/internal/ServiceFilter.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/ServiceFilter.java
@@ -11,7 +11,7 @@
 import reactor.core.publisher.Mono;
 
 /** Refuses services that are not declared. */
-public final class ServiceFilter implements RequestFilter {
+public final class ServiceFilter implements RequestFilter<Request, JobAnswer> {
   private final Supplier<Configuration> inForce;
 
   /** Makes the filter. */
@@ -20,7 +20,8 @@
   }
 
   @Override
-  public Mono<JobAnswer> filter(Request request, Instant now, FilterChain next) {
+  public Mono<JobAnswer> filter(
+      Request request, Instant now, FilterChain<Request, JobAnswer> next) {
     if (!inForce.get().services().containsKey(request.job().service())) {
       return next.proceed(request.refusedAs(Refusals.unknownService(request.job().service())), now);
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/filter/internal/TaskCountFilter.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/filter/internal/TaskCountFilter.java
@@ -10,9 +10,10 @@
 import reactor.core.publisher.Mono;
 
 /** Refuses jobs with too few or too many tasks. */
-public final class TaskCountFilter implements RequestFilter {
+public final class TaskCountFilter implements RequestFilter<Request, JobAnswer> {
   @Override
-  public Mono<JobAnswer> filter(Request request, Instant now, FilterChain next) {
+  public Mono<JobAnswer> filter(
+      Request request, Instant now, FilterChain<Request, JobAnswer> next) {
     Job job = request.job();
     int count = job.tasks().size();
     if (count < 1 || count > Job.MAX_TASKS) {
--- a/cassiastack-core/src/test/java/org/cassiastack/desk/DeskFiltersTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/desk/DeskFiltersTest.java
@@ -5,24 +5,27 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import org.cassiastack.filter.FilterChain;
 import org.junit.jupiter.api.Test;
 import reactor.core.publisher.Mono;
 
 class DeskFiltersTest {
   private static final Instant NOW = Instant.parse("2026-12-04T08:00:00Z");
-  private static final DeskChain LEADER =
+  private static final FilterChain<CallerRequest, DeskAnswer> LEADER =
       (request, now) -> Mono.just(DeskAnswer.of(DeskCode.ACCEPTED));
 
   @Test
   void refuses_every_request_while_the_process_ends() {
-    DeskChain chain = DeskChain.of(List.of(DeskFilters.refuseWhile(() -> true)), LEADER);
+    FilterChain<CallerRequest, DeskAnswer> chain =
+        FilterChain.of(List.of(DeskFilters.refuseWhile(() -> true)), LEADER);
 
     assertThat(code(chain, Duration.ofSeconds(1))).isEqualTo(DeskCode.NO_LEADER);
   }
 
   @Test
   void refuses_a_request_whose_caller_has_no_time_left() {
-    DeskChain chain = DeskChain.of(List.of(DeskFilters.refuseLate()), LEADER);
+    FilterChain<CallerRequest, DeskAnswer> chain =
+        FilterChain.of(List.of(DeskFilters.refuseLate()), LEADER);
 
     assertThat(code(chain, Duration.ZERO)).isEqualTo(DeskCode.TOO_LATE);
     assertThat(code(chain, Duration.ofMillis(-5))).isEqualTo(DeskCode.TOO_LATE);
@@ -30,14 +33,14 @@
 
   @Test
   void hands_other_requests_on_to_the_leader() {
-    DeskChain chain =
-        DeskChain.of(
+    FilterChain<CallerRequest, DeskAnswer> chain =
+        FilterChain.of(
             List.of(DeskFilters.refuseWhile(() -> false), DeskFilters.refuseLate()), LEADER);
 
     assertThat(code(chain, Duration.ofSeconds(1))).isEqualTo(DeskCode.ACCEPTED);
   }
 
-  private static DeskCode code(DeskChain chain, Duration patience) {
+  private static DeskCode code(FilterChain<CallerRequest, DeskAnswer> chain, Duration patience) {
     QueueAddress address = new QueueAddress("h", "/p/1");
     CallerRequest request =
         new CallerRequest(
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/Entry.java
@@ -16,9 +16,11 @@
 import org.cassiastack.daemon.settings.EntrySettings;
 import org.cassiastack.filter.FilterChain;
 import org.cassiastack.filter.Filters;
+import org.cassiastack.filter.Request;
 import org.cassiastack.membership.MinionsChanged;
 import org.cassiastack.model.CassiaException;
 import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.JobAnswer;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Revision;
 import org.cassiastack.protocol.Hello;
@@ -76,7 +78,7 @@
     coordinator = CoordinatorPlane.create(settings, this::carryOut, time);
     control = ControlPlane.create(settings, this::carryOut, time);
     metrics.waitingCallers(coordinator.desk()::waiting);
-    FilterChain chain =
+    FilterChain<Request, JobAnswer> chain =
         FilterChain.of(
             List.of(
                 metrics.requests(time),
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/metrics/DaemonMetrics.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/metrics/DaemonMetrics.java
@@ -106,7 +106,7 @@
   }
 
   /** Returns the filter that counts and times every submission. */
-  public RequestFilter requests(TimeSource time) {
+  public RequestFilter<Request, JobAnswer> requests(TimeSource time) {
     return (request, now, next) -> count(request, now, next, time);
   }
 
@@ -139,7 +139,8 @@
     return out.toString(StandardCharsets.UTF_8);
   }
 
-  private Mono<JobAnswer> count(Request request, Instant now, FilterChain next, TimeSource time) {
+  private Mono<JobAnswer> count(
+      Request request, Instant now, FilterChain<Request, JobAnswer> next, TimeSource time) {
     return next.proceed(request, now)
         .doOnNext(
             answer -> {
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/DeskPort.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/DeskPort.java
@@ -9,13 +9,14 @@
 import java.util.function.LongFunction;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.TimeSource;
+import org.cassiastack.desk.CallerRequest;
 import org.cassiastack.desk.DeskAnswer;
 import org.cassiastack.desk.DeskAnswered;
 import org.cassiastack.desk.DeskCall;
-import org.cassiastack.desk.DeskChain;
 import org.cassiastack.desk.DeskCode;
-import org.cassiastack.desk.DeskFilter;
 import org.cassiastack.desk.LeaderRequest;
+import org.cassiastack.filter.FilterChain;
+import org.cassiastack.filter.RequestFilter;
 import org.cassiastack.model.Incarnation;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
@@ -59,8 +60,9 @@
   }
 
   /** Returns the chain that a caller's request passes on its way to the leader. */
-  public DeskChain chain(List<DeskFilter> filters) {
-    return DeskChain.of(filters, (r, now) -> ask(r.request(), r.patience()));
+  public FilterChain<CallerRequest, DeskAnswer> chain(
+      List<RequestFilter<CallerRequest, DeskAnswer>> filters) {
+    return FilterChain.of(filters, (r, now) -> ask(r.request(), r.patience()));
   }
 
   /** Returns the number of requests without an answer. */
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/metrics/DaemonMetricsTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/metrics/DaemonMetricsTest.java
@@ -52,7 +52,8 @@
 
   @Test
   void counts_a_refusal_under_its_number() {
-    FilterChain chain = chain(JobAnswer.failed(job().key(), Refusals.stopping()));
+    FilterChain<Request, JobAnswer> chain =
+        chain(JobAnswer.failed(job().key(), Refusals.stopping()));
 
     chain.proceed(Request.of(job()), NOW).block();
 
@@ -61,7 +62,7 @@
 
   @Test
   void measures_the_time_from_arrival_to_answer() {
-    FilterChain chain = chain(JobAnswer.complete(job().key(), List.of()));
+    FilterChain<Request, JobAnswer> chain = chain(JobAnswer.complete(job().key(), List.of()));
 
     chain.proceed(Request.of(job()), NOW).block();
 
@@ -82,7 +83,7 @@
         .contains("cassia_messages_sent_total{type=\"TaskNotStarted\"} 1.0");
   }
 
-  private FilterChain chain(JobAnswer answer) {
+  private FilterChain<Request, JobAnswer> chain(JobAnswer answer) {
     Instant end = NOW.plusSeconds(2);
     return FilterChain.of(
         List.of(metrics.requests(() -> end)), (request, now) -> Mono.just(answer));
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/http/CallerApi.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/http/CallerApi.java
@@ -47,11 +47,11 @@
 
   private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(60);
 
-  private final FilterChain chain;
+  private final FilterChain<Request, JobAnswer> chain;
   private final JobDesk desk;
   private final TimeSource time;
 
-  private CallerApi(FilterChain chain, JobDesk desk, TimeSource time) {
+  private CallerApi(FilterChain<Request, JobAnswer> chain, JobDesk desk, TimeSource time) {
     this.chain = chain;
     this.desk = desk;
     this.time = time;
@@ -66,7 +66,10 @@
    * @param time tells the time at which a request arrived
    */
   public static DisposableServer serve(
-      InetSocketAddress address, FilterChain chain, JobDesk desk, TimeSource time) {
+      InetSocketAddress address,
+      FilterChain<Request, JobAnswer> chain,
+      JobDesk desk,
+      TimeSource time) {
     CallerApi api = new CallerApi(chain, desk, time);
     return HttpServer.create()
         .bindAddress(() -> address)
