Leader: each job is planned once, queues are looked up by name, dead state goes

- a submitted job was built twice, for admission and for the board;
- the queue of each ready step was searched through all queues in every turn; the ledger keeps them by name, and QueueConfiguration.named, which only tests called then, goes;
- JobEnds has one method, so that EndListener, which only deferred it, goes; giving up a job's runs is the fleet's;
- the clock rate of minions stood in two classes;
- PendingStart.calledAt was written and never read.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -137,7 +137,7 @@
       return false;
     }
     long deadline = deadline(leaseUntil, now);
-    starts.put(order.run(), new PendingStart(order, deadline, now));
+    starts.put(order.run(), new PendingStart(order, deadline));
     effects.add(new CallStart(p.life(), order, fence, deadline));
     return true;
   }
@@ -169,9 +169,7 @@
     }
     s.calling = false;
     s.shownByHold = holds + 1;
-    if (s.revoked) {
-      s.doubtful = true;
-    } else if (a.outcome() == StartAnswered.Outcome.UNANSWERED) {
+    if (s.revoked || a.outcome() == StartAnswered.Outcome.UNANSWERED) {
       s.doubtful = true;
     } else if (a.outcome() == StartAnswered.Outcome.REFUSED && !s.doubtful) {
       starts.remove(a.run());
@@ -256,7 +254,6 @@
       } else if (!s.calling && s.doubtful && s.calls < MOST_CALLS && now.isBefore(leaseUntil)) {
         s.calling = true;
         s.calls++;
-        s.calledAt = now;
         effects.add(new CallStart(p.life(), s.order, fence, s.deadlineMillis));
       }
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStart.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStart.java
@@ -1,6 +1,5 @@
 package org.cassiastack.agent;
 
-import java.time.Instant;
 import org.cassiastack.runs.StartOrder;
 
 /** A start that the minion's lists do not show yet. */
@@ -15,7 +14,6 @@
   boolean doubtful;
 
   int calls = 1;
-  Instant calledAt;
 
   /**
    * Whether the minion has begun a new life since the order, so that a stop has to keep the start
@@ -26,10 +24,9 @@
   /** The first hold whose lists show what became of it. */
   long shownByHold = Long.MAX_VALUE;
 
-  PendingStart(StartOrder order, long deadlineMillis, Instant calledAt) {
+  PendingStart(StartOrder order, long deadlineMillis) {
     this.order = order;
     this.deadlineMillis = deadlineMillis;
-    this.calledAt = calledAt;
   }
 
   /** Tells whether lists that do not have the run prove that it is not there and never will be. */
--- a/cassiastack-core/src/main/java/org/cassiastack/queue/JobLedger.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/JobLedger.java
@@ -45,6 +45,9 @@
   private long generation;
   private @Nullable QueueConfiguration configuration;
 
+  /** Queues of the configuration by name; the leader looks them up for each step that it places. */
+  private final Map<String, Queue> declared = new LinkedHashMap<>();
+
   /** Queues that are no longer declared, while jobs of theirs are live. */
   private final Map<String, Queue> retired = new LinkedHashMap<>();
 
@@ -107,7 +110,7 @@
   public void restore(LedgerSnapshot s) {
     at = s.at();
     generation = s.generation();
-    configuration = s.configuration();
+    declare(s.configuration());
     retired.clear();
     s.retiredQueues().forEach(q -> retired.put(q.name(), q));
     domainsOut.clear();
@@ -132,14 +135,13 @@
 
   /** Returns the queue of a live job, as declared now or, if it was removed, as declared last. */
   public Queue queueOf(LedgerJob job) {
-    Queue declared = declared(job.queue());
-    return Objects.requireNonNull(declared == null ? retired.get(job.queue()) : declared);
+    Queue now = declared.get(job.queue());
+    return Objects.requireNonNull(now == null ? retired.get(job.queue()) : now);
   }
 
   /** Returns the service that a queue is sent to now. */
   public ServiceName serviceOf(Queue queue) {
-    Queue declared = declared(queue.name());
-    return declared == null ? queue.service() : declared.service();
+    return declared.getOrDefault(queue.name(), queue).service();
   }
 
   /** Returns the version in force, or -1 before the first. */
@@ -181,18 +183,20 @@
   private void configure(QueueConfiguration next) {
     Set<String> used = new HashSet<>();
     live.values().forEach(j -> used.add(j.queue()));
-    if (configuration != null) {
-      // Also kept while unused: a job of such a queue may be behind this change in the log.
-      configuration.queues().forEach(q -> used.add(q.name()));
-      configuration.queues().forEach(q -> retired.put(q.name(), q));
-    }
-    next.queues().forEach(q -> retired.remove(q.name()));
+    // Also kept while unused: a job of such a queue may be behind this change in the log.
+    used.addAll(declared.keySet());
+    retired.putAll(declared);
+    declare(next);
+    retired.keySet().removeAll(declared.keySet());
     retired.keySet().retainAll(used);
-    configuration = next;
   }
 
-  private @Nullable Queue declared(String name) {
-    return configuration == null ? null : configuration.named(name);
+  private void declare(@Nullable QueueConfiguration next) {
+    configuration = next;
+    declared.clear();
+    if (next != null) {
+      next.queues().forEach(q -> declared.put(q.name(), q));
+    }
   }
 
   private void taskEnded(LedgerBatch.TaskEnd e) {
--- a/cassiastack-core/src/main/java/org/cassiastack/queue/QueueConfiguration.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/QueueConfiguration.java
@@ -33,9 +33,4 @@
     }
     return best;
   }
-
-  /** Returns the queue of a name, or null. */
-  public @Nullable Queue named(String name) {
-    return queues.stream().filter(q -> q.name().equals(name)).findFirst().orElse(null);
-  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/ScheduleSettings.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/ScheduleSettings.java
@@ -1,6 +1,7 @@
 package org.cassiastack.schedule;
 
 import java.time.Duration;
+import org.cassiastack.runs.MinionClockRate;
 
 /**
  * Settings of the leader's work.
@@ -12,13 +13,10 @@
  * @since 0.2
  */
 public record ScheduleSettings(Duration lease, Duration lapseSlack, Duration retention) {
-  /** Clocks of minions may be this much slow, in hundredths. */
-  private static final int CLOCK_RATE_PERCENT = 2;
-
-  private static final int PERCENT = 100;
-
   /** Returns the time after the last report of an agent at which its runs have surely ended. */
   public Duration lapse() {
-    return lease.plus(lease.multipliedBy(CLOCK_RATE_PERCENT).dividedBy(PERCENT)).plus(lapseSlack);
+    Duration slow =
+        lease.multipliedBy(MinionClockRate.SLOW_PERCENT).dividedBy(MinionClockRate.WHOLE_PERCENT);
+    return lease.plus(slow).plus(lapseSlack);
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -15,6 +15,7 @@
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
+import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.LedgerCodec;
 import org.cassiastack.queue.LedgerJob;
 import org.cassiastack.runs.AgentLease;
@@ -64,8 +65,7 @@
     this.beganAt = now;
     this.commits = new PendingCommits(codec, proposals);
     Consumer<Decision> decisions = d -> effects.add(d);
-    EndListener ends = new EndListener();
-    this.runs = new Runs(board, commits, decisions, ends);
+    this.runs = new Runs(board, commits, decisions, this::jobEnded);
     this.fleet = new Fleet(settings, runs);
     this.intake =
         new JobIntake(
@@ -73,11 +73,9 @@
             board,
             fleet,
             commits,
-            runs,
             decisions,
             (to, m) -> effects.add(new Send(to, m)),
             () -> accounted);
-    ends.connect(intake);
     this.dispatcher = new Dispatcher(board, fleet, ledger, decisions);
   }
 
@@ -176,6 +174,10 @@
     intake.requested(from, request, now);
   }
 
+  private void jobEnded(LiveJob job, JobPhase phase) {
+    intake.ended(job, phase);
+  }
+
   /** Tells whether no run can exist that this leader does not know of. */
   private boolean isAccounted(Instant now) {
     if (accounted) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -113,6 +113,18 @@
     workers.values().forEach(w -> expire(w, now));
   }
 
+  /** Gives up the runs of a job; they are stopped with the next tick. */
+  void giveUpRunsOf(LiveJob job) {
+    for (WorkerState w : workers.values()) {
+      for (Run r : w.runs.values()) {
+        LiveStep step = r.step;
+        if (step != null && step.job == job) {
+          r.step = null;
+        }
+      }
+    }
+  }
+
   /** Forgets an agent that has been silent for long. */
   void forget(NodeId agent) {
     workers.remove(agent);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
@@ -35,21 +35,25 @@
     return job != null && job.has(task) ? job.step(task) : null;
   }
 
-  LiveJob add(QueuedJob spec, Queue queue, Instant now, Instant abandonedAt) {
+  /** Makes a job with its objective and estimates, without adding it. */
+  LiveJob plan(QueuedJob spec, Queue queue, Instant now, Instant abandonedAt) {
     sequence++;
-    LiveJob job = new LiveJob(spec, queue, sequence, estimates, now, abandonedAt);
-    jobs.put(spec.id(), job);
-    unstarted.merge(queue.name(), 1, Integer::sum);
+    return new LiveJob(spec, queue, sequence, estimates, now, abandonedAt);
+  }
+
+  void add(LiveJob job) {
+    jobs.put(job.job.id(), job);
+    unstarted.merge(job.queue.name(), 1, Integer::sum);
     for (LiveStep s : job.steps) {
-      s.lateness = job.lateness(s, now);
+      s.lateness = job.lateness(s, job.receivedAt);
     }
     openSteps(job);
-    return job;
   }
 
   /** Adds a job that an earlier leader has worked on. */
   void restore(LedgerJob kept, Queue queue, Instant now) {
-    LiveJob job = add(kept.job(), queue, now, Instant.MAX);
+    LiveJob job = plan(kept.job(), queue, now, Instant.MAX);
+    add(job);
     for (LiveStep s : job.steps) {
       for (int i = 0; i < s.spec.tasks(); i++) {
         for (long run : kept.failedRuns(s.task(i))) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobEnds.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobEnds.java
@@ -1,10 +1,15 @@
 package org.cassiastack.schedule.internal;
 
+import org.cassiastack.queue.JobPhase;
+
 /** Is told of jobs that have ended by their runs. */
+@FunctionalInterface
 interface JobEnds {
-  /** A task has failed too often. */
-  void failed(LiveJob job);
-
-  /** Every task is done. */
-  void completed(LiveJob job);
+  /**
+   * A job has ended.
+   *
+   * @param job the job
+   * @param phase completed when every task is done, failed when one has failed too often
+   */
+  void ended(LiveJob job, JobPhase phase);
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -29,12 +30,11 @@
 import org.jspecify.annotations.Nullable;
 
 /** Answers what callers and operators ask of the leader, from the ledger where it can. */
-final class JobIntake implements JobEnds {
+final class JobIntake {
   private final JobLedger ledger;
   private final JobBoard board;
   private final Fleet fleet;
   private final PendingCommits commits;
-  private final Runs runs;
   private final Consumer<Decision> decisions;
   private final Replies replies;
   private final BooleanSupplier accounted;
@@ -46,7 +46,6 @@
       JobBoard board,
       Fleet fleet,
       PendingCommits commits,
-      Runs runs,
       Consumer<Decision> decisions,
       Replies replies,
       BooleanSupplier accounted) {
@@ -54,7 +53,6 @@
     this.board = board;
     this.fleet = fleet;
     this.commits = commits;
-    this.runs = runs;
     this.decisions = decisions;
     this.replies = replies;
     this.accounted = accounted;
@@ -94,12 +92,8 @@
       answer(caller, DeskCode.ACCEPTED);
       return;
     }
-    if (board.find(id) != null) {
-      callers.put(id, caller);
-      return;
-    }
-    if (commits.isAccepting(id)) {
-      // The first one is answered once it is stored; this one asks again if that is too late.
+    if (board.find(id) != null || commits.isAccepting(id)) {
+      // Whoever asked last is answered once the job is stored, or has ended.
       callers.put(id, caller);
       return;
     }
@@ -125,22 +119,23 @@
       }
     }
     Duration delay = delay(queue, now);
-    LiveJob asIf = new LiveJob(s.job(), queue, 0, board.estimates(), now, Instant.MAX);
+    boolean kept = s.job().kept();
+    LiveJob job = board.plan(s.job(), queue, now, kept ? Instant.MAX : now.plus(s.patience()));
     String inputs = "queue=" + queue.name() + " version=" + ledger.version() + " delay=" + delay;
-    if (!Admission.isOfUse(asIf, delay, now)) {
+    if (!Admission.isOfUse(job, delay, now)) {
       decide("job_refused", s.job().id(), "overloaded", inputs);
       answer(caller, DeskAnswer.overloaded(Admission.retryAfter(delay)));
       return;
     }
-    decide("job_admitted", s.job().id(), s.job().kept() ? "kept" : "not_kept", inputs);
+    decide("job_admitted", s.job().id(), kept ? "kept" : "not_kept", inputs);
     callers.put(s.job().id(), caller);
-    if (!s.job().kept()) {
-      board.add(s.job(), queue, now, now.plus(s.patience()));
+    if (!kept) {
+      board.add(job);
       return;
     }
     LedgerBatch.Acceptance a =
         new LedgerBatch.Acceptance(s.job(), queue.name(), Math.max(1, queue.mostAttempts()));
-    commits.accept(a, at -> accepted(a, queue, now));
+    commits.accept(a, at -> accepted(job));
   }
 
   /** Returns how long the work in front of a new job takes; nothing while workers are not known. */
@@ -152,10 +147,10 @@
         board.backlog(queue.service(), queue.priority()), fleet.milliCpu(queue.service(), now));
   }
 
-  private void accepted(LedgerBatch.Acceptance a, Queue queue, Instant receivedAt) {
-    QueuedJobId id = a.job().id();
+  private void accepted(LiveJob job) {
+    QueuedJobId id = job.job.id();
     if (ledger.live(id) != null) {
-      board.add(a.job(), queue, receivedAt, Instant.MAX);
+      board.add(job);
     }
     Caller caller = callers.remove(id);
     if (caller != null) {
@@ -219,22 +214,20 @@
     LiveJob job = board.find(id);
     if (job != null) {
       board.remove(job);
-      fleet.workers().forEach(w -> runs.stopRunsOf(job, w));
+      fleet.giveUpRunsOf(job);
     }
   }
 
-  @Override
-  public void failed(LiveJob job) {
-    decide("job_ended", job.job.id(), "failed", "attempts=" + job.queue.mostAttempts());
-    drop(job.job.id());
-    finish(job.job.id(), JobPhase.FAILED);
-  }
-
-  @Override
-  public void completed(LiveJob job) {
-    decide("job_ended", job.job.id(), "completed", "queue=" + job.queue.name());
+  /** Takes a job off the board that has ended by its runs, and answers who waits for it. */
+  void ended(LiveJob job, JobPhase phase) {
+    boolean failed = phase == JobPhase.FAILED;
+    String inputs = failed ? "attempts=" + job.queue.mostAttempts() : "queue=" + job.queue.name();
+    decide("job_ended", job.job.id(), phase.name().toLowerCase(Locale.ROOT), inputs);
     board.remove(job);
-    finish(job.job.id(), JobPhase.COMPLETED);
+    if (failed) {
+      fleet.giveUpRunsOf(job);
+    }
+    finish(job.job.id(), phase);
   }
 
   /** Answers the caller who waits for the end of a job that is not kept. */
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.function.Consumer;
 import org.cassiastack.decision.Decision;
+import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.LedgerBatch;
 import org.cassiastack.queue.Resources;
 import org.cassiastack.queue.TaskName;
@@ -52,7 +53,7 @@
         board.ready.removeIfEmpty(step);
         board.openSteps(step.job);
         if (step.job.isDone()) {
-          ends.completed(step.job);
+          ends.ended(step.job, JobPhase.COMPLETED);
         }
       }
     } else if (end.how() == RunEnd.FAILED) {
@@ -63,7 +64,7 @@
         board.release(step, index);
       }
       if (failures >= step.job.queue.mostAttempts() && !step.isDone(index)) {
-        ends.failed(step.job);
+        ends.ended(step.job, JobPhase.FAILED);
       }
     } else if (own) {
       board.release(step, index);
@@ -95,16 +96,6 @@
     return new Run(id, step, step.spec.need(), 0, now);
   }
 
-  /** Gives up the runs of a job; they are stopped with the next tick. */
-  void stopRunsOf(LiveJob job, WorkerState w) {
-    for (Run r : w.runs.values()) {
-      LiveStep step = r.step;
-      if (step != null && step.job == job) {
-        r.step = null;
-      }
-    }
-  }
-
   /** Orders the runs that nobody waits for to be stopped, and again if they do not end. */
   void stopAgain(WorkerState w, Instant now) {
     if (!w.known) {
--- a/cassiastack-core/src/test/java/org/cassiastack/queue/JobLedgerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/queue/JobLedgerTest.java
@@ -95,7 +95,7 @@
     apply(batch(NOW, configuration(5, "others"), List.of(), List.of(), List.of()));
 
     assertThat(ledger.version()).isEqualTo(7);
-    assertThat(ledger.configuration().named("others")).isNull();
+    assertThat(ledger.configuration().find("ice.example", "/others/1")).isNull();
   }
 
   @Test
@@ -104,7 +104,7 @@
 
     apply(batch(NOW, configuration(7, "others"), List.of(), List.of(), List.of()));
 
-    assertThat(ledger.configuration().named("checks")).isNotNull();
+    assertThat(ledger.configuration().find("ice.example", "/checks/1")).isNotNull();
   }
 
   @Test
