--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/faults/LocalProcesses.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/faults/LocalProcesses.java
@@ -7,8 +7,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import org.cassiastack.bench.local.Daemons;
 import org.cassiastack.bench.minion.Loopback;
 import org.cassiastack.bench.minion.StandInMinion;
 import org.cassiastack.bench.minion.TaskBehavior;
@@ -22,7 +21,6 @@
  * @since 0.1
  */
 public final class LocalProcesses implements AutoCloseable {
-  private static final Pattern ADDRESS = Pattern.compile("(\\w+)=/127\\.0\\.0\\.1:(\\d+)");
   private static final int SLOTS = 4;
 
   private final Path folder;
@@ -51,12 +49,14 @@
   public static LocalProcesses start(Path folder, int agents) throws IOException {
     LocalProcesses all = new LocalProcesses(folder);
     BufferedReader log = all.entry.inputReader();
-    all.readAddresses(log);
+    String started = Daemons.awaitLine(log, "event=entry_started");
+    all.callerPort = Daemons.port(started, "callers");
+    all.peerPort = Daemons.port(started, "peers");
     for (int i = 0; i < agents; i++) {
       all.minions.add(StandInMinion.start(Loopback.port(0), TaskBehavior.namedByInput()));
       all.agents.add(all.launchAgent(i));
     }
-    awaitLine(log, "event=minions_changed available=" + agents);
+    Daemons.awaitLine(log, "event=minions_changed available=" + agents);
     drain(log);
     return all;
   }
@@ -148,40 +148,11 @@
 
   private Process launch(Class<?> main, String name, String settings) throws IOException {
     Path file = Files.writeString(folder.resolve(name + ".ini"), settings);
-    return new ProcessBuilder(
-            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-            "-Xmx256m",
-            "-cp",
-            System.getProperty("java.class.path"),
-            main.getName(),
-            "--settings",
-            file.toString())
+    return new ProcessBuilder(Daemons.command(main, file, List.of("-Xmx256m")))
         .redirectErrorStream(true)
         .start();
   }
 
-  private void readAddresses(BufferedReader log) throws IOException {
-    String line = awaitLine(log, "event=entry_started");
-    Matcher m = ADDRESS.matcher(line);
-    while (m.find()) {
-      int port = Integer.parseInt(m.group(2));
-      if (m.group(1).equals("callers")) {
-        callerPort = port;
-      } else if (m.group(1).equals("peers")) {
-        peerPort = port;
-      }
-    }
-  }
-
-  private static String awaitLine(BufferedReader log, String part) throws IOException {
-    for (String line = log.readLine(); line != null; line = log.readLine()) {
-      if (line.contains(part)) {
-        return line;
-      }
-    }
-    throw new IOException("a process ended before it logged " + part);
-  }
-
   /** A log that nobody reads would fill its pipe and block its process. */
   private static void drain(BufferedReader log) {
     Thread reader = new Thread(() -> log.lines().forEach(line -> {}), "log");
--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/local/ProcessNode.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/local/ProcessNode.java
@@ -4,7 +4,6 @@
 import java.io.UncheckedIOException;
 import java.lang.ProcessBuilder.Redirect;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.cassiastack.model.CassiaException;
@@ -32,11 +31,7 @@
    * @param options options of the Java machine
    */
   static ProcessNode of(Class<?> main, Path settings, List<String> options) {
-    List<String> command = new ArrayList<>();
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(options);
-    command.addAll(List.of("-cp", System.getProperty("java.class.path"), main.getName()));
-    command.addAll(List.of("--settings", settings.toString()));
+    List<String> command = Daemons.command(main, settings, options);
     return new ProcessNode(command, settings.resolveSibling(settings.getFileName() + ".log"));
   }
 
--- a/cassiastack-bench/src/test/java/org/cassiastack/bench/ControlMembersTest.java
+++ b/cassiastack-bench/src/test/java/org/cassiastack/bench/ControlMembersTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.cassiastack.bench.local.Daemons;
 import org.cassiastack.daemon.EntryMain;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -56,18 +57,18 @@
   @Test
   void an_accepted_configuration_survives_the_kill_of_one_member_and_of_all() throws Exception {
     for (BufferedReader log : startAll()) {
-      awaitLine(log, IN_FORCE);
+      Daemons.awaitLine(log, IN_FORCE);
     }
 
     kill(0);
-    awaitLine(start(0), IN_FORCE);
+    Daemons.awaitLine(start(0), IN_FORCE);
     for (int i = 0; i < MEMBERS; i++) {
       kill(i);
     }
 
     for (BufferedReader log : startAll()) {
       // Each applies its first configuration again, on the empty revision: one change was accepted.
-      assertThat(awaitLine(log, "event=bootstrap ")).contains("code=STALE_BASE revision=1");
+      assertThat(Daemons.awaitLine(log, "event=bootstrap ")).contains("code=STALE_BASE revision=1");
     }
   }
 
@@ -104,13 +105,7 @@
                 folder.resolve("data-" + i));
     Path file = Files.writeString(folder.resolve("entry-" + i + ".ini"), settings);
     Process process =
-        new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp",
-                System.getProperty("java.class.path"),
-                EntryMain.class.getName(),
-                "--settings",
-                file.toString())
+        new ProcessBuilder(Daemons.command(EntryMain.class, file, List.of()))
             .redirectErrorStream(true)
             .start();
     if (processes.size() > i) {
@@ -124,13 +119,4 @@
   private void kill(int i) throws InterruptedException {
     processes.get(i).destroyForcibly().waitFor();
   }
-
-  private static String awaitLine(BufferedReader log, String part) throws IOException {
-    for (String line = log.readLine(); line != null; line = log.readLine()) {
-      if (line.contains(part)) {
-        return line;
-      }
-    }
-    throw new AssertionError("process ended before it logged " + part);
-  }
 }
--- a/cassiastack-bench/src/test/java/org/cassiastack/bench/SeparateProcessesTest.java
+++ b/cassiastack-bench/src/test/java/org/cassiastack/bench/SeparateProcessesTest.java
@@ -12,8 +12,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
+import org.cassiastack.bench.local.Daemons;
 import org.cassiastack.bench.minion.Loopback;
 import org.cassiastack.bench.minion.StandInMinion;
 import org.cassiastack.bench.minion.TaskBehavior;
@@ -34,7 +33,6 @@
 
 @Timeout(value = 120, unit = TimeUnit.SECONDS)
 class SeparateProcessesTest {
-  private static final Pattern ADDRESS = Pattern.compile("(\\w+)=/127\\.0\\.0\\.1:(\\d+)");
   private static final int TASKS = 40;
 
   @TempDir private Path folder;
@@ -50,12 +48,12 @@
   @Test
   void a_job_passes_from_caller_to_minions_and_back_through_separate_processes() throws Exception {
     BufferedReader log = startEntry();
-    String started = awaitLine(log, "event=entry_started");
-    startAgent("agent-1", "north", port(started, "peers"));
-    startAgent("agent-2", "south", port(started, "peers"));
-    awaitLine(log, "event=minions_changed available=2");
+    String started = Daemons.awaitLine(log, "event=entry_started");
+    startAgent("agent-1", "north", Daemons.port(started, "peers"));
+    startAgent("agent-2", "south", Daemons.port(started, "peers"));
+    Daemons.awaitLine(log, "event=minions_changed available=2");
 
-    InetSocketAddress callers = Loopback.port(port(started, "callers"));
+    InetSocketAddress callers = Loopback.port(Daemons.port(started, "callers"));
     JobAnswer answer = CallerClient.create(callers).submit(job()).block();
 
     assertThat(answer).isNotNull();
@@ -116,38 +114,13 @@
   private BufferedReader start(Class<?> main, String name, String settings) throws IOException {
     Path file = Files.writeString(folder.resolve(name + ".ini"), settings);
     Process process =
-        new ProcessBuilder(
-                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-cp",
-                System.getProperty("java.class.path"),
-                main.getName(),
-                "--settings",
-                file.toString())
+        new ProcessBuilder(Daemons.command(main, file, List.of()))
             .redirectErrorStream(true)
             .start();
     processes.add(process);
     return process.inputReader();
   }
 
-  private static String awaitLine(BufferedReader log, String part) throws IOException {
-    for (String line = log.readLine(); line != null; line = log.readLine()) {
-      if (line.contains(part)) {
-        return line;
-      }
-    }
-    throw new AssertionError("process ended before it logged " + part);
-  }
-
-  private static int port(String line, String name) {
-    Matcher m = ADDRESS.matcher(line);
-    while (m.find()) {
-      if (m.group(1).equals(name)) {
-        return Integer.parseInt(m.group(2));
-      }
-    }
-    throw new AssertionError("no address of " + name + " in " + line);
-  }
-
   private static Job job() {
     List<Task> tasks = new ArrayList<>();
     for (int i = 0; i < TASKS; i++) {
--- a/cassiastack-core/src/test/java/org/cassiastack/model/ResultCodeTableTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/model/ResultCodeTableTest.java
@@ -3,8 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -12,11 +10,7 @@
 class ResultCodeTableTest {
   @Test
   void the_table_in_the_docs_lists_exactly_the_codes_in_order() throws IOException {
-    List<String> rows =
-        Files.readAllLines(Path.of("..", "docs", "RESULT-CODES.md")).stream()
-            .filter(line -> line.matches("\\| \\d+ .*"))
-            .map(line -> line.replaceAll("^\\| (\\d+) \\| `(\\w+)` .*", "$1 $2"))
-            .toList();
+    List<String> rows = CodeTable.rows("RESULT-CODES.md");
 
     assertThat(rows)
         .containsExactlyElementsOf(
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/command/DomainChange.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/command/DomainChange.java
@@ -4,6 +4,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
 import org.cassiastack.daemon.settings.ConfigurationText;
 import org.cassiastack.model.CassiaException;
 import org.cassiastack.model.FailureDomain;
@@ -18,6 +19,12 @@
 
   private DomainChange() {}
 
+  /** Declares the arguments of the change. */
+  static void declare(Subparser parser) {
+    Changes.declareAddress(parser);
+    parser.addArgument("domain").metavar("DOMAIN").help("name of the failure domain");
+  }
+
   /** Applies the change on what is in force; when another change came between, on that. */
   static int run(Namespace arguments, boolean inService, PrintStream out) throws CassiaException {
     FailureDomain domain = new FailureDomain(arguments.getString("domain"));
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/command/DrainCommand.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/command/DrainCommand.java
@@ -15,8 +15,7 @@
   @Override
   public void declare(Subparser parser) {
     parser.help("take a failure domain out of service");
-    Changes.declareAddress(parser);
-    parser.addArgument("domain").metavar("DOMAIN").help("name of the failure domain");
+    DomainChange.declare(parser);
   }
 
   @Override
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/command/ReturnCommand.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/command/ReturnCommand.java
@@ -15,8 +15,7 @@
   @Override
   public void declare(Subparser parser) {
     parser.help("bring a failure domain back into service");
-    Changes.declareAddress(parser);
-    parser.addArgument("domain").metavar("DOMAIN").help("name of the failure domain");
+    DomainChange.declare(parser);
   }
 
   @Override
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/http/Bodies.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/http/Bodies.java
@@ -9,8 +9,12 @@
 import reactor.core.publisher.SynchronousSink;
 import reactor.netty.http.server.HttpServerRequest;
 
-/** Reads request bodies up to a bound. */
-final class Bodies {
+/**
+ * Reads request bodies up to a bound.
+ *
+ * @since 0.1
+ */
+public final class Bodies {
   private Bodies() {}
 
   /**
@@ -18,7 +22,7 @@
    *
    * @return its bytes, or a {@link CassiaException} when it is larger than the bound
    */
-  static Mono<byte[]> read(HttpServerRequest request, int maxBytes) {
+  public static Mono<byte[]> read(HttpServerRequest request, int maxBytes) {
     return Mono.using(
         Unpooled::buffer,
         all ->
