Tests: one schedule of virtual time for the three worlds

FakeCluster and QueueWorld each had the queue of actions that job.faults.Schedule is; it now stands beside the controllers' tests and serves all three. No assertion, seed or bound is changed.

--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeCluster.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeCluster.java
@@ -6,11 +6,11 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import java.util.UUID;
 import java.util.function.BooleanSupplier;
+import org.cassiastack.controller.Schedule;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Payload;
 import org.cassiastack.protocol.Received;
@@ -26,12 +26,8 @@
   private final RaftSettings settings;
   private final Invariants invariants = new Invariants();
   private final List<FakeMember> members = new ArrayList<>();
-  private final PriorityQueue<Scheduled> queue =
-      new PriorityQueue<>(
-          Comparator.comparing(Scheduled::at).thenComparingLong(Scheduled::sequence));
+  private final Schedule schedule = new Schedule(START);
   private final Set<String> cut = new HashSet<>();
-  private Duration elapsed = Duration.ZERO;
-  private long sequence;
   private int dropPercent;
   private int duplicatePercent;
   private int jitterMillis = 1;
@@ -109,24 +105,17 @@
   }
 
   void after(Duration delay, Runnable action) {
-    sequence++;
-    queue.add(new Scheduled(elapsed.plus(delay), sequence, action));
+    schedule.after(delay, action);
   }
 
   void run(Duration time) {
-    Duration end = elapsed.plus(time);
-    for (Scheduled s = queue.peek(); s != null && s.at.compareTo(end) <= 0; s = queue.peek()) {
-      queue.remove();
-      elapsed = s.at;
-      s.action.run();
-    }
-    elapsed = end;
+    schedule.runFor(time);
   }
 
   /** Runs until a condition holds; tells whether it came to hold in time. */
   boolean runUntil(BooleanSupplier condition, Duration most) {
-    Duration end = elapsed.plus(most);
-    while (!condition.getAsBoolean() && elapsed.compareTo(end) < 0) {
+    Duration end = elapsed().plus(most);
+    while (!condition.getAsBoolean() && elapsed().compareTo(end) < 0) {
       run(STEP);
     }
     return condition.getAsBoolean();
@@ -186,12 +175,10 @@
   }
 
   Duration elapsed() {
-    return elapsed;
+    return Duration.between(START, schedule.now());
   }
 
   private static String link(NodeId from, NodeId to) {
     return from + ">" + to;
   }
-
-  private record Scheduled(Duration at, long sequence, Runnable action) {}
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/job/faults/Schedule.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/controller/Schedule.java
@@ -1,4 +1,4 @@
-package org.cassiastack.job.faults;
+package org.cassiastack.controller;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -6,26 +6,30 @@
 import java.util.PriorityQueue;
 
 /** Virtual time: runs actions in order of their time, those of the same time as they were added. */
-final class Schedule {
+public final class Schedule {
   private final PriorityQueue<Entry> entries =
       new PriorityQueue<>(Comparator.comparing(Entry::at).thenComparing(Entry::serial));
   private Instant now;
   private long serial;
 
-  Schedule(Instant start) {
+  /** Begins at a time. */
+  public Schedule(Instant start) {
     now = start;
   }
 
-  Instant now() {
+  /** Returns the present time. */
+  public Instant now() {
     return now;
   }
 
-  void after(Duration delay, Runnable action) {
+  /** Adds an action. */
+  public void after(Duration delay, Runnable action) {
     serial++;
     entries.add(new Entry(now.plus(delay), serial, action));
   }
 
-  void runFor(Duration time) {
+  /** Runs what is due within a time, and lets that time pass. */
+  public void runFor(Duration time) {
     Instant end = now.plus(time);
     while (!entries.isEmpty() && !entries.peek().at.isAfter(end)) {
       Entry next = entries.remove();
--- a/cassiastack-core/src/test/java/org/cassiastack/job/faults/FakeNode.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/job/faults/FakeNode.java
@@ -7,6 +7,7 @@
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Schedule;
 import org.cassiastack.controller.Tick;
 
 /** A process of controllers that crashes, starts again, freezes and thaws. */
--- a/cassiastack-core/src/test/java/org/cassiastack/job/faults/FaultyNetwork.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/job/faults/FaultyNetwork.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import org.cassiastack.controller.Schedule;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Message;
 import org.cassiastack.protocol.Received;
--- a/cassiastack-core/src/test/java/org/cassiastack/job/faults/JobWorld.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/job/faults/JobWorld.java
@@ -12,6 +12,7 @@
 import org.cassiastack.configuration.FailureDomainSpec;
 import org.cassiastack.configuration.StartsAllowed;
 import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Schedule;
 import org.cassiastack.guard.StartGuard;
 import org.cassiastack.guard.StartTask;
 import org.cassiastack.guard.TaskStopped;
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueWorld.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueWorld.java
@@ -3,17 +3,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Random;
 import java.util.Set;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Schedule;
 import org.cassiastack.desk.AskJob;
 import org.cassiastack.desk.CancelJob;
 import org.cassiastack.desk.DeskAnswer;
@@ -55,9 +54,7 @@
 
   private final long seed;
   private final Random random;
-  private final PriorityQueue<Scheduled> queue =
-      new PriorityQueue<>(
-          Comparator.comparingLong(Scheduled::at).thenComparingLong(Scheduled::sequence));
+  private final Schedule schedule = new Schedule(START);
   private final SharedLedgerCodec codec = new SharedLedgerCodec();
   private final Map<NodeId, WorldNode> nodes = new LinkedHashMap<>();
   private final Set<Link> cut = new HashSet<>();
@@ -69,8 +66,6 @@
   private final Map<QueuedJobId, Long> cancellations = new LinkedHashMap<>();
   private int unansweredPercent;
   private int failingPercent;
-  private long millis;
-  private long sequence;
   private long calls;
 
   QueueWorld(long seed) {
@@ -88,7 +83,7 @@
 
   @Override
   public String toString() {
-    return "seed " + seed + " at " + millis + " ms:";
+    return "seed " + seed + " at " + millis() + " ms:";
   }
 
   RunWatch watch() {
@@ -109,26 +104,19 @@
   }
 
   long millis() {
-    return millis;
+    return Duration.between(START, schedule.now()).toMillis();
   }
 
   Instant now() {
-    return START.plusMillis(millis);
+    return schedule.now();
   }
 
   void after(long delay, Runnable action) {
-    sequence++;
-    queue.add(new Scheduled(millis + delay, sequence, action));
+    schedule.after(Duration.ofMillis(delay), action);
   }
 
   void run(long forMillis) {
-    long end = millis + forMillis;
-    while (!queue.isEmpty() && queue.peek().at() <= end) {
-      Scheduled s = queue.remove();
-      millis = s.at();
-      s.action().run();
-    }
-    millis = end;
+    schedule.runFor(Duration.ofMillis(forMillis));
   }
 
   /** Makes minions leave calls unanswered, half of which they carry out later all the same. */
@@ -291,10 +279,10 @@
       return;
     }
     int life = to.life();
-    long at = Math.max(millis + 1 + random.nextInt(3), lastDelivery.getOrDefault(link, 0L));
+    long at = Math.max(millis() + 1 + random.nextInt(3), lastDelivery.getOrDefault(link, 0L));
     lastDelivery.put(link, at);
     after(
-        at - millis,
+        at - millis(),
         () -> {
           if (!cut.contains(link) && connected.contains(link)) {
             to.on(new Received(from.node, s.message()), life);
@@ -343,6 +331,4 @@
   }
 
   private record Link(NodeId from, NodeId to) {}
-
-  private record Scheduled(long at, long sequence, Runnable action) {}
 }
