Leader: an agent whose lease has run out leaves the ledger, so that no later leader waits for it

Cause: a new leader starts nothing until every agent in the ledger has reported, or 1.17 s have passed. Agents left the ledger only after 30 s of silence. Ruled out: slow reports (the agents that were there had reported within 0.2 s). Change: an agent leaves the ledger once no lease of it can still run, and gets no lease while it is being taken out or in: before, one that came back during that commit got a lease that the ledger did not show.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -33,9 +33,6 @@
  * </ol>
  */
 public final class DispatchTerm {
-  /** An agent that is silent for this long is gone for good, or comes back as a new one. */
-  private static final Duration AGENT_MEMORY = Duration.ofSeconds(30);
-
   private final long fence;
   private final JobLedger ledger;
   private final ScheduleSettings settings;
@@ -45,7 +42,10 @@
   private final Runs runs;
   private final Fleet fleet;
   private final Dispatcher dispatcher;
-  private final Set<NodeId> joining = new HashSet<>();
+
+  /** Agents that the ledger is about to add or to forget; they get no lease meanwhile. */
+  private final Set<NodeId> changing = new HashSet<>();
+
   private final JobIntake intake;
   private List<Effect> effects = new ArrayList<>();
   private Instant sureUntil = Instant.MIN;
@@ -134,10 +134,13 @@
     if (r.fence() > fence || !isSure(now)) {
       return;
     }
+    if (changing.contains(agent)) {
+      return;
+    }
     if (!ledger.agents().contains(agent)) {
-      if (joining.add(agent)) {
-        commits.agent(agent, at -> joining.remove(agent));
-      }
+      changing.add(agent);
+      fleet.joins(agent, now);
+      commits.agent(agent, at -> changing.remove(agent));
       return;
     }
     WorkerState w = fleet.reported(agent, r, fence, now);
@@ -192,21 +195,19 @@
     return accounted;
   }
 
+  /**
+   * Takes agents out of the ledger whose leases have surely run out, so that the next leader does
+   * not wait for them.
+   */
   private void forgetAgents(Instant now) {
-    if (now.isBefore(beganAt.plus(AGENT_MEMORY))) {
+    if (now.isBefore(beganAt.plus(settings.lapse()))) {
       return;
     }
-    Set<NodeId> silent = new HashSet<>(ledger.agents());
-    for (WorkerState w : fleet.workers()) {
-      if (now.isBefore(w.reportedAt.plus(AGENT_MEMORY))) {
-        silent.remove(w.agent);
-      }
-    }
-    silent.removeAll(joining);
-    for (NodeId a : silent) {
-      if (joining.add(a)) {
-        fleet.forget(a);
-        commits.forget(a, at -> joining.remove(a));
+    for (NodeId a : ledger.agents()) {
+      if (!fleet.mayHoldLease(a, now) && changing.add(a)) {
+        decide("agent_forgotten", a, "silent", "limit=" + settings.lapse());
+        fleet.leaves(a);
+        commits.forget(a, at -> changing.remove(a));
       }
     }
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -1,5 +1,6 @@
 package org.cassiastack.schedule.internal;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -28,6 +29,9 @@
  * </ol>
  */
 final class Fleet {
+  /** A worker that is silent for this long is gone for good, or comes back as a new one. */
+  private static final Duration MEMORY = Duration.ofSeconds(30);
+
   private final ScheduleSettings settings;
   private final RunListener listener;
   private final Map<NodeId, WorkerState> workers = new LinkedHashMap<>();
@@ -108,9 +112,29 @@
     return w;
   }
 
+  /** An agent that holds no lease has reported. */
+  void joins(NodeId agent, Instant now) {
+    workers.computeIfAbsent(agent, WorkerState::new).reportedAt = now;
+  }
+
+  /** An agent holds no lease any more; its lists count again once it has reported under one. */
+  void leaves(NodeId agent) {
+    WorkerState w = workers.get(agent);
+    if (w != null) {
+      w.known = false;
+    }
+  }
+
+  /** Tells whether a lease of an agent may still run; each counts from before its report came. */
+  boolean mayHoldLease(NodeId agent, Instant now) {
+    WorkerState w = workers.get(agent);
+    return w != null && !now.isAfter(w.reportedAt.plus(settings.lapse()));
+  }
+
   /** Gives up the runs of agents that have been silent for longer than any lease. */
   void tick(Instant now) {
     workers.values().forEach(w -> expire(w, now));
+    workers.values().removeIf(w -> now.isAfter(w.reportedAt.plus(MEMORY)));
   }
 
   /** Gives up the runs of a job; they are stopped with the next tick. */
@@ -125,11 +149,6 @@
     }
   }
 
-  /** Forgets an agent that has been silent for long. */
-  void forget(NodeId agent) {
-    workers.remove(agent);
-  }
-
   private void expire(WorkerState w, Instant now) {
     if (!w.heldAt.equals(Instant.MIN) && now.isAfter(w.heldAt.plus(settings.lapse()))) {
       w.heldAt = Instant.MIN;
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -18,6 +18,7 @@
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Raise;
+import org.cassiastack.controller.Tick;
 import org.cassiastack.desk.AskJob;
 import org.cassiastack.desk.DeskAnswer;
 import org.cassiastack.desk.DeskCode;
@@ -42,6 +43,7 @@
 import org.cassiastack.queue.Resources;
 import org.cassiastack.queue.SharedLedgerCodec;
 import org.cassiastack.queue.StepSpec;
+import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.EndedRun;
 import org.cassiastack.runs.MinionLife;
@@ -69,11 +71,13 @@
       LeaderController.create(SELF, SETTINGS, new SharedLedgerCodec(), UUID::randomUUID);
   private final Map<NodeId, List<StartOrder>> starts = new HashMap<>();
   private final Map<NodeId, Long> orders = new HashMap<>();
+  private final List<NodeId> leases = new ArrayList<>();
   private final List<DeskAnswer> answers = new ArrayList<>();
   private Instant now = Instant.parse("2026-12-04T08:00:00Z");
   private long fence;
   private long index;
   private long call;
+  private boolean holdsCommits;
 
   @BeforeEach
   void leadsWithOneQueueAndTwoMinions() {
@@ -172,6 +176,32 @@
     assertThat(started()).hasSize(2);
   }
 
+  @Test
+  void a_new_leader_does_not_wait_for_an_agent_whose_lease_had_run_out_before() {
+    now = now.plus(SETTINGS.lapse());
+    report(FIRST, List.of(), List.of());
+    on(new Tick());
+    lead(6);
+    submit(2, true);
+
+    report(FIRST, List.of(), List.of());
+
+    assertThat(started()).hasSize(2);
+  }
+
+  @Test
+  void grants_no_lease_to_an_agent_that_the_ledger_is_about_to_forget() {
+    now = now.plus(SETTINGS.lapse());
+    report(FIRST, List.of(), List.of());
+    holdsCommits = true;
+    on(new Tick());
+    leases.clear();
+
+    report(SECOND, List.of(), List.of());
+
+    assertThat(leases).isEmpty();
+  }
+
   @Test
   void a_new_leader_takes_over_the_runs_that_it_finds() {
     submit(1, true);
@@ -257,11 +287,13 @@
     Queue<Event> events = new ArrayDeque<>(List.of(first));
     for (Event e = events.poll(); e != null; e = events.poll()) {
       for (Effect f : leader.on(e, now)) {
-        if (f instanceof Raise r && r.event() instanceof ProposeCommand p) {
+        if (f instanceof Raise r && r.event() instanceof ProposeCommand p && !holdsCommits) {
           events.add(new CommandCommitted(++index, p.proposal(), p.command()));
         } else if (f instanceof Send s && s.message() instanceof RunOrders o) {
           orders.put(s.to(), o.number());
           starts.computeIfAbsent(s.to(), n -> new ArrayList<>()).addAll(o.starts());
+        } else if (f instanceof Send s && s.message() instanceof AgentLease) {
+          leases.add(s.to());
         } else if (f instanceof Send s && s.message() instanceof LeaderReply r) {
           answers.add(r.answer());
         }
