Planned stop of a leader: it hands over instead of leaving an election to a timeout

Cause: on SIGTERM a leader just closed its connections. Ruled out: a shorter election timeout alone, which leaves a gap at each planned stop and is a change of its own. Change: on a planned stop the leader gives up its lease, tells every member so, and names the voter that is furthest ahead and answers; that one asks for votes at once, and votes are given although a leader was heard lately. The stopping member votes too, and closes once the successor is known.

--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/RaftController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/RaftController.java
@@ -18,6 +18,7 @@
  *       every command that was committed before.
  *   <li>A proposal of which nothing was heard when the leader changed may or may not be committed
  *       later; whoever made it proposes it again under the same identity and ignores the second.
+ *   <li>{@link HandLeadershipOver} before a planned stop spares the others an election timeout.
  *   <li>Disk is the effect {@link Persist}, answered by {@link Persisted} or {@link StorageFailed}.
  * </ol>
  *
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Election.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Election.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.Set;
+import org.cassiastack.consensus.LeadershipReleased;
 import org.cassiastack.consensus.MemberId;
 import org.cassiastack.consensus.VoteReply;
 import org.cassiastack.consensus.VoteRequest;
@@ -61,6 +62,20 @@
     }
   }
 
+  /** The leader has given up its lease; its successor asks for votes without waiting. */
+  void released(LeadershipReleased r, Instant now) {
+    if (r.term() != state.term() || !r.from().equals(state.leader())) {
+      return;
+    }
+    state.forgetLeader();
+    state.leaderContact = Instant.MIN;
+    state.resetElectionDeadline(now);
+    if (r.successor().equals(state.self)) {
+      state.electionDeadline = now;
+      tick(now);
+    }
+  }
+
   void answered(VoteReply r, Instant now) {
     if (!r.granted()) {
       if (r.term() > state.term()) {
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Leadership.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Leadership.java
@@ -11,6 +11,7 @@
 import org.cassiastack.consensus.AppendReply;
 import org.cassiastack.consensus.AppendRequest;
 import org.cassiastack.consensus.InstallSnapshot;
+import org.cassiastack.consensus.LeadershipReleased;
 import org.cassiastack.consensus.LeaseExtended;
 import org.cassiastack.consensus.LogEntry;
 import org.cassiastack.consensus.MemberId;
@@ -92,10 +93,13 @@
 
   /** Tells whether a member holds all that is committed and has answered lately. */
   boolean isCaughtUp(MemberId member, Instant now) {
-    Progress p = followers.get(member);
-    return p != null
-        && p.match >= state.commit
-        && p.answered.plus(state.settings.electionTimeout()).isAfter(now);
+    return followers.containsKey(member)
+        && matchOf(member) >= state.commit
+        && answersPromptly(member, now);
+  }
+
+  private boolean answersPromptly(MemberId member, Instant now) {
+    return answeredBy(member, now).plus(state.settings.electionTimeout()).isAfter(now);
   }
 
   /** Tells whether a member has not answered for some time of this leadership. */
@@ -105,6 +109,27 @@
     return since.plus(silence).isBefore(now);
   }
 
+  /** Gives up the leadership in favour of the voter that is furthest ahead, if one answers. */
+  void handOver(Instant now) {
+    if (!state.leads()) {
+      return;
+    }
+    MemberId successor = null;
+    for (MemberId m : state.log.members().voters()) {
+      boolean ahead = successor == null || matchOf(m) > matchOf(successor);
+      if (!m.equals(state.self) && ahead && answersPromptly(m, now)) {
+        successor = m;
+      }
+    }
+    if (successor == null) {
+      return;
+    }
+    for (MemberId m : followers.keySet()) {
+      state.send(new LeadershipReleased(state.self, m, state.term(), successor));
+    }
+    state.follow(state.term(), null, now);
+  }
+
   private void append(LogEntry entry, Instant now) {
     state.log.append(entry);
     state.emit(state.disk.entries(List.of(entry)));
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftMember.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftMember.java
@@ -5,8 +5,10 @@
 import java.util.random.RandomGenerator;
 import org.cassiastack.consensus.AppendReply;
 import org.cassiastack.consensus.AppendRequest;
+import org.cassiastack.consensus.HandLeadershipOver;
 import org.cassiastack.consensus.InstallSnapshot;
 import org.cassiastack.consensus.LeaderChanged;
+import org.cassiastack.consensus.LeadershipReleased;
 import org.cassiastack.consensus.MemberGreeting;
 import org.cassiastack.consensus.Persisted;
 import org.cassiastack.consensus.ProposalRefused;
@@ -95,6 +97,8 @@
       leadership.advance(now);
     } else if (event instanceof ProposeCommand p) {
       propose(p, now);
+    } else if (event instanceof HandLeadershipOver) {
+      leadership.handOver(now);
     } else if (event instanceof SnapshotTaken s) {
       compact(s);
     }
@@ -118,6 +122,8 @@
       election.asked(r, now);
     } else if (m instanceof VoteReply r) {
       election.answered(r, now);
+    } else if (m instanceof LeadershipReleased r) {
+      election.released(r, now);
     } else if (m instanceof InstallSnapshot r) {
       follower.install(r, now);
     }
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftClusterTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftClusterTest.java
@@ -53,6 +53,36 @@
     assertThat(cluster.invariants().isCommitted(late)).isFalse();
   }
 
+  @Test
+  void a_leader_that_stops_as_planned_is_replaced_before_any_election_timeout() {
+    FakeMember old = cluster.awaitLeader();
+    UUID before = commit(old);
+
+    old.on(new HandLeadershipOver());
+    Duration timeout = cluster.settings().electionTimeout();
+    boolean replaced = cluster.runUntil(() -> hasOtherLeader(old), timeout.dividedBy(2));
+    UUID after = commit(cluster.leader());
+
+    assertThat(replaced).isTrue();
+    assertThat(cluster.invariants().isCommitted(before)).isTrue();
+    assertThat(cluster.invariants().isCommitted(after)).isTrue();
+  }
+
+  @Test
+  void a_leader_that_stops_as_planned_passes_over_a_silent_follower() {
+    FakeMember old = cluster.awaitLeader();
+    FakeMember silent = cluster.other(old);
+    Duration timeout = cluster.settings().electionTimeout();
+    silent.crash();
+    cluster.run(timeout.multipliedBy(2));
+    commit(old);
+
+    old.on(new HandLeadershipOver());
+    boolean replaced = cluster.runUntil(() -> hasOtherLeader(old), timeout.dividedBy(2));
+
+    assertThat(replaced).isTrue();
+  }
+
   @Test
   void a_lost_disk_is_replaced_and_then_a_second_member_may_be_lost() {
     FakeMember leader = cluster.awaitLeader();
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftProperties.java
@@ -27,6 +27,7 @@
     CUT_ONE_WAY,
     DISTURB,
     HEAL,
+    HAND_OVER,
     LOSE_DISK
   }
 
@@ -76,6 +77,7 @@
       case CUT_ONE_WAY -> cluster.cutOneWay(member, cluster.members().get(s.amount() % MEMBERS));
       case DISTURB -> cluster.disturb(s.amount() / 3, s.amount() / 3, s.amount());
       case HEAL -> cluster.healNetwork();
+      case HAND_OVER -> member.on(new HandLeadershipOver());
       case LOSE_DISK -> loseDisk(cluster, member);
       default -> throw new IllegalArgumentException("unknown step " + s.kind());
     }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
@@ -5,6 +5,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.UUID;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.cassiastack.consensus.HandLeadershipOver;
 import org.cassiastack.consensus.JoinPolicy;
 import org.cassiastack.consensus.Persist;
 import org.cassiastack.consensus.RaftSettings;
@@ -14,10 +17,13 @@
 import org.cassiastack.daemon.control.RaftDriver;
 import org.cassiastack.desk.DeskAnswered;
 import org.cassiastack.desk.DeskController;
+import org.cassiastack.desk.LeaderSeen;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.schedule.LeaderController;
 import org.cassiastack.transport.codec.MessagePackLedgerCodec;
+import org.jspecify.annotations.Nullable;
+import org.tinylog.Logger;
 
 /**
  * A control member: it keeps the ledger on its disk, and may lead.
@@ -43,13 +49,20 @@
   /** Entries between snapshots; at a kilobyte an entry the log stays under a tenth of the disk. */
   private static final long SNAPSHOT_ENTRIES = 4_096;
 
+  /** How long a planned stop waits for a successor; an election among live members takes 50 ms. */
+  private static final Duration HANDOVER = Duration.ofMillis(500);
+
+  private final NodeId self;
   private final NodeLoop loop;
   private final RaftDriver raft;
   private final DeskPort port;
+  private final CountDownLatch succeeded = new CountDownLatch(1);
+  private volatile @Nullable NodeId leader;
+  private volatile boolean stopping;
 
   private ControlNode(ControlNodeSettings settings, TimeSource time, Runnable storageLost)
       throws IOException {
-    NodeId self = settings.self();
+    self = settings.self();
     raft = RaftDriver.open(settings.data(), self, raftSettings(settings), new SecureRandom());
     loop = NodeLoop.create(self, Incarnation.startedAt(time.now()), settings.memberPort(), time);
     port = new DeskPort(time, loop::post);
@@ -91,11 +104,32 @@
     return port;
   }
 
+  /** Returns the member that leads, or null while none is known. */
+  public @Nullable NodeId leader() {
+    return leader;
+  }
+
   /** Returns what all kinds of nodes have. */
   public NodeLoop loop() {
     return loop;
   }
 
+  /**
+   * Prepares a planned stop: a leader lets another member take over, and stays until that one is
+   * known to everybody.
+   *
+   * @throws InterruptedException when the thread is interrupted while it waits
+   */
+  public void handOver() throws InterruptedException {
+    stopping = true;
+    if (!self.equals(leader)) {
+      return;
+    }
+    loop.post(new HandLeadershipOver());
+    boolean done = succeeded.await(HANDOVER.toMillis(), TimeUnit.MILLISECONDS);
+    Logger.info("event=leadership_handed_over successor={} in_time={}", leader, done);
+  }
+
   @Override
   public void close() {
     loop.close();
@@ -120,6 +154,11 @@
       raft.persist(p);
     } else if (effect instanceof DeskAnswered a) {
       port.answered(a);
+    } else if (effect instanceof LeaderSeen l) {
+      leader = l.leader();
+      if (stopping && l.leader() != null && !self.equals(l.leader())) {
+        succeeded.countDown();
+      }
     }
   }
 }
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
@@ -5,6 +5,7 @@
 import org.cassiastack.consensus.AppendReply;
 import org.cassiastack.consensus.AppendRequest;
 import org.cassiastack.consensus.InstallSnapshot;
+import org.cassiastack.consensus.LeadershipReleased;
 import org.cassiastack.consensus.MemberGreeting;
 import org.cassiastack.consensus.VoteReply;
 import org.cassiastack.consensus.VoteRequest;
@@ -68,6 +69,8 @@
   INSTALL_SNAPSHOT(44, InstallSnapshot.class),
   /** Between control members. */
   MEMBER_GREETING(45, MemberGreeting.class),
+  /** Former leader to control member. */
+  LEADERSHIP_RELEASED(46, LeadershipReleased.class),
   /** Any process to one that may hold a newer configuration. */
   ASK_CONFIGURATION(60, AskConfiguration.class),
   /** Answer to the question. */
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -18,6 +18,7 @@
 import org.cassiastack.consensus.AppendReply;
 import org.cassiastack.consensus.AppendRequest;
 import org.cassiastack.consensus.InstallSnapshot;
+import org.cassiastack.consensus.LeadershipReleased;
 import org.cassiastack.consensus.LogEntry;
 import org.cassiastack.consensus.MemberGreeting;
 import org.cassiastack.consensus.MemberId;
@@ -119,6 +120,7 @@
         new CancelTasks(List.of(new CancelTasks.Withdrawal(TASK, 2)), EPOCH),
         new VoteRequest(FIRST, SECOND, 5, 7, 4, true),
         new VoteReply(SECOND, FIRST, 5, true, false),
+        new LeadershipReleased(FIRST, SECOND, 5, SECOND),
         new AppendRequest(FIRST, SECOND, 5, ISSUED, 7, 4, 6, entries(payload)),
         new AppendReply(SECOND, FIRST, 5, ISSUED, true, 10),
         new InstallSnapshot(FIRST, SECOND, 5, ISSUED, new Snapshot(7, 4, MEMBERS, payload)),
