Message codec: readers and writers are made at the first message of a type

Cause: each start made 70 Jackson readers and writers; class loading of an agent's start shows 100 of its 300 ms in Jackson and the message types.

--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageCodec.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageCodec.java
@@ -5,8 +5,8 @@
 import com.fasterxml.jackson.databind.ObjectWriter;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import org.cassiastack.protocol.Message;
 import org.msgpack.core.MessagePack;
 import org.msgpack.core.MessagePackException;
@@ -28,16 +28,13 @@
 public final class MessageCodec {
   private static final int TYPE_BYTES = 2;
 
-  private final Map<Integer, ObjectReader> readers = new HashMap<>();
-  private final Map<Class<?>, ObjectWriter> writers = new HashMap<>();
+  // Made at the first message of a type: a process uses few types, and making all of them delays
+  // each start.
+  private final Map<MessageType, ObjectReader> readers = new ConcurrentHashMap<>();
+  private final Map<MessageType, ObjectWriter> writers = new ConcurrentHashMap<>();
+  private final ObjectMapper mapper = RecordMapper.create();
 
-  private MessageCodec() {
-    ObjectMapper mapper = RecordMapper.create();
-    for (MessageType t : MessageType.values()) {
-      readers.put(t.number(), mapper.readerFor(t.type()));
-      writers.put(t.type(), mapper.writerFor(t.type()));
-    }
-  }
+  private MessageCodec() {}
 
   /** Makes a codec for every message of {@link MessageType}; it is safe for several threads. */
   public static MessageCodec create() {
@@ -50,14 +47,15 @@
    * @throws MalformedMessageException when the type of the message is not registered
    */
   public byte[] encode(Message message) throws MalformedMessageException {
-    ObjectWriter writer = writers.get(message.getClass());
-    if (writer == null) {
+    MessageType type = MessageType.of(message);
+    if (type == null) {
       throw new MalformedMessageException("message type not registered: " + message.getClass());
     }
+    ObjectWriter writer = writers.computeIfAbsent(type, t -> mapper.writerFor(t.type()));
     try {
       byte[] body = writer.writeValueAsBytes(message);
       ByteBuffer all = ByteBuffer.allocate(TYPE_BYTES + body.length);
-      all.putShort((short) MessageType.numberOf(message.getClass()));
+      all.putShort((short) type.number());
       all.put(body);
       return all.array();
     } catch (IOException e) {
@@ -76,10 +74,11 @@
       throw new MalformedMessageException("message of " + bytes.length + " bytes");
     }
     int number = ByteBuffer.wrap(bytes).getShort();
-    ObjectReader reader = readers.get(number);
-    if (reader == null) {
+    MessageType type = MessageType.of(number);
+    if (type == null) {
       throw new MalformedMessageException("unknown message type " + number);
     }
+    ObjectReader reader = readers.computeIfAbsent(type, t -> mapper.readerFor(t.type()));
     try {
       checkLength(bytes);
       Message m = reader.readValue(bytes, TYPE_BYTES, bytes.length - TYPE_BYTES);
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
@@ -34,6 +34,7 @@
 import org.cassiastack.spread.ConfigurationUpdate;
 import org.cassiastack.spread.ForwardApply;
 import org.cassiastack.spread.ForwardedApply;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Numbers of the message types on the wire. A number is never given to another type.
@@ -105,10 +106,12 @@
   RUN_ORDERS(92, RunOrders.class);
 
   private static final Map<Class<?>, MessageType> BY_TYPE = new HashMap<>();
+  private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
 
   static {
     for (MessageType t : values()) {
       BY_TYPE.put(t.type, t);
+      BY_NUMBER.put(t.number, t);
     }
   }
 
@@ -130,11 +133,13 @@
     return type;
   }
 
-  static int numberOf(Class<?> type) {
-    MessageType t = BY_TYPE.get(type);
-    if (t == null) {
-      throw new IllegalArgumentException("not registered: " + type);
-    }
-    return t.number;
+  /** Returns the type of a message, or null when it is not registered. */
+  static @Nullable MessageType of(Message message) {
+    return BY_TYPE.get(message.getClass());
+  }
+
+  /** Returns the type that a number on the wire stands for, or null. */
+  static @Nullable MessageType of(int number) {
+    return BY_NUMBER.get(number);
   }
 }
