A lost leader is not believed to lead on the word of another member

Change: after its connection is lost, a leader is believed again when it speaks for itself or in a later term. Test: LeaderTrackerTest, first failing (does_not_believe_another_member_that_a_lost_leader_still_leads).

--- a/cassiastack-core/src/main/java/org/cassiastack/desk/LeaderTracker.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/LeaderTracker.java
@@ -6,13 +6,18 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Finds out who leads from the notices of control members: the highest term is right.
+ * Finds out who leads from the notices of control members: the highest term is right. A leader that
+ * could not be reached is believed again when it speaks for itself, or leads in a later term.
  *
  * @since 0.2
  */
 public final class LeaderTracker {
   private @Nullable NodeId leader;
   private long term;
+
+  /** The leader of the present term that could not be reached, or null. */
+  private @Nullable NodeId unreachable;
+
   private List<NodeId> members = List.of();
 
   private LeaderTracker() {}
@@ -30,9 +35,10 @@
    */
   public boolean noticed(NodeId from, LeaderNotice n) {
     NodeId former = leader;
-    if (n.leader() != null && n.term() >= term) {
+    if (n.leader() != null && n.term() >= term && !isHearsay(from, n)) {
       leader = n.leader();
       term = n.term();
+      unreachable = null;
     } else if (n.leader() == null && from.equals(leader)) {
       leader = null;
     }
@@ -48,11 +54,20 @@
   public boolean lost(NodeId peer) {
     if (peer.equals(leader)) {
       leader = null;
+      unreachable = peer;
       return true;
     }
     return false;
   }
 
+  /** Another member may not have noticed yet that a leader cannot be reached. */
+  private boolean isHearsay(NodeId from, LeaderNotice n) {
+    return n.term() == term
+        && n.leader() != null
+        && n.leader().equals(unreachable)
+        && !from.equals(unreachable);
+  }
+
   /** Returns the leader, or null while none is known. */
   public @Nullable NodeId leader() {
     return leader;
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/desk/LeaderTrackerTest.java
@@ -0,0 +1,46 @@
+package org.cassiastack.desk;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import org.cassiastack.model.NodeId;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class LeaderTrackerTest {
+  private static final NodeId FIRST = new NodeId("10.0.0.1");
+  private static final NodeId SECOND = new NodeId("10.0.0.2");
+
+  private final LeaderTracker tracker = LeaderTracker.create();
+
+  @BeforeEach
+  void the_first_member_leads_and_is_lost() {
+    tracker.noticed(FIRST, notice(3, FIRST));
+    tracker.lost(FIRST);
+  }
+
+  @Test
+  void does_not_believe_another_member_that_a_lost_leader_still_leads() {
+    tracker.noticed(SECOND, notice(3, FIRST));
+
+    assertThat(tracker.leader()).isNull();
+  }
+
+  @Test
+  void believes_a_lost_leader_that_speaks_for_itself_again() {
+    tracker.noticed(FIRST, notice(3, FIRST));
+
+    assertThat(tracker.leader()).isEqualTo(FIRST);
+  }
+
+  @Test
+  void believes_another_member_that_a_lost_leader_leads_in_a_later_term() {
+    tracker.noticed(SECOND, notice(4, FIRST));
+
+    assertThat(tracker.leader()).isEqualTo(FIRST);
+  }
+
+  private static LeaderNotice notice(long term, NodeId leader) {
+    return new LeaderNotice(term, leader, List.of(FIRST, SECOND));
+  }
+}
