Leader: the first lease of the log counts, although it comes before the news of the election

Cause: the first lease is raised in the same turn as the election, but before it; the leader's work had not begun and dropped it. Until the next heartbeat the new leader was unsure: it ignored the reports that agents had sent at once, which come again after 200 ms, and answered entries that it does not lead.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
@@ -60,6 +60,9 @@
   private Instant nextNotice = Instant.MIN;
   private @Nullable DispatchTerm term;
 
+  /** The last lease of the log; the first one comes before the news that this member leads. */
+  private @Nullable LeaseExtended lease;
+
   private LeaderController(
       NodeId self, ScheduleSettings settings, LedgerCodec codec, Supplier<UUID> proposals) {
     this.self = self;
@@ -120,6 +123,7 @@
         t.reported(r.from(), a, now);
       }
     } else if (event instanceof LeaseExtended l) {
+      lease = l;
       if (t != null) {
         t.extended(l.until());
       }
@@ -155,8 +159,12 @@
       }
       term = null;
     } else if (term == null || term.fence() != l.term()) {
-      term = DispatchTerm.begin(l.term(), ledger, settings, codec, proposals, now);
-      effects.addAll(term.turn(now));
+      DispatchTerm t = DispatchTerm.begin(l.term(), ledger, settings, codec, proposals, now);
+      if (lease != null && lease.term() == l.term()) {
+        t.extended(lease.until());
+      }
+      effects.addAll(t.turn(now));
+      term = t;
     }
     noticeChanged(new LeaderNotice(l.term(), l.leader(), notice.members()), effects);
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -227,6 +227,17 @@
     assertThat(answers).containsExactly(DeskAnswer.of(DeskCode.NOT_LEADER));
   }
 
+  @Test
+  void is_sure_to_lead_by_a_lease_that_came_before_the_news_of_its_election() {
+    on(new LeaderChanged(5, null, false));
+    on(new LeaseExtended(6, now.plusSeconds(10)));
+    on(new LeaderChanged(6, SELF, true));
+
+    ask(new AskJob(++call, ADDRESS));
+
+    assertThat(answers).containsExactly(DeskAnswer.of(DeskCode.NO_SUCH_JOB));
+  }
+
   private void lead(long term) {
     fence = term;
     on(new LeaderChanged(term - 1, null, false));
