Placing under load: no start where it ends too late; estimates learn nothing from slow workers; stalled runs move

Change: - a task waits where it would end too late while a worker that is full now would end it in time; - the speed of a worker counts what its present runs have done (agents report how old their lists are), so a worker that turns slow is known before a run ends; slowness is forgotten after some seconds; - an estimate moves by at most a factor of 3 a run, and not by runs of workers below half speed; - a run that stands still for 0.4 s is stopped, and its task starts elsewhere (two moves a task at most). Tried and dropped: moving slow runs that get on.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -155,6 +155,7 @@
                 minion.isReachable(now),
                 isSettled(now),
                 ordersThrough,
+                minion.listAge(now),
                 minion.running(),
                 minion.unresolved(),
                 minion.ended())));
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -61,6 +61,7 @@
 
   private Instant nextHold = Instant.MIN;
   private Instant answeredAt = Instant.MIN;
+  private Instant listedAt = Instant.MIN;
   private Instant lapsesAt = Instant.MIN;
 
   MinionLink(AgentSettings settings) {
@@ -80,6 +81,11 @@
     return running;
   }
 
+  /** Returns how long ago the minion gave its lists. */
+  Duration listAge(Instant now) {
+    return listedAt.equals(Instant.MIN) ? Duration.ZERO : Duration.between(listedAt, now);
+  }
+
   List<EndedRun> ended() {
     return ended;
   }
@@ -199,6 +205,7 @@
     answeredAt = now;
     clock.told(h.clockMillis(), now);
     boolean news = !runs(h.running()).equals(runs(running)) || !h.ended().equals(ended);
+    listedAt = now;
     running = h.running();
     ended = h.ended();
     listedAcknowledged = acknowledged;
--- a/cassiastack-core/src/main/java/org/cassiastack/runs/AgentReport.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/runs/AgentReport.java
@@ -1,5 +1,6 @@
 package org.cassiastack.runs;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
 import org.cassiastack.model.Incarnation;
@@ -17,6 +18,7 @@
  * @param settled whether the lists are complete; a restarted agent does not know at once what calls
  *     of its earlier life are still under way
  * @param ordersThrough number of the last orders that the agent has taken
+ * @param listAge how long before the report the minion gave its lists
  * @param running runs that are at work
  * @param unresolved runs that may have started, or still may
  * @param ended runs that have ended and are not acknowledged
@@ -30,6 +32,7 @@
     boolean reachable,
     boolean settled,
     long ordersThrough,
+    Duration listAge,
     List<RunningRun> running,
     List<RunId> unresolved,
     List<EndedRun> ended)
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -122,6 +122,9 @@
     fleet.tick(now);
     board.ready.age(now);
     intake.tick(now);
+    if (begun && isSure(now)) {
+      dispatcher.moveStalledRuns(now);
+    }
     for (WorkerState w : fleet.workers()) {
       runs.stopAgain(w, now);
       dispatcher.probe(w, fence, now, effects);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.decision.Decision;
+import org.cassiastack.model.NodeId;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
@@ -49,18 +51,9 @@
     if (board.ready.isEmpty()) {
       return;
     }
-    List<WorkerState> usable = new ArrayList<>();
-    for (WorkerState w : fleet.workers()) {
-      if (mayTakeWork(w, now)) {
-        usable.add(w);
-      }
-    }
-    if (usable.isEmpty()) {
-      return;
-    }
     long firstRun = (generation - 1) * RUNS_PER_GENERATION + 1;
     for (LiveStep s : board.ready.inOrder(MOST_STEPS)) {
-      placeStep(s, usable, firstRun, now);
+      placeStep(s, firstRun, now);
     }
   }
 
@@ -74,12 +67,49 @@
     add(w, w.probe(fence, ORDERS_LOST, now), effects);
   }
 
+  /** Has runs stopped that stand still, if another worker has room for their tasks. */
+  void moveStalledRuns(Instant now) {
+    for (WorkerState w : fleet.workers()) {
+      for (Run r : w.runs.values()) {
+        LiveStep step = r.step;
+        if (w.known && step != null && StalledRuns.shouldMove(r, now)) {
+          moveIfPossible(r, step, w, now);
+        }
+      }
+    }
+  }
+
+  private void moveIfPossible(Run run, LiveStep step, WorkerState from, Instant now) {
+    List<WorkerState> others = usable(ledger.serviceOf(step.job.queue), now);
+    others.remove(from);
+    if (placer.choose(step, others, now) == null) {
+      return;
+    }
+    run.isMoving = true;
+    step.avoid(run.id.task().index(), from.agent);
+    from.health.failed(step.job.job.id());
+    String inputs =
+        "agent=" + from.agent + " progress=" + run.progress() + " stalled=" + run.stalledFor();
+    decisions.accept(Decision.of("run_moved", run.id, "stalled", inputs));
+  }
+
   private static void add(WorkerState w, @Nullable RunOrders orders, List<Effect> effects) {
     if (orders != null) {
       effects.add(new Send(w.agent, orders));
     }
   }
 
+  private List<WorkerState> usable(ServiceName service, Instant now) {
+    List<WorkerState> usable = new ArrayList<>();
+    for (WorkerState w : fleet.workers()) {
+      MinionProfile m = w.minion;
+      if (m != null && m.service().equals(service) && mayTakeWork(w, now)) {
+        usable.add(w);
+      }
+    }
+    return usable;
+  }
+
   private boolean mayTakeWork(WorkerState w, Instant now) {
     MinionProfile m = w.minion;
     if (m == null || !w.isUsable(now) || ledger.isOut(m.domain()) || w.health.isEjected(now)) {
@@ -88,15 +118,8 @@
     return !w.health.isProbed() || w.runs.size() < PROBES;
   }
 
-  private void placeStep(LiveStep step, List<WorkerState> usable, long firstRun, Instant now) {
-    ServiceName service = ledger.serviceOf(step.job.queue);
-    List<WorkerState> fit = new ArrayList<>();
-    for (WorkerState w : usable) {
-      MinionProfile m = w.minion;
-      if (m != null && m.service().equals(service) && mayTakeWork(w, now)) {
-        fit.add(w);
-      }
-    }
+  private void placeStep(LiveStep step, long firstRun, Instant now) {
+    List<WorkerState> fit = usable(ledger.serviceOf(step.job.queue), now);
     while (!step.waiting.isEmpty()) {
       WorkerState w = choose(step, fit, now);
       if (w == null) {
@@ -111,13 +134,13 @@
   }
 
   /**
-   * Chooses a worker, away from those where the task has failed: a minion may fail all that it is
-   * given. Only when no other has room it is tried there again.
+   * Chooses a worker, away from those where the task has failed or did not get on: a minion may
+   * fail all that it is given. Only when no other has room it is tried there again.
    */
   private @Nullable WorkerState choose(LiveStep step, List<WorkerState> fit, Instant now) {
-    int index = step.waiting.getFirst();
+    Set<NodeId> avoided = step.avoidedBy(step.waiting.getFirst());
     List<WorkerState> others = new ArrayList<>(fit);
-    others.removeIf(w -> step.hasFailedAt(index, w.agent));
+    others.removeIf(w -> avoided.contains(w.agent));
     WorkerState other = placer.choose(step, others, now);
     return other != null || others.size() == fit.size() ? other : placer.choose(step, fit, now);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -16,6 +16,7 @@
 import org.cassiastack.runs.EndedRun;
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunningRun;
 import org.cassiastack.schedule.ScheduleSettings;
 import org.jspecify.annotations.Nullable;
 
@@ -57,7 +58,7 @@
     for (WorkerState w : workers.values()) {
       MinionProfile m = w.minion;
       if (m != null && m.service().equals(service) && w.isUsable(now)) {
-        sum += m.capacity().milliCpu() * w.speed.value();
+        sum += m.capacity().milliCpu() * w.speed.value(now);
       }
     }
     return sum;
@@ -168,7 +169,13 @@
   private void takeLists(WorkerState w, AgentReport r, Instant now) {
     Set<RunId> listed = new HashSet<>();
     List<EndedRun> ends = new ArrayList<>();
-    r.running().forEach(x -> listed.add(x.run()));
+    for (RunningRun x : r.running()) {
+      listed.add(x.run());
+      Run known = w.runs.get(x.run());
+      if (known != null) {
+        known.listed(x.percent(), now.minus(r.listAge()));
+      }
+    }
     listed.addAll(r.unresolved());
     for (EndedRun e : r.ended()) {
       if (e.sequence() > w.endsThrough) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
@@ -72,13 +72,22 @@
 
   /** Returns how useful the job is when a task of a step starts now and ends as estimated. */
   Lateness lateness(LiveStep step, Instant now) {
-    Instant end = step.doneIfStarted(now);
+    Instant end = now.plus(step.work);
     if (end.isAfter(uselessAt)) {
       return Lateness.USELESS;
     }
     return end.isAfter(dueAt) ? Lateness.LATE : Lateness.ON_TIME;
   }
 
+  /** Returns until when a task has to end lest the job gets less useful than it can be. */
+  Instant limit(Lateness lateness) {
+    return switch (lateness) {
+      case ON_TIME -> dueAt;
+      case LATE -> uselessAt;
+      case USELESS -> Instant.MAX;
+    };
+  }
+
   private Duration objective() {
     double nanos = chain().toNanos() * queue.stretch();
     return queue.targetLatency().plusNanos((long) nanos);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveStep.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveStep.java
@@ -26,7 +26,7 @@
   private final boolean[] assigned;
   private final Map<Integer, Set<Long>> failures = new HashMap<>();
   private final long[] runs;
-  private final Map<Integer, Set<NodeId>> failedAt = new HashMap<>();
+  private final Map<Integer, Set<NodeId>> avoided = new HashMap<>();
   private int left;
 
   /** Whether its objective is still within reach; part of its place in the ready queue. */
@@ -97,14 +97,14 @@
     return true;
   }
 
-  /** Takes note of where a task has failed, so that it is tried elsewhere. */
-  void failedAt(int index, NodeId agent) {
-    failedAt.computeIfAbsent(index, i -> new HashSet<>()).add(agent);
+  /** Lets a task start elsewhere than at an agent where it has failed or did not get on. */
+  void avoid(int index, NodeId agent) {
+    avoided.computeIfAbsent(index, i -> new HashSet<>()).add(agent);
   }
 
-  /** Tells whether a task has failed at an agent's minion. */
-  boolean hasFailedAt(int index, NodeId agent) {
-    return failedAt.getOrDefault(index, Set.of()).contains(agent);
+  /** Returns the agents where a task should not start again. */
+  Set<NodeId> avoidedBy(int index) {
+    return avoided.getOrDefault(index, Set.of());
   }
 
   /** Takes note of a run that has failed and returns how many have; one told twice counts once. */
@@ -114,8 +114,8 @@
     return failed.size();
   }
 
-  /** Returns when a task that starts now would be done at a worker of speed 1. */
-  Instant doneIfStarted(Instant now) {
-    return now.plus(work);
+  /** Returns when a task that starts now would be done at a worker of a speed. */
+  Instant doneIfStarted(Instant now, double speed) {
+    return now.plusNanos((long) (work.toNanos() / speed));
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
@@ -20,6 +20,9 @@
   /** A stop that has had no effect for this long is ordered again. */
   private static final Duration STOP_AGAIN = Duration.ofMillis(200);
 
+  /** Runs at a worker below this speed say more of the worker than of the work. */
+  private static final double USUAL_SPEED = 0.5;
+
   private final JobBoard board;
   private final PendingCommits commits;
   private final Consumer<Decision> decisions;
@@ -59,7 +62,7 @@
     } else if (end.how() == RunEnd.FAILED) {
       commit(w, step, end, false);
       int failures = step.fail(index, end.run().number());
-      step.failedAt(index, w.agent);
+      step.avoid(index, w.agent);
       if (own) {
         board.release(step, index);
       }
@@ -96,13 +99,13 @@
     return new Run(id, step, step.spec.need(), 0, now);
   }
 
-  /** Orders the runs that nobody waits for to be stopped, and again if they do not end. */
+  /** Orders unwanted runs to be stopped, and again if they do not end. */
   void stopAgain(WorkerState w, Instant now) {
     if (!w.known) {
       return;
     }
     for (Run r : w.runs.values()) {
-      if (r.isOrphan() && now.isAfter(r.stopSentAt.plus(STOP_AGAIN))) {
+      if (r.isUnwanted() && now.isAfter(r.stopSentAt.plus(STOP_AGAIN))) {
         r.stopSentAt = now;
         w.stop(r.id);
       }
@@ -125,9 +128,11 @@
     LiveStep step = run.step;
     if (step != null && end.how() == RunEnd.DONE && run.order > 0) {
       Duration taken = Duration.between(run.orderedAt, now);
-      double before = w.speed.value();
-      w.speed.observed(step.work, taken);
-      board.estimates().observed(step.job.queue.name(), step.spec, taken, before);
+      double before = w.presentSpeed(now);
+      w.speed.observed(step.work, taken, now);
+      if (before >= USUAL_SPEED) {
+        board.estimates().observed(step.job.queue.name(), step.spec, taken, before);
+      }
       w.health.succeeded();
     } else if (step != null && end.how() == RunEnd.FAILED) {
       w.health.failed(step.job.job.id());
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkEstimates.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkEstimates.java
@@ -10,6 +10,12 @@
   /** Weight of the newest run. */
   private static final double WEIGHT = 0.05;
 
+  /**
+   * A run that took more than this many times what was expected, or less than this part of it,
+   * tells more of its worker than of the work.
+   */
+  private static final double MOST_CHANGE = 3;
+
   /** Work of a task whose caller gives no estimate, until runs of its queue have ended. */
   private static final Duration UNKNOWN = Duration.ofMillis(300);
 
@@ -24,7 +30,9 @@
   /** Takes note of what a run took at a worker of a speed. */
   void observed(String queue, StepSpec step, Duration taken, double speed) {
     double ratio = taken.toNanos() * speed / base(step).toNanos();
-    ratios.merge(queue, ratio, (old, seen) -> old + WEIGHT * (seen - old));
+    double known = ratios.getOrDefault(queue, 1.0);
+    double seen = Math.min(known * MOST_CHANGE, Math.max(known / MOST_CHANGE, ratio));
+    ratios.put(queue, known + WEIGHT * (seen - known));
   }
 
   private static Duration base(StepSpec step) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
@@ -24,6 +24,9 @@
   /** Agents report five times a second; two reports missed make a worker doubtful. */
   private static final Duration DOUBT = Duration.ofMillis(500);
 
+  /** The past of a worker counts as much as this long at work of its present runs. */
+  private static final Duration PAST_WEIGHT = Duration.ofMillis(300);
+
   final NodeId agent;
   final MinionHealth health = new MinionHealth();
   final WorkerSpeed speed = new WorkerSpeed();
@@ -97,6 +100,23 @@
     return m == null || unknownNeeds > 0 ? Resources.NONE : m.capacity().minus(used);
   }
 
+  /**
+   * Returns the speed by what the present runs have done so far, and by the past as far as they
+   * tell little. A worker that has turned slow is known by it before any run ends.
+   */
+  double presentSpeed(Instant now) {
+    double done = speed.value(now) * PAST_WEIGHT.toNanos();
+    double taken = PAST_WEIGHT.toNanos();
+    for (Run r : runs.values()) {
+      LiveStep step = r.step;
+      if (step != null) {
+        done += r.progress() * step.work.toNanos();
+        taken += r.timeAtWork().toNanos();
+      }
+    }
+    return done / taken;
+  }
+
   /** Tells whether the worker answers and may be given work. */
   boolean isUsable(Instant now) {
     MinionProfile m = minion;
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -67,9 +67,12 @@
   private static final ScheduleSettings SETTINGS =
       new ScheduleSettings(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
 
+  private static final Duration REPORTS = Duration.ofMillis(30);
+
   private final LeaderController leader =
       LeaderController.create(SELF, SETTINGS, new SharedLedgerCodec(), UUID::randomUUID);
   private final Map<NodeId, List<StartOrder>> starts = new HashMap<>();
+  private final List<RunId> stops = new ArrayList<>();
   private final Map<NodeId, Long> orders = new HashMap<>();
   private final List<NodeId> leases = new ArrayList<>();
   private final List<DeskAnswer> answers = new ArrayList<>();
@@ -78,6 +81,7 @@
   private long index;
   private long call;
   private boolean holdsCommits;
+  private NodeId lastStartedAt = SELF;
 
   @BeforeEach
   void leadsWithOneQueueAndTwoMinions() {
@@ -227,6 +231,48 @@
     assertThat(answers).containsExactly(DeskAnswer.of(DeskCode.NOT_LEADER));
   }
 
+  @Test
+  void stops_a_run_that_stands_still_and_starts_its_task_at_another_minion() {
+    submit(1, true);
+    RunId run = started().get(0);
+    NodeId where = starts.containsKey(FIRST) ? FIRST : SECOND;
+    NodeId other = where.equals(FIRST) ? SECOND : FIRST;
+    reportFor(Duration.ofMillis(450), where, run, 0, 0);
+    List<RunId> stopped = List.copyOf(stops);
+    starts.clear();
+
+    report(where, List.of(), List.of(new EndedRun(1, run, RunEnd.STOPPED)));
+
+    assertThat(stopped).containsOnly(run);
+    assertThat(starts).containsOnlyKeys(other);
+  }
+
+  @Test
+  void leaves_a_slow_run_alone_that_gets_on() {
+    submit(1, true);
+    RunId run = started().get(0);
+    NodeId where = starts.containsKey(FIRST) ? FIRST : SECOND;
+
+    reportFor(Duration.ofMillis(900), where, run, 0, 40);
+
+    assertThat(stops).isEmpty();
+  }
+
+  @Test
+  void moves_no_task_more_than_twice_that_stands_still_everywhere() {
+    submit(1, true);
+    for (int i = 1; i <= 5; i++) {
+      RunId run = started().get(started().size() - 1);
+      NodeId where = lastStartedAt;
+      reportFor(Duration.ofMillis(450), where, run, 0, 0);
+      if (stops.contains(run)) {
+        report(where, List.of(), List.of(new EndedRun(i, run, RunEnd.STOPPED)));
+      }
+    }
+
+    assertThat(stops.stream().distinct()).hasSize(2);
+  }
+
   @Test
   void is_sure_to_lead_by_a_lease_that_came_before_the_news_of_its_election() {
     on(new LeaderChanged(5, null, false));
@@ -284,11 +330,24 @@
                 true,
                 true,
                 orders.getOrDefault(agent, 0L),
+                Duration.ZERO,
                 running,
                 List.of(),
                 ended)));
   }
 
+  /** Reports again and again on a run whose progress grows evenly, and on an idle other minion. */
+  private void reportFor(Duration time, NodeId where, RunId run, int from, int to) {
+    int rounds = (int) time.dividedBy(REPORTS);
+    for (int i = 1; i <= rounds; i++) {
+      now = now.plus(REPORTS);
+      int percent = from + (to - from) * i / rounds;
+      report(where, List.of(new RunningRun(run, percent)), List.of());
+      report(where.equals(FIRST) ? SECOND : FIRST, List.of(), List.of());
+      on(new Tick());
+    }
+  }
+
   private List<RunId> started() {
     return starts.values().stream().flatMap(List::stream).map(StartOrder::run).toList();
   }
@@ -303,6 +362,8 @@
         } else if (f instanceof Send s && s.message() instanceof RunOrders o) {
           orders.put(s.to(), o.number());
           starts.computeIfAbsent(s.to(), n -> new ArrayList<>()).addAll(o.starts());
+          lastStartedAt = o.starts().isEmpty() ? lastStartedAt : s.to();
+          stops.addAll(o.stops());
         } else if (f instanceof Send s && s.message() instanceof AgentLease) {
           leases.add(s.to());
         } else if (f instanceof Send s && s.message() instanceof LeaderReply r) {
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadPlay.java
@@ -0,0 +1,176 @@
+package org.cassiastack.schedule;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.Random;
+import java.util.UUID;
+import org.cassiastack.consensus.CommandCommitted;
+import org.cassiastack.consensus.LeaderChanged;
+import org.cassiastack.consensus.LeaseExtended;
+import org.cassiastack.consensus.ProposeCommand;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Raise;
+import org.cassiastack.controller.Schedule;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.desk.DeskCode;
+import org.cassiastack.desk.LeaderReply;
+import org.cassiastack.desk.QueueAddress;
+import org.cassiastack.desk.StoreConfiguration;
+import org.cassiastack.desk.SubmitJob;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.queue.QueueConfiguration;
+import org.cassiastack.queue.QueuedJob;
+import org.cassiastack.queue.QueuedJobId;
+import org.cassiastack.queue.SharedLedgerCodec;
+import org.cassiastack.queue.StepSpec;
+import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunOrders;
+
+/** Callers, one leader and some workers in virtual time, to see what callers get under a load. */
+final class LoadPlay {
+  static final ServiceName SERVICE = new ServiceName("ice");
+  static final long TASK_CPU = 3_000;
+  private static final NodeId SELF = new NodeId("10.0.0.1");
+  private static final NodeId ENTRY = new NodeId("10.0.0.1/entry");
+  private static final Duration TICK = Duration.ofMillis(20);
+  private static final Duration OBJECTIVE_SLACK = Duration.ofMillis(60);
+  private static final double STRETCH = 1.6;
+  private static final ScheduleSettings SETTINGS =
+      new ScheduleSettings(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
+
+  private final Schedule schedule = new Schedule(Instant.parse("2026-12-04T08:00:00Z"));
+  private final LeaderController leader =
+      LeaderController.create(SELF, SETTINGS, new SharedLedgerCodec(), UUID::randomUUID);
+  private final Map<NodeId, LoadWorker> workers = new LinkedHashMap<>();
+  private final Map<Long, Submission> submissions = new HashMap<>();
+  private final Map<QueuedJobId, Duration> works = new HashMap<>();
+  private final Random random;
+  private long index;
+  private long calls;
+  private int jobs;
+  private int onTime;
+
+  private LoadPlay(long seed) {
+    this.random = new Random(seed);
+  }
+
+  /** Starts a leader and workers of the speed 1 with room for six tasks each. */
+  static LoadPlay of(int workers, long seed) {
+    LoadPlay play = new LoadPlay(seed);
+    play.on(new LeaderChanged(1, SELF, true));
+    for (int i = 0; i < workers; i++) {
+      NodeId node = new NodeId("10.0.1." + i + "/agent");
+      play.workers.put(node, new LoadWorker(play, node));
+    }
+    play.tick();
+    play.on(new Received(ENTRY, new StoreConfiguration(0, configuration())));
+    play.run(Duration.ofSeconds(1));
+    return play;
+  }
+
+  /** Lets callers submit jobs at random times with a mean interval. */
+  void submitEvery(Duration mean, int tasks, Duration work, Duration during) {
+    Duration gap = Duration.ofNanos((long) (-Math.log(random.nextDouble()) * mean.toNanos()));
+    if (gap.compareTo(during) < 0) {
+      schedule.after(
+          gap,
+          () -> {
+            submit(tasks, work);
+            submitEvery(mean, tasks, work, during.minus(gap));
+          });
+    }
+  }
+
+  /** Makes one worker this many times slower from now on; its running tasks as well. */
+  void slowDown(int worker, double times) {
+    List.copyOf(workers.values()).get(worker).slowDown(times);
+  }
+
+  void run(Duration time) {
+    schedule.runFor(time);
+  }
+
+  /** Returns the share of the jobs that were answered within their objective. */
+  double onTimeShare() {
+    return (double) onTime / jobs;
+  }
+
+  Instant now() {
+    return schedule.now();
+  }
+
+  void after(Duration delay, Runnable action) {
+    schedule.after(delay, action);
+  }
+
+  Duration workOf(RunId run) {
+    return works.get(run.task().job());
+  }
+
+  double random() {
+    return random.nextDouble();
+  }
+
+  /** Hands an event to the leader, and commits at once what it proposes. */
+  void on(Event first) {
+    Queue<Event> events = new ArrayDeque<>(List.of(first));
+    for (Event e = events.poll(); e != null; e = events.poll()) {
+      for (Effect f : leader.on(e, now())) {
+        if (f instanceof Raise r && r.event() instanceof ProposeCommand p) {
+          events.add(new CommandCommitted(++index, p.proposal(), p.command()));
+        } else if (f instanceof Send s && s.message() instanceof RunOrders o) {
+          LoadWorker w = workers.get(s.to());
+          after(Duration.ofMillis(1), () -> w.ordered(o));
+        } else if (f instanceof Send s && s.message() instanceof LeaderReply r) {
+          answered(r);
+        }
+      }
+    }
+  }
+
+  private void submit(int tasks, Duration work) {
+    calls++;
+    jobs++;
+    QueuedJobId id = new QueuedJobId(calls);
+    QueueAddress address = new QueueAddress("h", "/q/" + id);
+    List<StepSpec> steps = new ArrayList<>(List.of(StepSpec.plain(tasks, TASK_CPU, 64, work)));
+    Duration objective = Duration.ofNanos((long) (work.toNanos() * STRETCH)).plus(OBJECTIVE_SLACK);
+    submissions.put(calls, new Submission(now().plus(objective)));
+    works.put(id, work);
+    QueuedJob job = new QueuedJob(id, "spec", steps, false);
+    on(new Received(ENTRY, new SubmitJob(calls, address, job, objective.multipliedBy(4))));
+  }
+
+  private void answered(LeaderReply r) {
+    Submission s = submissions.remove(r.call());
+    if (s != null && r.answer().code() == DeskCode.ACCEPTED && !now().isAfter(s.dueAt)) {
+      onTime++;
+    }
+  }
+
+  private void tick() {
+    on(new LeaseExtended(1, now().plusSeconds(1)));
+    on(new Tick());
+    schedule.after(TICK, this::tick);
+  }
+
+  private static QueueConfiguration configuration() {
+    org.cassiastack.queue.Queue q =
+        new org.cassiastack.queue.Queue("q", "h", "/q/", SERVICE, 0, 2, STRETCH, OBJECTIVE_SLACK);
+    return new QueueConfiguration(1, List.of(q), Payload.ofText("document"));
+  }
+
+  private record Submission(Instant dueAt) {}
+}
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -149,6 +149,7 @@
             true,
             true,
             9,
+            Duration.ofMillis(40),
             List.of(new RunningRun(RUN, 40)),
             List.of(RUN),
             List.of(new EndedRun(3, RUN, RunEnd.DONE))),
