Entries refuse as requests come once an election should have ended

Change: after 0.7 s without a leader a request is refused at once, as not run. Before that it waits for up to 0.3 s as it did. Tests: DeskControllerTest, two cases, the first failing before.

--- a/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
@@ -15,6 +15,7 @@
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Hands requests to the leader and keeps them until they are answered.
@@ -22,6 +23,7 @@
  * <ol>
  *   <li>A request is sent again to each new leader, and to the same one when it keeps silent.
  *   <li>Without a leader a request waits for a short while, then it is refused: it had no effect.
+ *       Once that has lasted longer than an election takes, requests are refused as they come.
  *   <li>A job that was sent more than once is not refused as "not run": an earlier leader may have
  *       started it.
  *   <li>At its deadline a request that was sent is {@link DeskCode#UNANSWERED}: nobody knows.
@@ -33,12 +35,18 @@
   /** How long a request waits for a leader before it is refused; most elections are longer. */
   static final Duration LEADER_PATIENCE = Duration.ofMillis(300);
 
+  /** Time without a leader in which most elections end: two election timeouts and a little. */
+  static final Duration ELECTION = Duration.ofMillis(700);
+
   /** Silence of the leader after which a request is sent again; a commit takes a tenth of it. */
   static final Duration RESEND = Duration.ofMillis(400);
 
   private final LeaderTracker tracker = LeaderTracker.create();
   private final Map<Long, Waiting> calls = new LinkedHashMap<>();
 
+  /** Since when no leader is known; null while one is. */
+  private @Nullable Instant leaderlessSince;
+
   private DeskController() {}
 
   /** Makes a controller that knows no leader. */
@@ -49,10 +57,11 @@
   @Override
   public List<Effect> on(Event event, Instant now) {
     List<Effect> effects = new ArrayList<>();
+    if (tracker.leader() == null && leaderlessSince == null) {
+      leaderlessSince = now;
+    }
     if (event instanceof DeskCall c) {
-      Waiting w = new Waiting(c.request(), now, c.deadline());
-      calls.put(c.request().call(), w);
-      send(w, now, effects);
+      called(c, now, effects);
     } else if (event instanceof Received r && r.message() instanceof LeaderReply a) {
       answered(a, effects);
     } else if (event instanceof Received r && r.message() instanceof LeaderNotice n) {
@@ -69,6 +78,28 @@
     return effects;
   }
 
+  private void called(DeskCall c, Instant now, List<Effect> effects) {
+    Waiting w = new Waiting(c.request(), now, c.deadline());
+    if (isElectionOverdue(now)) {
+      effects.add(noLeader(w));
+      return;
+    }
+    calls.put(c.request().call(), w);
+    send(w, now, effects);
+  }
+
+  private boolean isElectionOverdue(Instant now) {
+    return leaderlessSince != null && !now.isBefore(leaderlessSince.plus(ELECTION));
+  }
+
+  private static DeskAnswered noLeader(Waiting w) {
+    return new DeskAnswered(w.request.call(), DeskAnswer.of(DeskCode.NO_LEADER));
+  }
+
+  private static DeskAnswered unanswered(Waiting w) {
+    return new DeskAnswered(w.request.call(), DeskAnswer.of(DeskCode.UNANSWERED));
+  }
+
   private void answered(LeaderReply reply, List<Effect> effects) {
     Waiting w = calls.get(reply.call());
     if (w == null) {
@@ -88,6 +119,7 @@
   }
 
   private void leaderChanged(Instant now, List<Effect> effects) {
+    leaderlessSince = tracker.leader() == null ? now : null;
     effects.add(new LeaderSeen(tracker.leader(), tracker.members()));
     for (Waiting w : calls.values()) {
       send(w, now, effects);
@@ -97,11 +129,11 @@
   private void tick(Instant now, List<Effect> effects) {
     for (Iterator<Waiting> i = calls.values().iterator(); i.hasNext(); ) {
       Waiting w = i.next();
-      boolean hopeless = !w.mayHaveEffect && !now.isBefore(w.since.plus(LEADER_PATIENCE));
-      if (!now.isBefore(w.deadline) || (hopeless && tracker.leader() == null)) {
+      boolean waitedLong = !now.isBefore(w.since.plus(LEADER_PATIENCE)) || isElectionOverdue(now);
+      boolean hopeless = !w.mayHaveEffect && waitedLong && tracker.leader() == null;
+      if (!now.isBefore(w.deadline) || hopeless) {
         i.remove();
-        DeskCode code = w.mayHaveEffect ? DeskCode.UNANSWERED : DeskCode.NO_LEADER;
-        effects.add(new DeskAnswered(w.request.call(), DeskAnswer.of(code)));
+        effects.add(w.mayHaveEffect ? unanswered(w) : noLeader(w));
       } else if (!now.isBefore(w.sentAt.plus(RESEND))) {
         send(w, now, effects);
       }
--- a/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
@@ -64,6 +64,26 @@
     assertThat(late).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.NO_LEADER)));
   }
 
+  @Test
+  void refuses_a_request_as_it_comes_once_an_election_should_have_ended() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(new PeerDisconnected(FIRST), 10);
+    on(new Tick(), 710);
+
+    List<Effect> effects = on(call(), 711);
+
+    assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.NO_LEADER)));
+  }
+
+  @Test
+  void waits_for_a_leader_again_after_one_has_been_found() {
+    on(new Tick(), 0);
+    on(notice(FIRST, 1, FIRST), 2_000);
+    on(new PeerDisconnected(FIRST), 2_010);
+
+    assertThat(on(call(), 2_020)).isEmpty();
+  }
+
   @Test
   void does_not_say_that_a_request_had_no_effect_once_a_leader_may_have_it() {
     on(notice(FIRST, 1, FIRST), 0);
