Leader: a waiting job is refused as soon as it can only end too late

Change: a job that is not kept and of which no task has started is refused when it could only end too late, with the time after which the backlog is worked off.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
@@ -1,6 +1,7 @@
 package org.cassiastack.schedule.internal;
 
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -121,6 +122,18 @@
     return sum;
   }
 
+  /** Returns the jobs that have waited so long that starting them now is of no use to anybody. */
+  List<LiveJob> hopeless(Instant now) {
+    List<LiveJob> hopeless = new ArrayList<>();
+    for (LiveStep s : ready.all()) {
+      LiveJob job = s.job;
+      if (!job.started && !job.job.kept() && job.lateness(s, now) == Lateness.USELESS) {
+        hopeless.add(job);
+      }
+    }
+    return hopeless;
+  }
+
   /** Returns the jobs that nobody waits for any more. */
   List<LiveJob> abandoned(Instant now) {
     return jobs.values().stream().filter(j -> now.isAfter(j.abandonedAt)).toList();
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
@@ -209,6 +209,17 @@
     }
   }
 
+  private void refuse(LiveJob job, Instant now) {
+    Duration delay = delay(job.queue, now);
+    String inputs = "waited=" + Duration.between(job.receivedAt, now) + " delay=" + delay;
+    decide("job_refused", job.job.id(), "overtaken", inputs);
+    drop(job.job.id());
+    Caller caller = callers.remove(job.job.id());
+    if (caller != null) {
+      answer(caller, DeskAnswer.overloaded(Admission.retryAfter(delay)));
+    }
+  }
+
   /** Takes a job off the board and stops what runs of it. */
   private void drop(QueuedJobId id) {
     LiveJob job = board.find(id);
@@ -242,9 +253,15 @@
     }
   }
 
-  /** Gives up the jobs that nobody waits for any more. */
+  /**
+   * Refuses the jobs that would end too late to be of use, rather than let their callers wait until
+   * they know it themselves, and gives up those that nobody waits for any more.
+   */
   void tick(Instant now) {
     recent.forget(now);
+    for (LiveJob job : board.hopeless(now)) {
+      refuse(job, now);
+    }
     for (LiveJob job : board.abandoned(now)) {
       drop(job.job.id());
       callers.remove(job.job.id());
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -155,6 +155,23 @@
         .allMatch(a -> a.retryAfter().compareTo(Duration.ofSeconds(1)) >= 0);
   }
 
+  @Test
+  void refuses_a_waiting_job_as_soon_as_it_can_only_end_too_late() {
+    ask(new SubmitJob(++call, ADDRESS, job(List.of(step(16, 1_000)), true), Duration.ofSeconds(9)));
+    QueuedJob waiting = new QueuedJob(new QueuedJobId(7), "spec", List.of(step(2, 1_000)), false);
+    ask(new SubmitJob(++call, ADDRESS, waiting, Duration.ofSeconds(9)));
+    answers.clear();
+
+    now = now.plusMillis(500);
+    on(new Tick());
+    List<DeskAnswer> early = List.copyOf(answers);
+    now = now.plusMillis(100);
+    on(new Tick());
+
+    assertThat(early).isEmpty();
+    assertThat(answers).extracting(DeskAnswer::code).containsExactly(DeskCode.OVERLOADED);
+  }
+
   @Test
   void a_new_leader_refuses_no_job_for_a_backlog_while_it_does_not_know_the_workers() {
     lead(6);
