--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -4,10 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.model.MinionId;
@@ -39,12 +36,9 @@
   /** A minion that has not answered for this long, beyond the wait, gets no more work. */
   private static final Duration SILENCE = Duration.ofMillis(400);
 
-  /** Calls for one start: a minion that leaves so many unanswered is left to the deadline. */
-  private static final int MOST_CALLS = 3;
-
   private final AgentSettings settings;
   private final MinionClock clock = new MinionClock();
-  private final Map<RunId, PendingStart> starts = new LinkedHashMap<>();
+  private final PendingStarts starts = new PendingStarts();
   private @Nullable MinionProfile profile;
   private long sequence;
   private List<RunningRun> running = List.of();
@@ -91,7 +85,7 @@
   }
 
   List<RunId> unresolved() {
-    return List.copyOf(starts.keySet());
+    return starts.runs();
   }
 
   boolean isReachable(Instant now) {
@@ -122,7 +116,8 @@
     if (p == null || !p.life().id().equals(id)) {
       return false;
     }
-    forgetRuns();
+    forgetLists();
+    starts.clear();
     profile = new MinionProfile(p.life(), p.service(), p.domain(), p.capacity(), p.labels(), true);
     answeredAt = Instant.MIN;
     return true;
@@ -143,7 +138,7 @@
       return false;
     }
     long deadline = deadline(leaseUntil, now);
-    starts.put(order.run(), new PendingStart(order, deadline));
+    starts.add(order, deadline);
     effects.add(new CallStart(p.life(), order, fence, deadline));
     return true;
   }
@@ -169,30 +164,12 @@
 
   /** Takes the outcome of a start; tells whether the leader should hear of it. */
   boolean startAnswered(StartAnswered a) {
-    PendingStart s = starts.get(a.run());
-    if (s == null) {
-      return false;
-    }
-    s.calling = false;
-    s.shownByHold = holds + 1;
-    if (s.revoked || a.outcome() == StartAnswered.Outcome.UNANSWERED) {
-      s.doubtful = true;
-    } else if (a.outcome() == StartAnswered.Outcome.REFUSED && !s.doubtful) {
-      starts.remove(a.run());
-      return true;
-    }
-    return false;
+    return starts.startAnswered(a, holds + 1);
   }
 
   /** Takes the outcome of a stop, which settles a start that was revoked. */
   void stopAnswered(StopAnswered a) {
-    PendingStart s = starts.get(a.run());
-    if (s != null && s.revoked) {
-      s.calling = false;
-      s.doubtful = !a.taken();
-      s.revoked = !a.taken();
-      s.shownByHold = holds + 1;
-    }
+    starts.stopAnswered(a, holds + 1);
   }
 
   /** Takes the minion's lists; tells whether they bring news. */
@@ -211,17 +188,7 @@
     listedAcknowledged = acknowledged;
     Set<RunId> listed = runs(running);
     ended.forEach(e -> listed.add(e.run()));
-    for (Iterator<PendingStart> i = starts.values().iterator(); i.hasNext(); ) {
-      PendingStart s = i.next();
-      if (listed.contains(s.order.run())) {
-        if (!s.calling) {
-          i.remove();
-        }
-      } else if (s.isDisprovedBy(h.number(), h.clockMillis())) {
-        i.remove();
-        news = true;
-      }
-    }
+    news |= starts.listed(listed, h.number(), h.clockMillis());
     nextHold = ended.isEmpty() ? Instant.MIN : now.plus(ACKNOWLEDGE_PAUSE);
     return news;
   }
@@ -242,7 +209,7 @@
     boolean any = !running.isEmpty() || !starts.isEmpty();
     if (any && !isReachable(now) && now.isAfter(lapsesAt)) {
       running = List.of();
-      starts.values().removeIf(s -> !s.calling);
+      starts.lapsed();
       return true;
     }
     return false;
@@ -254,16 +221,7 @@
     if (p == null) {
       return;
     }
-    for (PendingStart s : starts.values()) {
-      if (!s.calling && s.revoked) {
-        s.calling = true;
-        effects.add(new CallStop(p.life(), s.order.run(), fence));
-      } else if (!s.calling && s.doubtful && s.calls < MOST_CALLS && now.isBefore(leaseUntil)) {
-        s.calling = true;
-        s.calls++;
-        effects.add(new CallStart(p.life(), s.order, fence, s.deadlineMillis));
-      }
-    }
+    starts.call(p.life(), fence, leaseUntil, now, effects);
     if (holding || now.isBefore(nextHold)) {
       return;
     }
@@ -303,10 +261,12 @@
 
   /** Begins a new life of the minion; under its former identity it may take late calls. */
   private void beginLife(boolean sameIdentity) {
-    Map<RunId, PendingStart> late = sameIdentity ? new LinkedHashMap<>(starts) : Map.of();
-    forgetRuns();
-    starts.putAll(late);
-    late.values().forEach(s -> s.revoked = true);
+    forgetLists();
+    if (sameIdentity) {
+      starts.revoke();
+    } else {
+      starts.clear();
+    }
     clock.reset();
     sequence = 0;
     acknowledged = 0;
@@ -318,8 +278,7 @@
     lapsesAt = Instant.MIN;
   }
 
-  private void forgetRuns() {
-    starts.clear();
+  private void forgetLists() {
     running = List.of();
     ended = List.of();
   }
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
@@ -0,0 +1,105 @@
+package org.cassiastack.agent;
+
+import java.time.Instant;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.runs.MinionLife;
+import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.StartOrder;
+
+/** The starts that may have been carried out, or still may, although no list shows their runs. */
+final class PendingStarts {
+  /** Calls for one start: a minion that leaves so many unanswered is left to the deadline. */
+  private static final int MOST_CALLS = 3;
+
+  private final Map<RunId, PendingStart> starts = new LinkedHashMap<>();
+
+  boolean isEmpty() {
+    return starts.isEmpty();
+  }
+
+  List<RunId> runs() {
+    return List.copyOf(starts.keySet());
+  }
+
+  void add(StartOrder order, long deadline) {
+    starts.put(order.run(), new PendingStart(order, deadline));
+  }
+
+  /** Takes the outcome of a start before a hold; tells whether the leader should hear of it. */
+  boolean startAnswered(StartAnswered a, long nextHold) {
+    PendingStart s = starts.get(a.run());
+    if (s == null) {
+      return false;
+    }
+    s.calling = false;
+    s.shownByHold = nextHold;
+    if (s.revoked || a.outcome() == StartAnswered.Outcome.UNANSWERED) {
+      s.doubtful = true;
+    } else if (a.outcome() == StartAnswered.Outcome.REFUSED && !s.doubtful) {
+      starts.remove(a.run());
+      return true;
+    }
+    return false;
+  }
+
+  /** Takes the outcome of a stop before a hold, which settles a start that was revoked. */
+  void stopAnswered(StopAnswered a, long nextHold) {
+    PendingStart s = starts.get(a.run());
+    if (s != null && s.revoked) {
+      s.calling = false;
+      s.doubtful = !a.taken();
+      s.revoked = !a.taken();
+      s.shownByHold = nextHold;
+    }
+  }
+
+  /** Takes the minion's lists; tells whether they prove that a start was not carried out. */
+  boolean listed(Set<RunId> listed, long hold, long clockMillis) {
+    boolean disproved = false;
+    for (Iterator<PendingStart> i = starts.values().iterator(); i.hasNext(); ) {
+      PendingStart s = i.next();
+      if (listed.contains(s.order.run())) {
+        if (!s.calling) {
+          i.remove();
+        }
+      } else if (s.isDisprovedBy(hold, clockMillis)) {
+        i.remove();
+        disproved = true;
+      }
+    }
+    return disproved;
+  }
+
+  /** Makes the calls that are due: doubtful starts again, and stops for revoked ones. */
+  void call(MinionLife life, long fence, Instant leaseUntil, Instant now, List<Effect> effects) {
+    for (PendingStart s : starts.values()) {
+      if (!s.calling && s.revoked) {
+        s.calling = true;
+        effects.add(new CallStop(life, s.order.run(), fence));
+      } else if (!s.calling && s.doubtful && s.calls < MOST_CALLS && now.isBefore(leaseUntil)) {
+        s.calling = true;
+        s.calls++;
+        effects.add(new CallStart(life, s.order, fence, s.deadlineMillis));
+      }
+    }
+  }
+
+  /** All deadlines have passed; only calls under way may still come to something. */
+  void lapsed() {
+    starts.values().removeIf(s -> !s.calling);
+  }
+
+  /** The minion has begun a new life in which none of the starts may be carried out. */
+  void revoke() {
+    starts.values().forEach(s -> s.revoked = true);
+  }
+
+  void clear() {
+    starts.clear();
+  }
+}
