--- a/cassiastack-core/src/main/java/org/cassiastack/spread/FreshnessController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/spread/FreshnessController.java
@@ -45,6 +45,12 @@
  * @since 0.1
  */
 public final class FreshnessController implements Controller {
+  /** Age of a configuration beyond which nothing may start; operators see changes by then. */
+  public static final Duration LIMIT = Duration.ofSeconds(3);
+
+  /** A sixth of the limit, so that some lost answers do no harm. */
+  private static final Duration ASK_INTERVAL = Duration.ofMillis(500);
+
   /** Largest number of deltas that are kept for others. */
   public static final int MAX_DELTAS = 256;
 
@@ -66,6 +72,16 @@
     this.limit = limit;
   }
 
+  /**
+   * Makes a controller with the timings that all daemons share, so that a change is in force within
+   * {@link #LIMIT} wherever work may start.
+   *
+   * @param isSource tells which peers are asked
+   */
+  public static FreshnessController create(Predicate<NodeId> isSource) {
+    return create(isSource, ASK_INTERVAL, LIMIT);
+  }
+
   /**
    * Makes a controller that holds nothing yet.
    *
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/Agent.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/agent/Agent.java
@@ -66,8 +66,6 @@
  */
 public final class Agent {
   private static final Duration TICK = Duration.ofMillis(50);
-  private static final Duration ASK_INTERVAL = Duration.ofMillis(500);
-  private static final Duration FRESHNESS_LIMIT = Duration.ofSeconds(3);
   private static final Duration HEARTBEAT = Duration.ofSeconds(1);
 
   private final DaemonMetrics metrics = DaemonMetrics.create();
@@ -99,7 +97,7 @@
             "control",
             List.of(
                 AnnouncementController.create(self, incarnation, minions, HEARTBEAT),
-                FreshnessController.create(peer -> true, ASK_INTERVAL, FRESHNESS_LIMIT)));
+                FreshnessController.create(peer -> true)));
     traffic = loop("guard", List.of(guard));
     settings.entries().forEach(network::dial);
     pages = AgentPages.serve(settings.operators(), metrics);
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
@@ -61,8 +61,6 @@
 /** The control side of an entry: membership, configuration and freshness, on the control loop. */
 final class ControlPlane implements ConfigurationDesk, AutoCloseable {
   private static final Duration TICK = Duration.ofMillis(50);
-  private static final Duration ASK_INTERVAL = Duration.ofMillis(500);
-  private static final Duration FRESHNESS_LIMIT = Duration.ofSeconds(3);
   private static final Duration BOOTSTRAP_RETRY = Duration.ofMillis(200);
 
   private final NodeId self;
@@ -82,7 +80,7 @@
     this.raft = open(settings);
     List<Controller> controllers = new ArrayList<>(log(settings));
     controllers.add(MembershipController.create(self, settings.lease()));
-    controllers.add(FreshnessController.create(isMember, ASK_INTERVAL, FRESHNESS_LIMIT));
+    controllers.add(FreshnessController.create(isMember));
     controllers.add(ApplyRouter.create(self, isMember));
     if (member) {
       controllers.add(ConfigurationController.create(MessagePackConfigurationCodec.create()));
