Leader: an agent whose minion leaves and has nothing to do holds no lease, so that no later leader waits for it

An agent needs none once its minion is leaving, its lists are empty and it has taken all orders. Ruled out: a message of farewell at the agent's end; the report says all that is needed, and earlier.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -141,13 +141,17 @@
       return;
     }
     if (!ledger.agents().contains(agent)) {
-      changing.add(agent);
-      fleet.joins(agent, now);
-      commits.agent(agent, at -> changing.remove(agent));
+      if (!fleet.needsNoLease(agent, r, fence)) {
+        changing.add(agent);
+        fleet.joins(agent, now);
+        commits.agent(agent, at -> changing.remove(agent));
+      }
       return;
     }
     WorkerState w = fleet.reported(agent, r, fence, now);
-    if (w != null) {
+    if (fleet.needsNoLease(agent, r, fence)) {
+      forget(agent, "idle", "minion=" + r.minion());
+    } else if (w != null) {
       MinionProfile m = w.minion;
       effects.add(
           new Send(
@@ -207,14 +211,19 @@
       return;
     }
     for (NodeId a : ledger.agents()) {
-      if (!fleet.mayHoldLease(a, now) && changing.add(a)) {
-        decide("agent_forgotten", a, "silent", "limit=" + settings.lapse());
-        fleet.leaves(a);
-        commits.forget(a, at -> changing.remove(a));
+      if (!fleet.mayHoldLease(a, now) && !changing.contains(a)) {
+        forget(a, "silent", "limit=" + settings.lapse());
       }
     }
   }
 
+  private void forget(NodeId agent, String outcome, String inputs) {
+    decide("agent_forgotten", agent, outcome, inputs);
+    changing.add(agent);
+    fleet.leaves(agent);
+    commits.forget(agent, at -> changing.remove(agent));
+  }
+
   private void decide(String event, Object subject, String outcome, String inputs) {
     effects.add(Decision.of(event, subject, outcome, inputs));
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -126,6 +126,19 @@
     }
   }
 
+  /**
+   * Tells whether an agent runs nothing and will get no orders, since its minion is leaving: no
+   * later leader has to wait for it.
+   */
+  boolean needsNoLease(NodeId agent, AgentReport r, long fence) {
+    WorkerState w = workers.get(agent);
+    MinionProfile m = r.minion();
+    boolean leaving = m != null && m.draining();
+    boolean obeys = r.fence() == fence && r.settled();
+    boolean empty = r.running().isEmpty() && r.unresolved().isEmpty() && r.ended().isEmpty();
+    return w != null && leaving && obeys && empty && w.runs.isEmpty() && !w.hasOrdersBeyond(r);
+  }
+
   /** Tells whether a lease of an agent may still run; each counts from before its report came. */
   boolean mayHoldLease(NodeId agent, Instant now) {
     WorkerState w = workers.get(agent);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
@@ -154,6 +154,11 @@
     return behind && known && now.isAfter(orderedAt.plus(silence)) ? next(fence, now) : null;
   }
 
+  /** Tells whether there are orders that an agent had not taken when it reported. */
+  boolean hasOrdersBeyond(AgentReport r) {
+    return !starts.isEmpty() || !stops.isEmpty() || r.ordersThrough() < orders;
+  }
+
   /** Takes note of an end that may be acknowledged once it is committed. */
   void awaitCommit(long sequence) {
     uncommitted.add(sequence);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -210,6 +210,30 @@
     assertThat(started()).hasSize(2);
   }
 
+  @Test
+  void a_new_leader_does_not_wait_for_an_agent_whose_minion_had_left() {
+    report(SECOND, List.of(), List.of(), true);
+    lead(6);
+    submit(2, true);
+
+    report(FIRST, List.of(), List.of());
+
+    assertThat(started()).hasSize(2);
+  }
+
+  @Test
+  void a_new_leader_waits_for_an_agent_whose_leaving_minion_still_ran_a_task() {
+    submit(2, true);
+    RunId run = starts.get(SECOND).get(0).run();
+    starts.clear();
+    report(SECOND, List.of(new RunningRun(run, 10)), List.of(), true);
+    lead(6);
+
+    report(FIRST, List.of(), List.of());
+
+    assertThat(started()).isEmpty();
+  }
+
   @Test
   void grants_no_lease_to_an_agent_that_the_ledger_is_about_to_forget() {
     now = now.plus(SETTINGS.lapse());
@@ -327,6 +351,11 @@
   }
 
   private void report(NodeId agent, List<RunningRun> running, List<EndedRun> ended) {
+    report(agent, running, ended, false);
+  }
+
+  private void report(
+      NodeId agent, List<RunningRun> running, List<EndedRun> ended, boolean draining) {
     now = now.plusMillis(1);
     MinionProfile minion =
         new MinionProfile(
@@ -335,7 +364,7 @@
             new FailureDomain("a"),
             new Resources(8_000, 8_000, 0),
             List.of(),
-            false);
+            draining);
     on(
         new Received(
             agent,
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
@@ -47,6 +47,7 @@
   private int life;
   private int lapses;
   private boolean lapsed;
+  private boolean draining;
   private final Map<EndedRun, Integer> lapsesBefore = new HashMap<>();
   private final Map<RunId, Integer> running = new LinkedHashMap<>();
   private final Map<TaskName, Long> highest = new HashMap<>();
@@ -63,12 +64,18 @@
     announcements++;
     MinionProfile p =
         new MinionProfile(
-            life(), SERVICE, new FailureDomain(domain), CAPACITY, List.of("a"), false);
+            life(), SERVICE, new FailureDomain(domain), CAPACITY, List.of("a"), draining);
     return new MinionAnnounced(p, announcements, clock());
   }
 
+  /** Says from now on that it is about to leave. */
+  void drain() {
+    draining = true;
+  }
+
   /** Begins a new life under the same identity. */
   void crash() {
+    draining = false;
     running.keySet().forEach(r -> world.watch().gone(this, r));
     running.clear();
     highest.clear();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueFaultProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueFaultProperties.java
@@ -76,7 +76,7 @@
     WorldNode member = world.members().get(random.nextInt(QueueWorld.MEMBERS));
     WorldNode agent = world.agents().get(random.nextInt(QueueWorld.AGENTS));
     boolean calm = world.members().stream().allMatch(WorldNode::isUp);
-    switch (random.nextInt(9)) {
+    switch (random.nextInt(10)) {
       case 0 -> {
         if (calm) {
           world.killPower(member);
@@ -99,6 +99,7 @@
       case 5 -> world.members().forEach(m -> cutBoth(world, agent, m));
       case 6 -> world.members().forEach(m -> cutBoth(world, m, member));
       case 7 -> world.members().forEach(m -> world.cut(member, m));
+      case 8 -> world.drainMinion(agent, 800 + random.nextInt(2_000));
       default -> {
         // Nothing fails this time.
       }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueWorld.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueWorld.java
@@ -216,6 +216,12 @@
     ((WorldAgent) agent).minion().crash();
   }
 
+  /** The minion of an agent says that it leaves, and ends after a while. */
+  void drainMinion(WorldNode agent, long forMillis) {
+    ((WorldAgent) agent).minion().drain();
+    after(forMillis, () -> crashMinion(agent));
+  }
+
   void loseDisk(WorldNode member) {
     ((WorldMember) member).loseDisk();
   }
