--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Leadership.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Leadership.java
@@ -88,6 +88,8 @@
     if (synced > state.commit && state.log.termAt(synced) == state.term()) {
       state.commitTo(synced);
       followers.forEach((m, p) -> sendOne(m, p, List.of(), now));
+      // The first commit makes the leader ready; its lease must not wait for the next heartbeat.
+      extendLease(now);
     }
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftControllerTest.java
@@ -151,6 +151,23 @@
     assertThat(raised(effects)).contains(new LeaseExtended(4, sent.plus(SETTINGS.lease())));
   }
 
+  @Test
+  void a_new_leader_has_a_lease_as_soon_as_it_is_ready_also_when_its_own_disk_is_the_last() {
+    controller = recovered(3, FIRST);
+    on(new Tick());
+    pass(SETTINGS.electionTimeout().multipliedBy(2));
+    on(new Tick());
+    sync(receive(new VoteReply(SECOND, SELF, 4, true, true)));
+    receive(new VoteReply(SECOND, SELF, 4, true, false));
+    receive(new AppendReply(SECOND, SELF, 4, now, true, 2));
+
+    List<Effect> effects = on(new Persisted(synced));
+
+    assertThat(raised(effects))
+        .contains(new LeaderChanged(4, SELF.node(), true))
+        .contains(new LeaseExtended(4, now.plus(SETTINGS.lease())));
+  }
+
   @Test
   void sends_no_more_unanswered_messages_than_the_window_holds() {
     controller = recovered(3, FIRST);
