--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -95,6 +95,8 @@
 
   private void received(Received r, Instant now, List<Effect> effects) {
     if (r.message() instanceof LeaderNotice n) {
+      // Others may have named it before it was ready to take a report.
+      reportDue |= r.from().equals(n.leader());
       if (tracker.noticed(r.from(), n)) {
         reportDue = true;
         effects.add(new LeaderSeen(tracker.leader(), tracker.members()));
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
@@ -157,6 +157,17 @@
         .noneMatch(e -> e instanceof CallHold h && h.acknowledgedThrough() > 0);
   }
 
+  @Test
+  void reports_again_when_a_leader_that_another_member_named_speaks_for_itself() {
+    NodeId next = new NodeId("10.0.0.2");
+    on(new Received(LEADER, new LeaderNotice(2, next, List.of(LEADER, next))));
+    now = now.plusMillis(12);
+
+    List<Effect> effects = on(new Received(next, new LeaderNotice(2, next, List.of(LEADER, next))));
+
+    assertThat(effects).anyMatch(e -> e instanceof Send s && s.to().equals(next));
+  }
+
   @Test
   void a_restarted_agent_says_that_its_lists_are_not_complete_yet() {
     AgentController fresh =
