--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
@@ -0,0 +1,134 @@
+package org.cassiastack.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.cassiastack.consensus.LeaderChanged;
+import org.cassiastack.consensus.LeaseExtended;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.desk.AskJob;
+import org.cassiastack.desk.DeskAnswer;
+import org.cassiastack.desk.DeskCode;
+import org.cassiastack.desk.SubmitJob;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.queue.JobPhase;
+import org.cassiastack.queue.QueuedJob;
+import org.cassiastack.queue.QueuedJobId;
+import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunningRun;
+import org.junit.jupiter.api.Test;
+
+/** What a new leader may do, and for whom it waits. */
+class LeaderChangeTest extends LeaderScenario {
+  @Test
+  void a_new_leader_refuses_no_job_for_a_backlog_while_it_does_not_know_the_workers() {
+    lead(6);
+
+    for (int i = 1; i <= 40; i++) {
+      QueuedJob job = new QueuedJob(new QueuedJobId(i), "spec", List.of(step(16, 1_000)), false);
+      ask(new SubmitJob(++call, ADDRESS, job, Duration.ofSeconds(9)));
+    }
+
+    assertThat(answers).extracting(DeskAnswer::code).doesNotContain(DeskCode.OVERLOADED);
+  }
+
+  @Test
+  void a_new_leader_starts_nothing_until_every_agent_has_reported() {
+    lead(6);
+    submit(2, true);
+    report(FIRST, List.of(), List.of());
+    boolean early = !started().isEmpty();
+
+    report(SECOND, List.of(), List.of());
+
+    assertThat(early).isFalse();
+    assertThat(started()).hasSize(2);
+  }
+
+  @Test
+  void a_new_leader_does_not_wait_for_an_agent_whose_lease_had_run_out_before() {
+    now = now.plus(SETTINGS.lapse());
+    report(FIRST, List.of(), List.of());
+    on(new Tick());
+    lead(6);
+    submit(2, true);
+
+    report(FIRST, List.of(), List.of());
+
+    assertThat(started()).hasSize(2);
+  }
+
+  @Test
+  void a_new_leader_does_not_wait_for_an_agent_whose_minion_had_left() {
+    report(SECOND, List.of(), List.of(), true);
+    lead(6);
+    submit(2, true);
+
+    report(FIRST, List.of(), List.of());
+
+    assertThat(started()).hasSize(2);
+  }
+
+  @Test
+  void a_new_leader_waits_for_an_agent_whose_leaving_minion_still_ran_a_task() {
+    submit(2, true);
+    RunId run = starts.get(SECOND).get(0).run();
+    starts.clear();
+    report(SECOND, List.of(new RunningRun(run, 10)), List.of(), true);
+    lead(6);
+
+    report(FIRST, List.of(), List.of());
+
+    assertThat(started()).isEmpty();
+  }
+
+  @Test
+  void grants_no_lease_to_an_agent_that_the_ledger_is_about_to_forget() {
+    now = now.plus(SETTINGS.lapse());
+    report(FIRST, List.of(), List.of());
+    holdsCommits = true;
+    on(new Tick());
+    leases.clear();
+
+    report(SECOND, List.of(), List.of());
+
+    assertThat(leases).isEmpty();
+  }
+
+  @Test
+  void a_new_leader_takes_over_the_runs_that_it_finds() {
+    submit(1, true);
+    RunId run = started().get(0);
+    NodeId where = starts.containsKey(FIRST) ? FIRST : SECOND;
+    starts.clear();
+    lead(6);
+
+    report(where, List.of(new RunningRun(run, 50)), List.of());
+    report(where.equals(FIRST) ? SECOND : FIRST, List.of(), List.of());
+    ask(new AskJob(++call, ADDRESS));
+
+    assertThat(started()).isEmpty();
+    assertThat(answers.get(answers.size() - 1).phase()).isEqualTo(JobPhase.RUNNING);
+  }
+
+  @Test
+  void is_sure_of_nothing_once_its_lease_of_the_log_has_run_out() {
+    now = now.plusSeconds(30);
+
+    ask(new AskJob(++call, ADDRESS));
+
+    assertThat(answers).containsExactly(DeskAnswer.of(DeskCode.NOT_LEADER));
+  }
+
+  @Test
+  void is_sure_to_lead_by_a_lease_that_came_before_the_news_of_its_election() {
+    on(new LeaderChanged(5, null, false));
+    on(new LeaseExtended(6, now.plusSeconds(10)));
+    on(new LeaderChanged(6, SELF, true));
+
+    ask(new AskJob(++call, ADDRESS));
+
+    assertThat(answers).containsExactly(DeskAnswer.of(DeskCode.NO_SUCH_JOB));
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
@@ -0,0 +1,188 @@
+package org.cassiastack.schedule;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.UUID;
+import org.cassiastack.consensus.CommandCommitted;
+import org.cassiastack.consensus.LeaderChanged;
+import org.cassiastack.consensus.LeaseExtended;
+import org.cassiastack.consensus.ProposeCommand;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.Raise;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.desk.DeskAnswer;
+import org.cassiastack.desk.LeaderReply;
+import org.cassiastack.desk.LeaderRequest;
+import org.cassiastack.desk.QueueAddress;
+import org.cassiastack.desk.StoreConfiguration;
+import org.cassiastack.desk.SubmitJob;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.Incarnation;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.queue.QueueConfiguration;
+import org.cassiastack.queue.QueuedJob;
+import org.cassiastack.queue.QueuedJobId;
+import org.cassiastack.queue.Resources;
+import org.cassiastack.queue.SharedLedgerCodec;
+import org.cassiastack.queue.StepSpec;
+import org.cassiastack.runs.AgentLease;
+import org.cassiastack.runs.AgentReport;
+import org.cassiastack.runs.EndedRun;
+import org.cassiastack.runs.MinionLife;
+import org.cassiastack.runs.MinionProfile;
+import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunOrders;
+import org.cassiastack.runs.RunningRun;
+import org.cassiastack.runs.StartOrder;
+import org.junit.jupiter.api.BeforeEach;
+
+/** A leader with one queue and two agents, whose proposals are committed at once. */
+abstract class LeaderScenario {
+  static final NodeId SELF = new NodeId("10.0.0.1");
+  static final NodeId ENTRY = new NodeId("10.0.0.1/entry");
+  static final NodeId FIRST = new NodeId("10.0.0.7/agent");
+  static final NodeId SECOND = new NodeId("10.0.0.8/agent");
+  static final ServiceName SERVICE = new ServiceName("ice");
+  static final QueuedJobId ID = new QueuedJobId(0xaaL);
+  static final QueueAddress ADDRESS = new QueueAddress("h", "/q/" + ID);
+  static final ScheduleSettings SETTINGS =
+      new ScheduleSettings(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
+
+  static final Duration REPORTS = Duration.ofMillis(30);
+
+  final LeaderController leader =
+      LeaderController.create(SELF, SETTINGS, new SharedLedgerCodec(), UUID::randomUUID);
+  final Map<NodeId, List<StartOrder>> starts = new HashMap<>();
+  final List<RunId> stops = new ArrayList<>();
+  final Map<NodeId, Long> orders = new HashMap<>();
+  final List<AgentLease> leases = new ArrayList<>();
+  final List<DeskAnswer> answers = new ArrayList<>();
+  Instant now = Instant.parse("2026-12-04T08:00:00Z");
+  long fence;
+  long index;
+  long call;
+  boolean holdsCommits;
+  NodeId lastStartedAt = SELF;
+
+  @BeforeEach
+  void leadsWithOneQueueAndTwoMinions() {
+    lead(5);
+    ask(new StoreConfiguration(++call, configuration()));
+    report(FIRST, List.of(), List.of());
+    report(SECOND, List.of(), List.of());
+    report(FIRST, List.of(), List.of());
+    report(SECOND, List.of(), List.of());
+    answers.clear();
+  }
+
+  void lead(long term) {
+    fence = term;
+    on(new LeaderChanged(term - 1, null, false));
+    on(new LeaderChanged(term, SELF, true));
+    on(new LeaseExtended(term, now.plusSeconds(10)));
+    orders.clear();
+  }
+
+  void submit(int tasks, boolean kept) {
+    QueuedJob job = job(List.of(step(tasks, 1_000)), kept);
+    ask(new SubmitJob(++call, ADDRESS, job, Duration.ofSeconds(1)));
+  }
+
+  static QueuedJob job(List<StepSpec> steps, boolean kept) {
+    return new QueuedJob(ID, "spec", steps, kept);
+  }
+
+  static StepSpec step(int tasks, long milliCpu) {
+    return StepSpec.plain(tasks, milliCpu, 64, Duration.ofMillis(100));
+  }
+
+  void ask(LeaderRequest request) {
+    on(new Received(ENTRY, request));
+  }
+
+  void report(NodeId agent, List<RunningRun> running, List<EndedRun> ended) {
+    report(agent, running, ended, false);
+  }
+
+  void report(NodeId agent, List<RunningRun> running, List<EndedRun> ended, boolean draining) {
+    now = now.plusMillis(1);
+    MinionProfile minion =
+        new MinionProfile(
+            new MinionLife(new MinionId("minion of " + agent), 1),
+            SERVICE,
+            new FailureDomain("a"),
+            new Resources(8_000, 8_000, 0),
+            List.of(),
+            draining);
+    on(
+        new Received(
+            agent,
+            new AgentReport(
+                new Incarnation(1),
+                now,
+                fence,
+                minion,
+                true,
+                true,
+                orders.getOrDefault(agent, 0L),
+                Duration.ZERO,
+                running,
+                List.of(),
+                ended)));
+  }
+
+  /** Reports again and again on a run whose progress grows evenly, and on an idle other minion. */
+  void reportFor(Duration time, NodeId where, RunId run, int from, int to) {
+    int rounds = (int) time.dividedBy(REPORTS);
+    for (int i = 1; i <= rounds; i++) {
+      now = now.plus(REPORTS);
+      int percent = from + (to - from) * i / rounds;
+      report(where, List.of(new RunningRun(run, percent)), List.of());
+      report(where.equals(FIRST) ? SECOND : FIRST, List.of(), List.of());
+      on(new Tick());
+    }
+  }
+
+  List<RunId> started() {
+    return starts.values().stream().flatMap(List::stream).map(StartOrder::run).toList();
+  }
+
+  /** Hands an event to the leader, and commits at once what it proposes. */
+  void on(Event first) {
+    Queue<Event> events = new ArrayDeque<>(List.of(first));
+    for (Event e = events.poll(); e != null; e = events.poll()) {
+      for (Effect f : leader.on(e, now)) {
+        if (f instanceof Raise r && r.event() instanceof ProposeCommand p && !holdsCommits) {
+          events.add(new CommandCommitted(++index, p.proposal(), p.command()));
+        } else if (f instanceof Send s && s.message() instanceof RunOrders o) {
+          orders.put(s.to(), o.number());
+          starts.computeIfAbsent(s.to(), n -> new ArrayList<>()).addAll(o.starts());
+          lastStartedAt = o.starts().isEmpty() ? lastStartedAt : s.to();
+          stops.addAll(o.stops());
+        } else if (f instanceof Send s && s.message() instanceof AgentLease l) {
+          leases.add(l);
+        } else if (f instanceof Send s && s.message() instanceof LeaderReply r) {
+          answers.add(r.answer());
+        }
+      }
+    }
+  }
+
+  static QueueConfiguration configuration() {
+    org.cassiastack.queue.Queue q =
+        new org.cassiastack.queue.Queue("q", "h", "/q/", SERVICE, 0, 2, 1.6, Duration.ofMillis(60));
+    return new QueueConfiguration(1, List.of(q), Payload.ofText("document"));
+  }
+}
