--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeCluster.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeCluster.java
@@ -32,13 +32,14 @@
   private int duplicatePercent;
   private int jitterMillis = 1;
 
-  private FakeCluster(long seed, List<Double> clockRates) {
+  private FakeCluster(long seed, List<Double> clockRates, JoinPolicy joining) {
     random = new Random(seed);
     List<NodeId> nodes = new ArrayList<>();
     for (int i = 0; i < clockRates.size(); i++) {
       nodes.add(new NodeId("c" + i));
     }
-    settings = new RaftSettings(nodes, Duration.ofMillis(100), Duration.ofMillis(500), 3, 2, 10);
+    settings =
+        new RaftSettings(nodes, Duration.ofMillis(100), Duration.ofMillis(500), 3, 2, 10, joining);
     for (int i = 0; i < nodes.size(); i++) {
       Random own = new Random(random.nextLong());
       members.add(new FakeMember(this, nodes.get(i), own, clockRates.get(i)));
@@ -47,11 +48,24 @@
   }
 
   static FakeCluster ofThree(long seed) {
-    return new FakeCluster(seed, List.of(1.0, 1.0, 1.0));
+    return withClockRates(seed, List.of(1.0, 1.0, 1.0));
+  }
+
+  /** Makes three members that others may join, and may take the place of. */
+  static FakeCluster ofThreeThatOthersMayJoin(long seed, Duration silence) {
+    return new FakeCluster(seed, List.of(1.0, 1.0, 1.0), JoinPolicy.anyNode(true, 3, silence));
   }
 
   static FakeCluster withClockRates(long seed, List<Double> rates) {
-    return new FakeCluster(seed, rates);
+    return new FakeCluster(seed, rates, JoinPolicy.listedNodes());
+  }
+
+  /** Starts a member with an empty disk at a node that no settings name. */
+  FakeMember join(String node) {
+    FakeMember joined = new FakeMember(this, new NodeId(node), new Random(random.nextLong()), 1.0);
+    members.add(joined);
+    joined.start();
+    return joined;
   }
 
   /** Makes the network lose, double and delay messages. */
