Leader: an outdated report forgets no agent, and a hopeless job is refused once

Read through the change as a newcomer: an outdated report could take an agent out of the ledger for one commit (without harm, as it ran nothing), and a job with several ready steps was listed once for each.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -20,6 +20,7 @@
 import org.cassiastack.queue.LedgerJob;
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
+import org.cassiastack.runs.MinionLife;
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.schedule.ScheduleSettings;
 
@@ -149,20 +150,19 @@
       return;
     }
     WorkerState w = fleet.reported(agent, r, fence, now);
+    if (w == null) {
+      return;
+    }
     if (fleet.needsNoLease(agent, r, fence)) {
       forget(agent, "idle", "minion=" + r.minion());
-    } else if (w != null) {
-      MinionProfile m = w.minion;
-      effects.add(
-          new Send(
-              agent,
-              new AgentLease(
-                  fence,
-                  r.sentAt(),
-                  settings.lease(),
-                  m == null ? null : m.life(),
-                  w.acknowledgedThrough())));
+      return;
     }
+    MinionProfile m = w.minion;
+    MinionLife life = m == null ? null : m.life();
+    effects.add(
+        new Send(
+            agent,
+            new AgentLease(fence, r.sentAt(), settings.lease(), life, w.acknowledgedThrough())));
   }
 
   /** Places what can be placed, proposes what has gathered, and returns what is to be done. */
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
@@ -1,11 +1,12 @@
 package org.cassiastack.schedule.internal;
 
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.queue.LedgerJob;
 import org.cassiastack.queue.Queue;
@@ -123,8 +124,8 @@
   }
 
   /** Returns the jobs that have waited so long that starting them now is of no use to anybody. */
-  List<LiveJob> hopeless(Instant now) {
-    List<LiveJob> hopeless = new ArrayList<>();
+  Set<LiveJob> hopeless(Instant now) {
+    Set<LiveJob> hopeless = new LinkedHashSet<>();
     for (LiveStep s : ready.all()) {
       LiveJob job = s.job;
       if (!job.started && !job.job.kept() && job.lateness(s, now) == Lateness.USELESS) {
