Leader: a task of a job that is sent again starts only once an earlier run of it has ended

A new leader lists the runs of its predecessor at once now, often before the jobs that need not be stored are sent again by the entries. It took such runs for orphans, had them stopped, and when the job came it started the task elsewhere, up to 50 ms before the stop had taken effect. Ruled out: leases and fences (each pair of runs has the old one 'stopped' by the new leader's order). Change: a job that comes takes over the runs of its tasks that are still there. One whose stop is on its way holds its task back until it has ended; any other goes on, so that its work is not lost. Tests: LeaderChangeTest, two cases, both failing before; the world of the property submits such jobs now.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -12,6 +12,7 @@
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.queue.Resources;
+import org.cassiastack.queue.TaskName;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.EndedRun;
 import org.cassiastack.runs.MinionProfile;
@@ -163,6 +164,30 @@
     }
   }
 
+  /**
+   * Hands a new job the runs of its tasks that are still there: an earlier leader has started them,
+   * or the job was given up and has come again. None of these tasks may start beside them.
+   */
+  void claimRunsOf(LiveJob job) {
+    for (WorkerState w : workers.values()) {
+      for (Run r : List.copyOf(w.runs.values())) {
+        TaskName task = r.id.task();
+        if (r.step == null && task.job().equals(job.job.id()) && job.has(task)) {
+          claim(w, r, job.step(task));
+        }
+      }
+    }
+  }
+
+  private static void claim(WorkerState w, Run run, LiveStep step) {
+    int index = run.id.task().index();
+    if (!step.isAssigned(index)) {
+      step.adopt(index, run.id.number());
+      w.remove(run.id);
+      w.add(run.claimedBy(step));
+    }
+  }
+
   private void expire(WorkerState w, Instant now) {
     if (!w.heldAt.equals(Instant.MIN) && now.isAfter(w.heldAt.plus(settings.lapse()))) {
       w.heldAt = Instant.MIN;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
@@ -130,7 +130,7 @@
     decide("job_admitted", s.job().id(), kept ? "kept" : "not_kept", inputs);
     callers.put(s.job().id(), caller);
     if (!kept) {
-      board.add(job);
+      begin(job);
       return;
     }
     LedgerBatch.Acceptance a =
@@ -150,7 +150,7 @@
   private void accepted(LiveJob job) {
     QueuedJobId id = job.job.id();
     if (ledger.live(id) != null) {
-      board.add(job);
+      begin(job);
     }
     Caller caller = callers.remove(id);
     if (caller != null) {
@@ -158,6 +158,14 @@
     }
   }
 
+  private void begin(LiveJob job) {
+    fleet.claimRunsOf(job);
+    board.add(job);
+    if (job.steps.stream().anyMatch(LiveStep::isBegun)) {
+      board.markStarted(job);
+    }
+  }
+
   private DeskAnswer asked(QueueAddress address) {
     QueueConfiguration c = ledger.configuration();
     if (c == null) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveStep.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveStep.java
@@ -54,6 +54,11 @@
     return left == 0;
   }
 
+  /** Tells whether any of its tasks has been started. */
+  boolean isBegun() {
+    return left < spec.tasks() || waiting.size() < spec.tasks();
+  }
+
   boolean isDone(int index) {
     return done[index];
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
@@ -76,6 +76,17 @@
     return stalled ? Duration.between(progressedAt, listedAt) : Duration.ZERO;
   }
 
+  /**
+   * Returns it as a run of a step whose job has come after it. If its stop is on its way, its task
+   * starts again once it has ended, and not before.
+   */
+  Run claimedBy(LiveStep owner) {
+    Run claimed = new Run(id, owner, owner.spec.need(), order, orderedAt);
+    claimed.stopSentAt = stopSentAt;
+    claimed.isMoving = isMoving || !stopSentAt.equals(Instant.MIN);
+    return claimed;
+  }
+
   /** Tells whether it has to be stopped. */
   boolean isUnwanted() {
     return step == null || isMoving;
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
@@ -15,6 +15,9 @@
 import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.QueuedJob;
 import org.cassiastack.queue.QueuedJobId;
+import org.cassiastack.queue.TaskName;
+import org.cassiastack.runs.EndedRun;
+import org.cassiastack.runs.RunEnd;
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunningRun;
 import org.junit.jupiter.api.Test;
@@ -131,4 +134,39 @@
 
     assertThat(answers).containsExactly(DeskAnswer.of(DeskCode.NO_SUCH_JOB));
   }
+
+  @Test
+  void starts_no_task_while_a_run_of_an_earlier_leader_is_being_stopped() {
+    RunId earlier = new RunId(new TaskName(ID, 0, 0, 0), 1);
+    lead(6);
+    report(FIRST, List.of(new RunningRun(earlier, 10)), List.of());
+    report(SECOND, List.of(), List.of());
+    on(new Tick());
+    submit(1, false);
+    report(SECOND, List.of(), List.of());
+    boolean early = !started().isEmpty();
+
+    report(FIRST, List.of(), List.of(new EndedRun(1, earlier, RunEnd.STOPPED)));
+
+    assertThat(stops).containsOnly(earlier);
+    assertThat(early).isFalse();
+    assertThat(started()).hasSize(1);
+  }
+
+  @Test
+  void keeps_a_run_of_an_earlier_leader_whose_job_is_sent_again_in_time() {
+    RunId earlier = new RunId(new TaskName(ID, 0, 0, 0), 1);
+    lead(6);
+    report(FIRST, List.of(new RunningRun(earlier, 10)), List.of());
+    submit(1, false);
+    report(SECOND, List.of(), List.of());
+    on(new Tick());
+    answers.clear();
+
+    report(FIRST, List.of(), List.of(new EndedRun(1, earlier, RunEnd.DONE)));
+
+    assertThat(started()).isEmpty();
+    assertThat(stops).isEmpty();
+    assertThat(answers).containsExactly(DeskAnswer.phase(DeskCode.ACCEPTED, JobPhase.COMPLETED));
+  }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueFaultProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueFaultProperties.java
@@ -43,6 +43,7 @@
       fault(world, random);
       for (int j = 0; j < 4; j++) {
         jobs.add(world.submit(1 + random.nextInt(4), random.nextInt(4) == 0));
+        world.submitNotKept(1 + random.nextInt(4));
         world.run(40 + random.nextInt(80));
       }
       if (random.nextInt(4) == 0) {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueWorld.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueWorld.java
@@ -153,8 +153,15 @@
     return id;
   }
 
+  /** Submits a job that is lost with its leader, and is then started from the beginning. */
+  void submitNotKept(int tasks) {
+    Duration work = Duration.ofMillis(80);
+    List<StepSpec> steps = List.of(StepSpec.plain(tasks, TASK_CPU, 64, work));
+    submit(new QueuedJob(new QueuedJobId(random.nextLong()), "spec", steps, false));
+  }
+
   private void submit(QueuedJob job) {
-    watch.submitted(job.id());
+    watch.submitted(job.id(), job.kept());
     calls++;
     submissions.put(job.id(), calls);
     Duration patience = Duration.ofMillis(1_500);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RunWatch.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RunWatch.java
@@ -23,6 +23,7 @@
   private final Set<TaskName> acknowledged = new HashSet<>();
   private final Map<TaskName, Integer> failures = new HashMap<>();
   private final Set<QueuedJobId> submitted = new HashSet<>();
+  private final Set<QueuedJobId> kept = new HashSet<>();
   private final Map<QueuedJobId, Long> cancelledAt = new LinkedHashMap<>();
   private final Map<TaskName, List<String>> history = new HashMap<>();
   private final QueueWorld world;
@@ -32,8 +33,11 @@
     this.world = world;
   }
 
-  void submitted(QueuedJobId id) {
+  void submitted(QueuedJobId id, boolean kept) {
     submitted.add(id);
+    if (kept) {
+      this.kept.add(id);
+    }
   }
 
   void cancelled(QueuedJobId id) {
@@ -82,7 +86,11 @@
     history.computeIfAbsent(task, t -> new ArrayList<>()).add(world.millis() + " ms " + what);
   }
 
+  /** Only ends of a job that is kept stand for good; another one may begin anew. */
   void acknowledged(EndedRun e) {
+    if (!kept.contains(e.run().task().job())) {
+      return;
+    }
     note(e.run().task(), "acknowledged " + e);
     if (e.how() == RunEnd.DONE) {
       acknowledged.add(e.run().task());
