--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveStep.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveStep.java
@@ -54,15 +54,15 @@
     return left == 0;
   }
 
+  boolean isDone(int index) {
+    return done[index];
+  }
+
   /** Tells whether any of its tasks has been started. */
   boolean isBegun() {
     return left < spec.tasks() || waiting.size() < spec.tasks();
   }
 
-  boolean isDone(int index) {
-    return done[index];
-  }
-
   boolean isAssigned(int index) {
     return assigned[index];
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueWorld.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueWorld.java
@@ -141,6 +141,13 @@
     entry().on(new DeskCall(new StoreConfiguration(calls, c), now().plusSeconds(5)));
   }
 
+  /** Submits a job that is lost with its leader, and is then started from the beginning. */
+  void submitNotKept(int tasks) {
+    Duration work = Duration.ofMillis(80);
+    List<StepSpec> steps = List.of(StepSpec.plain(tasks, TASK_CPU, 64, work));
+    submit(new QueuedJob(new QueuedJobId(random.nextLong()), "spec", steps, false));
+  }
+
   QueuedJobId submit(int tasks, boolean twoSteps) {
     QueuedJobId id = new QueuedJobId(random.nextLong());
     Duration work = Duration.ofMillis(80);
@@ -153,13 +160,6 @@
     return id;
   }
 
-  /** Submits a job that is lost with its leader, and is then started from the beginning. */
-  void submitNotKept(int tasks) {
-    Duration work = Duration.ofMillis(80);
-    List<StepSpec> steps = List.of(StepSpec.plain(tasks, TASK_CPU, 64, work));
-    submit(new QueuedJob(new QueuedJobId(random.nextLong()), "spec", steps, false));
-  }
-
   private void submit(QueuedJob job) {
     watch.submitted(job.id(), job.kept());
     calls++;
