Leader and entries: how far the control thread lags, what placing costs, and why requests are sent again

For the incident on the grown sites: its logs could not tell a slow recovery of the lead from repeated requests or from expensive events. Only counters and lines are new, no decision changes. The test of the desk now also names the line that comes with a repeated request.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -82,7 +82,7 @@
     } else if (event instanceof Received r) {
       received(r, now, effects);
     } else if (event instanceof PeerDisconnected d && tracker.lost(d.peer())) {
-      effects.add(new LeaderSeen(null, tracker.members()));
+      effects.add(new LeaderSeen(null, tracker.members(), LeaderSeen.Cause.CONNECTION_LOST));
     } else if (event instanceof PeerConnected p && p.peer().equals(tracker.leader())) {
       reportDue = true;
     } else if (event instanceof Tick) {
@@ -99,7 +99,7 @@
       reportDue |= r.from().equals(n.leader());
       if (tracker.noticed(r.from(), n)) {
         reportDue = true;
-        effects.add(new LeaderSeen(tracker.leader(), tracker.members()));
+        effects.add(new LeaderSeen(tracker.leader(), tracker.members(), LeaderSeen.Cause.NOTICE));
       }
     } else if (r.message() instanceof AgentLease l && l.fence() >= fence) {
       if (l.fence() > fence) {
--- a/cassiastack-core/src/main/java/org/cassiastack/controller/ControllerLoop.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/ControllerLoop.java
@@ -7,6 +7,7 @@
 import java.util.Queue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
@@ -32,6 +33,8 @@
   private final EffectHandler handler;
   private final TimeSource time;
   private final Consumer<Throwable> onError;
+  private final LoopWatch watch;
+  private final AtomicInteger waiting = new AtomicInteger();
   private final Scheduler scheduler;
   private final Scheduler.Worker worker;
 
@@ -40,11 +43,13 @@
       List<Controller> controllers,
       EffectHandler handler,
       TimeSource time,
-      Consumer<Throwable> onError) {
+      Consumer<Throwable> onError,
+      LoopWatch watch) {
     this.controllers = List.copyOf(controllers);
     this.handler = handler;
     this.time = time;
     this.onError = onError;
+    this.watch = watch;
     this.scheduler = Schedulers.newSingle(name, true);
     this.worker = scheduler.createWorker();
   }
@@ -64,22 +69,49 @@
       EffectHandler handler,
       TimeSource time,
       Consumer<Throwable> onError) {
-    return new ControllerLoop(name, controllers, handler, time, onError);
+    return start(name, controllers, handler, time, onError, LoopWatch.NONE);
+  }
+
+  /**
+   * Starts a loop that is watched.
+   *
+   * @param name name of its thread
+   * @param controllers the controllers, in the order in which they see each event
+   * @param handler carries out effects, on the thread of the loop
+   * @param time tells the time that controllers are given
+   * @param onError is told of exceptions that escaped a controller or the handler
+   * @param watch is told of each event that was handled
+   */
+  public static ControllerLoop start(
+      String name,
+      List<Controller> controllers,
+      EffectHandler handler,
+      TimeSource time,
+      Consumer<Throwable> onError,
+      LoopWatch watch) {
+    return new ControllerLoop(name, controllers, handler, time, onError, watch);
   }
 
   /** Hands an event to the controllers, on the thread of the loop. */
   public void post(Event event) {
+    Instant posted = time.now();
+    waiting.incrementAndGet();
     try {
-      worker.schedule(() -> turn(event));
+      worker.schedule(
+          () -> {
+            waiting.decrementAndGet();
+            turn(event, posted);
+          });
     } catch (RejectedExecutionException ignored) {
       // A closed loop drops events, as it does with those that were waiting.
+      waiting.decrementAndGet();
     }
   }
 
   /** Raises {@link Tick} at a fixed interval until the loop is closed. */
   public void tickEvery(Duration interval) {
     long millis = interval.toMillis();
-    worker.schedulePeriodically(() -> turn(new Tick()), millis, millis, TimeUnit.MILLISECONDS);
+    worker.schedulePeriodically(this::tick, millis, millis, TimeUnit.MILLISECONDS);
   }
 
   /** Stops the loop; events that are still waiting are dropped. */
@@ -89,7 +121,11 @@
     scheduler.dispose();
   }
 
-  private void turn(Event first) {
+  private void tick() {
+    turn(new Tick(), time.now());
+  }
+
+  private void turn(Event first, Instant posted) {
     Queue<Event> events = new ArrayDeque<>();
     events.add(first);
     Instant now = time.now();
@@ -98,6 +134,8 @@
         runOne(c, event, now, events);
       }
     }
+    Duration taken = Duration.between(now, time.now());
+    watch.handled(new LoopTurn(first, Duration.between(posted, now), taken, waiting.get()));
   }
 
   private void runOne(Controller controller, Event event, Instant now, Queue<Event> events) {
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/LoopWatch.java
@@ -0,0 +1,15 @@
+package org.cassiastack.controller;
+
+/**
+ * Is told of each event that a loop has handled, on the thread of the loop.
+ *
+ * @since 0.2
+ */
+@FunctionalInterface
+public interface LoopWatch {
+  /** Watches nothing. */
+  LoopWatch NONE = turn -> {};
+
+  /** Takes note of a handled event. */
+  void handled(LoopTurn turn);
+}
--- a/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
@@ -11,6 +11,7 @@
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Tick;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
@@ -66,11 +67,11 @@
       answered(a, effects);
     } else if (event instanceof Received r && r.message() instanceof LeaderNotice n) {
       if (tracker.noticed(r.from(), n)) {
-        leaderChanged(now, effects);
+        leaderChanged(LeaderSeen.Cause.NOTICE, now, effects);
       }
     } else if (event instanceof PeerDisconnected d) {
       if (tracker.lost(d.peer())) {
-        leaderChanged(now, effects);
+        leaderChanged(LeaderSeen.Cause.CONNECTION_LOST, now, effects);
       }
     } else if (event instanceof Tick) {
       tick(now, effects);
@@ -85,7 +86,7 @@
       return;
     }
     calls.put(c.request().call(), w);
-    send(w, now, effects);
+    send(w, "first", now, effects);
   }
 
   private boolean isElectionOverdue(Instant now) {
@@ -118,11 +119,11 @@
     effects.add(new DeskAnswered(reply.call(), answer));
   }
 
-  private void leaderChanged(Instant now, List<Effect> effects) {
+  private void leaderChanged(LeaderSeen.Cause cause, Instant now, List<Effect> effects) {
     leaderlessSince = tracker.leader() == null ? now : null;
-    effects.add(new LeaderSeen(tracker.leader(), tracker.members()));
+    effects.add(new LeaderSeen(tracker.leader(), tracker.members(), cause));
     for (Waiting w : calls.values()) {
-      send(w, now, effects);
+      send(w, "leader_changed", now, effects);
     }
   }
 
@@ -135,14 +136,18 @@
         i.remove();
         effects.add(w.mayHaveEffect ? unanswered(w) : noLeader(w));
       } else if (!now.isBefore(w.sentAt.plus(RESEND))) {
-        send(w, now, effects);
+        send(w, "leader_silent", now, effects);
       }
     }
   }
 
-  private void send(Waiting w, Instant now, List<Effect> effects) {
+  private void send(Waiting w, String reason, Instant now, List<Effect> effects) {
     NodeId leader = tracker.leader();
     if (leader != null) {
+      if (w.sends > 0) {
+        String inputs = "leader=" + leader + " sends=" + w.sends + " since=" + w.since;
+        effects.add(Decision.of("request_sent_again", w.request.call(), reason, inputs));
+      }
       w.sent(now);
       effects.add(new Send(leader, w.request));
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/desk/LeaderSeen.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/LeaderSeen.java
@@ -10,9 +10,19 @@
  *
  * @param leader the leader, or null while none is known
  * @param members nodes of the control members
+ * @param cause what changed it
  * @since 0.2
  */
-public record LeaderSeen(@Nullable NodeId leader, List<NodeId> members) implements Effect {
+public record LeaderSeen(@Nullable NodeId leader, List<NodeId> members, Cause cause)
+    implements Effect {
+  /** What a process learns of the leader by. */
+  public enum Cause {
+    /** A control member has told who leads. */
+    NOTICE,
+    /** The last connection to the leader is gone. */
+    CONNECTION_LOST
+  }
+
   /** Makes a view; the list is copied. */
   public LeaderSeen {
     members = List.copyOf(members);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -131,6 +131,7 @@
       dispatcher.probe(w, fence, now, effects);
     }
     forgetAgents(now);
+    effects.add(dispatcher.work());
   }
 
   /** Takes a report and answers it with a lease. */
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -17,6 +17,7 @@
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOrders;
 import org.cassiastack.runs.StartOrder;
+import org.cassiastack.schedule.PlacingWork;
 import org.jspecify.annotations.Nullable;
 
 /** Starts tasks that are ready at workers that have room. */
@@ -38,6 +39,8 @@
   private final JobLedger ledger;
   private final Consumer<Decision> decisions;
   private final Placer placer = new FastestFit();
+  private long steps;
+  private long candidates;
 
   Dispatcher(JobBoard board, Fleet fleet, JobLedger ledger, Consumer<Decision> decisions) {
     this.decisions = decisions;
@@ -46,6 +49,14 @@
     this.ledger = ledger;
   }
 
+  /** Returns what was looked at since this was asked last. */
+  PlacingWork work() {
+    PlacingWork work = new PlacingWork(steps, candidates);
+    steps = 0;
+    candidates = 0;
+    return work;
+  }
+
   /** Orders starts for as many tasks as there is room for. */
   void place(long generation, Instant now) {
     if (board.ready.isEmpty()) {
@@ -53,6 +64,7 @@
     }
     long firstRun = (generation - 1) * RUNS_PER_GENERATION + 1;
     for (LiveStep s : board.ready.inOrder(MOST_STEPS)) {
+      steps++;
       placeStep(s, firstRun, now);
     }
   }
@@ -101,6 +113,7 @@
 
   private List<WorkerState> usable(ServiceName service, Instant now) {
     List<WorkerState> usable = new ArrayList<>();
+    candidates += fleet.workers().size();
     for (WorkerState w : fleet.workers()) {
       MinionProfile m = w.minion;
       if (m != null && m.service().equals(service) && mayTakeWork(w, now)) {
@@ -141,6 +154,7 @@
     Set<NodeId> avoided = step.avoidedBy(step.waiting.getFirst());
     List<WorkerState> others = new ArrayList<>(fit);
     others.removeIf(w -> avoided.contains(w.agent));
+    candidates += others.size();
     WorkerState other = placer.choose(step, others, now);
     return other != null || others.size() == fit.size() ? other : placer.choose(step, fit, now);
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
@@ -8,6 +8,7 @@
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Tick;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
@@ -133,7 +134,14 @@
     on(call(), 0);
 
     assertThat(on(new Tick(), 300)).isEmpty();
-    assertThat(on(new Tick(), 400)).containsExactly(new Send(FIRST, REQUEST));
+    assertThat(on(new Tick(), 400))
+        .containsExactly(
+            Decision.of(
+                "request_sent_again",
+                1,
+                "leader_silent",
+                "leader=" + FIRST + " sends=1 since=" + NOW),
+            new Send(FIRST, REQUEST));
   }
 
   private List<Effect> on(Event event, long millis) {
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/NodeLoop.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/NodeLoop.java
@@ -7,6 +7,7 @@
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.EffectHandler;
 import org.cassiastack.controller.Event;
+import org.cassiastack.controller.LoopTurn;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.decision.Decision;
 import org.cassiastack.desk.LeaderSeen;
@@ -14,6 +15,7 @@
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
+import org.cassiastack.schedule.PlacingWork;
 import org.jspecify.annotations.Nullable;
 import org.tinylog.Logger;
 
@@ -30,9 +32,15 @@
  * @since 0.2
  */
 public final class NodeLoop implements AutoCloseable {
+  /** An event that waits for longer makes answers late and leases short: a lease lasts 1 s. */
+  private static final Duration LAG = Duration.ofMillis(250);
+
+  private static final double LAG_LINES_PER_SECOND = 2;
+
   private final NodeId self;
   private final TimeSource time;
   private final QueueMetrics metrics = QueueMetrics.create();
+  private final LineLimiter limiter;
   private final DecisionLog decisions;
   private final MemberNetwork network;
   private volatile @Nullable ControllerLoop loop;
@@ -40,7 +48,8 @@
   private NodeLoop(NodeId self, Incarnation incarnation, int memberPort, TimeSource time) {
     this.self = self;
     this.time = time;
-    this.decisions = new DecisionLog(LineLimiter.create(time, metrics), metrics);
+    this.limiter = LineLimiter.create(time, metrics);
+    this.decisions = new DecisionLog(limiter, metrics);
     this.network = MemberNetwork.create(self, incarnation, memberPort, this::post);
   }
 
@@ -72,7 +81,8 @@
             controllers,
             effect -> carryOut(effect, others),
             time,
-            e -> Logger.error(e, "event=controller_failed loop={}", name));
+            e -> Logger.error(e, "event=controller_failed loop={}", name),
+            turn -> handled(name, turn));
     loop = started;
     started.tickEvery(tick);
   }
@@ -109,15 +119,32 @@
     }
   }
 
+  private void handled(String name, LoopTurn turn) {
+    metrics.handled(turn);
+    boolean lagging = turn.waited().compareTo(LAG) > 0;
+    if (lagging && limiter.allows("loop_lagging", LAG_LINES_PER_SECOND)) {
+      Logger.warn(
+          "event=loop_lagging loop={} waited={} taken={} behind={} kind={}",
+          name,
+          turn.waited(),
+          turn.taken(),
+          turn.behind(),
+          QueueMetrics.kind(turn.event()));
+    }
+  }
+
   private void carryOut(Effect effect, EffectHandler others) {
     if (effect instanceof Send s) {
       send(s);
     } else if (effect instanceof Decision d) {
       decisions.write(d);
+    } else if (effect instanceof PlacingWork w) {
+      metrics.placed(w);
     } else {
       if (effect instanceof LeaderSeen l) {
         network.dial(l.members());
-        Logger.info("event=leader_seen leader={} members={}", l.leader(), l.members());
+        Logger.info(
+            "event=leader_seen leader={} members={} cause={}", l.leader(), l.members(), l.cause());
       }
       others.handle(effect);
     }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
@@ -1,6 +1,7 @@
 package org.cassiastack.daemon.queue;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -8,8 +9,12 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import org.cassiastack.controller.Event;
+import org.cassiastack.controller.LoopTurn;
 import org.cassiastack.desk.CallerRequest;
 import org.cassiastack.desk.DeskCode;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.schedule.PlacingWork;
 
 /**
  * Counters and times of one process of the durable queues; docs/QUEUES.md lists them.
@@ -22,6 +27,11 @@
    */
   private static final double[] BOUNDS = {0.01, 0.03, 0.1, 0.2, 0.5, 1, 2, 5, 10};
 
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  /** Upper bounds in seconds: a turn takes far below a millisecond, a lease lasts a second. */
+  private static final double[] LOOP_BOUNDS = {0.001, 0.005, 0.02, 0.1, 0.25, 0.5, 1, 2};
+
   private final PrometheusRegistry registry = new PrometheusRegistry();
   private final Counter answers =
       Counter.builder()
@@ -50,6 +60,36 @@
           .labelNames("event")
           .register(registry);
 
+  private final Histogram loopWaits =
+      Histogram.builder()
+          .name("cassia_loop_wait_seconds")
+          .help("Time that events wait for the thread of the controllers.")
+          .classicOnly()
+          .classicUpperBounds(LOOP_BOUNDS)
+          .register(registry);
+  private final Counter loopSeconds =
+      Counter.builder()
+          .name("cassia_loop_busy_seconds_total")
+          .help("Time that the thread of the controllers spent, by kind of event.")
+          .labelNames("event")
+          .register(registry);
+  private final Counter loopEvents =
+      Counter.builder()
+          .name("cassia_loop_events_total")
+          .help("Events that the controllers have handled, by kind.")
+          .labelNames("event")
+          .register(registry);
+  private final Gauge loopWaiting =
+      Gauge.builder()
+          .name("cassia_loop_events_waiting")
+          .help("Events that waited for the controllers when the last one was handled.")
+          .register(registry);
+  private final Counter placingCandidates =
+      Counter.builder()
+          .name("cassia_placing_candidates_total")
+          .help("Workers that the leader looked at to place tasks.")
+          .register(registry);
+
   private QueueMetrics() {}
 
   /** Makes counters that stand at zero. */
@@ -60,7 +100,7 @@
   /** Counts an answer to a caller. */
   public void answered(CallerRequest.Kind kind, DeskCode code, Duration taken) {
     answers.labelValues(kind.name(), code.name()).inc();
-    times.labelValues(kind.name()).observe(taken.toNanos() / 1e9);
+    times.labelValues(kind.name()).observe(seconds(taken));
   }
 
   /** Returns the page for Prometheus. */
@@ -74,6 +114,31 @@
     return out.toByteArray();
   }
 
+  /** Takes note of an event that the controllers have handled. */
+  void handled(LoopTurn turn) {
+    String kind = kind(turn.event());
+    loopWaits.observe(seconds(turn.waited()));
+    loopSeconds.labelValues(kind).inc(seconds(turn.taken()));
+    loopEvents.labelValues(kind).inc();
+    loopWaiting.set(turn.behind());
+  }
+
+  /** Takes note of what the leader looked at to place tasks. */
+  void placed(PlacingWork work) {
+    placingCandidates.inc(work.candidates());
+  }
+
+  /** Names an event by its type; one that brings a message by the type of the message. */
+  static String kind(Event event) {
+    return event instanceof Received r
+        ? r.message().getClass().getSimpleName()
+        : event.getClass().getSimpleName();
+  }
+
+  private static double seconds(Duration time) {
+    return Math.max(0, time.toNanos()) / NANOS_PER_SECOND;
+  }
+
   void decided(String event, String outcome) {
     decisions.labelValues(event, outcome).inc();
   }
