Failing test: a leader that finds a backlog never works it off

Load play in virtual time: 590 jobs a second for 51 workers, three quarters of what they bear; the leader's thread handles events one after the other (0.1 ms each, 230 ns for each worker looked at) and stands still for 0.6 s.

--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadPlay.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadPlay.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -20,7 +21,11 @@
 import org.cassiastack.controller.Raise;
 import org.cassiastack.controller.Schedule;
 import org.cassiastack.controller.Tick;
+import org.cassiastack.desk.DeskAnswered;
+import org.cassiastack.desk.DeskCall;
 import org.cassiastack.desk.DeskCode;
+import org.cassiastack.desk.DeskController;
+import org.cassiastack.desk.LeaderNotice;
 import org.cassiastack.desk.LeaderReply;
 import org.cassiastack.desk.QueueAddress;
 import org.cassiastack.desk.StoreConfiguration;
@@ -38,12 +43,17 @@
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOrders;
 
-/** Callers, one leader and some workers in virtual time, to see what callers get under a load. */
+/**
+ * Callers, one entry, one leader and some workers in virtual time, to see what callers get under a
+ * load. The leader handles events at no cost, or one after the other at a {@link LeaderSpeed}.
+ */
 final class LoadPlay {
   static final ServiceName SERVICE = new ServiceName("ice");
   static final long TASK_CPU = 3_000;
   private static final NodeId SELF = new NodeId("10.0.0.1");
   private static final NodeId ENTRY = new NodeId("10.0.0.1/entry");
+  private static final int USUAL_ROOM = 6;
+  private static final Duration HOP = Duration.ofMillis(1);
   private static final Duration TICK = Duration.ofMillis(20);
   private static final Duration OBJECTIVE_SLACK = Duration.ofMillis(60);
   private static final double STRETCH = 1.6;
@@ -53,6 +63,9 @@
   private final Schedule schedule = new Schedule(Instant.parse("2026-12-04T08:00:00Z"));
   private final LeaderController leader =
       LeaderController.create(SELF, SETTINGS, new SharedLedgerCodec(), UUID::randomUUID);
+  private final DeskController desk = DeskController.create();
+  private final Queue<Event> inbox = new ArrayDeque<>();
+  private final LeaderSpeed speed;
   private final Map<NodeId, LoadWorker> workers = new LinkedHashMap<>();
   private final Map<Long, Submission> submissions = new HashMap<>();
   private final Map<QueuedJobId, Duration> works = new HashMap<>();
@@ -61,18 +74,30 @@
   private long calls;
   private int jobs;
   private int onTime;
+  private final Map<DeskCode, Integer> answers = new EnumMap<>(DeskCode.class);
 
-  private LoadPlay(long seed) {
+  private boolean busy;
+  private Instant heldUpUntil = Instant.MIN;
+  private long candidates;
+
+  private LoadPlay(LeaderSpeed speed, long seed) {
+    this.speed = speed;
     this.random = new Random(seed);
   }
 
   /** Starts a leader and workers of the speed 1 with room for six tasks each. */
   static LoadPlay of(int workers, long seed) {
-    LoadPlay play = new LoadPlay(seed);
+    return of(workers, USUAL_ROOM, LeaderSpeed.UNLIMITED, seed);
+  }
+
+  /** Starts a leader of some speed, and workers with room for so many tasks each. */
+  static LoadPlay of(int workers, int room, LeaderSpeed speed, long seed) {
+    LoadPlay play = new LoadPlay(speed, seed);
     play.on(new LeaderChanged(1, SELF, true));
+    play.atDesk(new Received(SELF, new LeaderNotice(1, SELF, List.of(SELF))));
     for (int i = 0; i < workers; i++) {
       NodeId node = new NodeId("10.0.1." + i + "/agent");
-      play.workers.put(node, new LoadWorker(play, node));
+      play.workers.put(node, new LoadWorker(play, node, room));
     }
     play.tick();
     play.on(new Received(ENTRY, new StoreConfiguration(0, configuration())));
@@ -107,6 +132,18 @@
     return (double) onTime / jobs;
   }
 
+  /** Returns how many jobs were answered with a code. */
+  int answers(DeskCode code) {
+    return answers.getOrDefault(code, 0);
+  }
+
+  /** Forgets what callers got so far. */
+  void countAnew() {
+    jobs = 0;
+    onTime = 0;
+    answers.clear();
+  }
+
   Instant now() {
     return schedule.now();
   }
@@ -123,8 +160,42 @@
     return random.nextDouble();
   }
 
-  /** Hands an event to the leader, and commits at once what it proposes. */
-  void on(Event first) {
+  /** Hands an event to the leader, behind those that it has not handled yet. */
+  void on(Event event) {
+    inbox.add(event);
+    if (!busy) {
+      handleNext();
+    }
+  }
+
+  /** Holds up the leader's thread, as a freeze of its machine does. */
+  void holdUpLeader(Duration time) {
+    heldUpUntil = now().plus(time);
+    if (!busy) {
+      handleNext();
+    }
+  }
+
+  private void handleNext() {
+    busy = now().isBefore(heldUpUntil);
+    if (busy) {
+      after(Duration.between(now(), heldUpUntil), this::handleNext);
+      return;
+    }
+    for (Event e = inbox.poll(); e != null; e = inbox.poll()) {
+      candidates = 0;
+      handle(e);
+      Duration cost = speed.cost(candidates);
+      if (!cost.isZero()) {
+        busy = true;
+        after(cost, this::handleNext);
+        return;
+      }
+    }
+  }
+
+  /** Lets the leader handle an event, and commits at once what it proposes. */
+  private void handle(Event first) {
     Queue<Event> events = new ArrayDeque<>(List.of(first));
     for (Event e = events.poll(); e != null; e = events.poll()) {
       for (Effect f : leader.on(e, now())) {
@@ -132,14 +203,26 @@
           events.add(new CommandCommitted(++index, p.proposal(), p.command()));
         } else if (f instanceof Send s && s.message() instanceof RunOrders o) {
           LoadWorker w = workers.get(s.to());
-          after(Duration.ofMillis(1), () -> w.ordered(o));
+          after(HOP, () -> w.ordered(o));
         } else if (f instanceof Send s && s.message() instanceof LeaderReply r) {
-          answered(r);
+          after(HOP, () -> atDesk(new Received(SELF, r)));
+        } else if (f instanceof PlacingWork w) {
+          candidates += w.candidates();
         }
       }
     }
   }
 
+  private void atDesk(Event event) {
+    for (Effect f : desk.on(event, now())) {
+      if (f instanceof Send s) {
+        after(HOP, () -> on(new Received(ENTRY, s.message())));
+      } else if (f instanceof DeskAnswered a) {
+        answered(a);
+      }
+    }
+  }
+
   private void submit(int tasks, Duration work) {
     calls++;
     jobs++;
@@ -150,19 +233,23 @@
     submissions.put(calls, new Submission(now().plus(objective)));
     works.put(id, work);
     QueuedJob job = new QueuedJob(id, "spec", steps, false);
-    on(new Received(ENTRY, new SubmitJob(calls, address, job, objective.multipliedBy(4))));
+    Duration patience = objective.multipliedBy(4);
+    SubmitJob submit = new SubmitJob(calls, address, job, patience);
+    atDesk(new DeskCall(submit, now().plus(patience)));
   }
 
-  private void answered(LeaderReply r) {
-    Submission s = submissions.remove(r.call());
-    if (s != null && r.answer().code() == DeskCode.ACCEPTED && !now().isAfter(s.dueAt)) {
-      onTime++;
+  private void answered(DeskAnswered a) {
+    Submission s = submissions.remove(a.call());
+    if (s != null) {
+      answers.merge(a.answer().code(), 1, Integer::sum);
+      onTime += a.answer().code() == DeskCode.ACCEPTED && !now().isAfter(s.dueAt) ? 1 : 0;
     }
   }
 
   private void tick() {
     on(new LeaseExtended(1, now().plusSeconds(1)));
     on(new Tick());
+    atDesk(new Tick());
     schedule.after(TICK, this::tick);
   }
 
@@ -173,4 +260,18 @@
   }
 
   private record Submission(Instant dueAt) {}
+
+  /**
+   * What the leader's thread takes for an event.
+   *
+   * @param event time for each event
+   * @param candidate time for each worker that was looked at to place tasks
+   */
+  record LeaderSpeed(Duration event, Duration candidate) {
+    static final LeaderSpeed UNLIMITED = new LeaderSpeed(Duration.ZERO, Duration.ZERO);
+
+    Duration cost(long candidates) {
+      return event.plus(candidate.multipliedBy(candidates));
+    }
+  }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadWorker.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadWorker.java
@@ -23,7 +23,6 @@
 
 /** A worker of a {@link LoadPlay}: it works tasks off and reports each end, and at intervals. */
 final class LoadWorker {
-  private static final int ROOM = 6;
   private static final Duration REPORTS = Duration.ofMillis(200);
   private static final double WORK_SPREAD = 0.3;
 
@@ -36,7 +35,7 @@
   private long ordersThrough;
   private long ends;
 
-  LoadWorker(LoadPlay play, NodeId node) {
+  LoadWorker(LoadPlay play, NodeId node, int room) {
     this.play = play;
     this.node = node;
     this.minion =
@@ -44,7 +43,7 @@
             new MinionLife(new MinionId("minion of " + node), 1),
             LoadPlay.SERVICE,
             new FailureDomain("a"),
-            new Resources(ROOM * LoadPlay.TASK_CPU, 8_000, 0),
+            new Resources(room * LoadPlay.TASK_CPU, 8_000, 0),
             List.of(),
             false);
     reportAgain();
