Leader: what an event costs no longer grows with the backlog

Cause: after each event the leader built the list of usable workers anew for each of 48 waiting steps, copied it for each task, and went through all runs of each of these workers; admitting a job went through the whole backlog. So each event cost more the more work waited, until the leader got through fewer events than came, and leases ran out behind its back.

Change: a round of placing finds the usable workers and their speeds once; the most that any worker has free tells at once that a step fits nowhere; without a new step, new room or a tick there is no round; the work that waits is summed as steps come and go; a job that never started has no runs to give up.

--- a/cassiastack-core/src/main/java/org/cassiastack/queue/Resources.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/Resources.java
@@ -22,6 +22,14 @@
     return new Resources(milliCpu - less.milliCpu, memoryMb - less.memoryMb, gpus - less.gpus);
   }
 
+  /** Returns the greater amount of each kind. */
+  public Resources max(Resources other) {
+    return new Resources(
+        Math.max(milliCpu, other.milliCpu),
+        Math.max(memoryMb, other.memoryMb),
+        Math.max(gpus, other.gpus));
+  }
+
   /** Tells whether this holds at least as much as a need, in each kind. */
   public boolean covers(Resources need) {
     return milliCpu >= need.milliCpu && memoryMb >= need.memoryMb && gpus >= need.gpus;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -122,6 +122,7 @@
   public void tick(Instant now) {
     fleet.tick(now);
     board.ready.age(now);
+    dispatcher.reconsider();
     intake.tick(now);
     if (begun && isSure(now)) {
       dispatcher.moveStalledRuns(now);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -2,9 +2,10 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.cassiastack.controller.Effect;
@@ -31,6 +32,8 @@
   /** A minion that was ejected and is tried again gets this many runs at a time. */
   private static final int PROBES = 1;
 
+  private static final long NEVER = -1;
+
   /** An agent that has not taken orders for this long has probably never got them. */
   private static final Duration ORDERS_LOST = Duration.ofMillis(300);
 
@@ -40,7 +43,8 @@
   private final Consumer<Decision> decisions;
   private final Placer placer = new FastestFit();
   private long steps;
-  private long candidates;
+  private long looks;
+  private long placedChanges = NEVER;
 
   Dispatcher(JobBoard board, Fleet fleet, JobLedger ledger, Consumer<Decision> decisions) {
     this.decisions = decisions;
@@ -51,22 +55,35 @@
 
   /** Returns what was looked at since this was asked last. */
   PlacingWork work() {
-    PlacingWork work = new PlacingWork(steps, candidates);
+    PlacingWork work = new PlacingWork(steps, looks);
     steps = 0;
-    candidates = 0;
+    looks = 0;
     return work;
   }
 
-  /** Orders starts for as many tasks as there is room for. */
+  /**
+   * Orders starts for as many tasks as there is room for. Without a new step or new room since the
+   * last round there is nothing to do, but for what time alone changes: see {@link #reconsider}.
+   */
   void place(long generation, Instant now) {
-    if (board.ready.isEmpty()) {
+    long changes = board.ready.additions() + fleet.openings();
+    if (board.ready.isEmpty() || changes == placedChanges) {
       return;
     }
+    placedChanges = changes;
     long firstRun = (generation - 1) * RUNS_PER_GENERATION + 1;
+    Map<ServiceName, Candidates> workers = new HashMap<>();
     for (LiveStep s : board.ready.inOrder(MOST_STEPS)) {
       steps++;
-      placeStep(s, firstRun, now);
+      ServiceName service = ledger.serviceOf(s.job.queue);
+      placeStep(s, workers.computeIfAbsent(service, x -> usable(x, now)), firstRun, now);
     }
+    workers.values().forEach(c -> looks += c.looks());
+  }
+
+  /** Lets the next round look at everything, since time has passed. */
+  void reconsider() {
+    placedChanges = NEVER;
   }
 
   /** Sends the orders of a worker that have gathered. */
@@ -92,9 +109,8 @@
   }
 
   private void moveIfPossible(Run run, LiveStep step, WorkerState from, Instant now) {
-    List<WorkerState> others = usable(ledger.serviceOf(step.job.queue), now);
-    others.remove(from);
-    if (placer.choose(step, others, now) == null) {
+    Candidates others = usable(ledger.serviceOf(step.job.queue), now);
+    if (placer.choose(step, others, Set.of(from.agent), now) == null) {
       return;
     }
     run.isMoving = true;
@@ -111,9 +127,9 @@
     }
   }
 
-  private List<WorkerState> usable(ServiceName service, Instant now) {
-    List<WorkerState> usable = new ArrayList<>();
-    candidates += fleet.workers().size();
+  private Candidates usable(ServiceName service, Instant now) {
+    Candidates usable = new Candidates();
+    looks += fleet.workers().size();
     for (WorkerState w : fleet.workers()) {
       MinionProfile m = w.minion;
       if (m != null && m.service().equals(service) && mayTakeWork(w, now)) {
@@ -131,32 +147,31 @@
     return !w.health.isProbed() || w.runs.size() < PROBES;
   }
 
-  private void placeStep(LiveStep step, long firstRun, Instant now) {
-    List<WorkerState> fit = usable(ledger.serviceOf(step.job.queue), now);
+  private void placeStep(LiveStep step, Candidates workers, long firstRun, Instant now) {
     while (!step.waiting.isEmpty()) {
-      WorkerState w = choose(step, fit, now);
+      WorkerState w = choose(step, workers, now);
       if (w == null) {
         break;
       }
       start(step, w, firstRun, now);
-      if (!mayTakeWork(w, now)) {
-        fit.remove(w);
+      if (mayTakeWork(w, now)) {
+        workers.refresh();
+      } else {
+        workers.remove(w);
       }
     }
-    board.ready.removeIfEmpty(step);
+    board.ready.shrunk(step);
   }
 
   /**
    * Chooses a worker, away from those where the task has failed or did not get on: a minion may
    * fail all that it is given. Only when no other has room it is tried there again.
    */
-  private @Nullable WorkerState choose(LiveStep step, List<WorkerState> fit, Instant now) {
+  private @Nullable WorkerState choose(LiveStep step, Candidates workers, Instant now) {
     Set<NodeId> avoided = step.avoidedBy(step.waiting.getFirst());
-    List<WorkerState> others = new ArrayList<>(fit);
-    others.removeIf(w -> avoided.contains(w.agent));
-    candidates += others.size();
-    WorkerState other = placer.choose(step, others, now);
-    return other != null || others.size() == fit.size() ? other : placer.choose(step, fit, now);
+    WorkerState other = placer.choose(step, workers, avoided, now);
+    boolean anyAvoided = other == null && !avoided.isEmpty();
+    return anyAvoided ? placer.choose(step, workers, Set.of(), now) : other;
   }
 
   private void start(LiveStep step, WorkerState w, long firstRun, Instant now) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FastestFit.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FastestFit.java
@@ -1,8 +1,10 @@
 package org.cassiastack.schedule.internal;
 
 import java.time.Instant;
-import java.util.Collection;
+import java.util.Set;
+import org.cassiastack.model.NodeId;
 import org.cassiastack.runs.MinionProfile;
+import org.cassiastack.schedule.internal.Candidates.Candidate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -18,44 +20,62 @@
   private static final double SAME_SPEED = 0.01;
 
   @Override
-  public @Nullable WorkerState choose(LiveStep step, Collection<WorkerState> workers, Instant now) {
-    Instant limit = step.job.limit(step.job.lateness(step, now));
-    WorkerState best = null;
+  public @Nullable WorkerState choose(
+      LiveStep step, Candidates workers, Set<NodeId> avoided, Instant now) {
+    if (!workers.mayHaveRoom(step.spec.need())) {
+      return null;
+    }
+    Candidate best = null;
     double bestSpeed = 0;
-    double fastest = 0;
-    for (WorkerState w : workers) {
-      if (!mayRun(step, w)) {
-        continue;
-      }
-      double speed = speed(step, w, now);
-      fastest = Math.max(fastest, speed);
-      if (!w.free().covers(step.spec.need())) {
+    for (Candidate c : workers.look()) {
+      if (!c.worker.free().covers(step.spec.need()) || !mayRun(step, c.worker, avoided)) {
         continue;
       }
+      double speed = speed(step, c, now);
       boolean equal = Math.abs(speed - bestSpeed) < SAME_SPEED;
-      boolean roomier = best != null && equal && w.free().milliCpu() > best.free().milliCpu();
-      if (best == null || roomier || (!equal && speed > bestSpeed)) {
-        best = w;
+      if (best == null || (equal ? isRoomier(c, best) : speed > bestSpeed)) {
+        best = c;
         bestSpeed = speed;
       }
     }
-    boolean tooSlow = best != null && step.doneIfStarted(now, bestSpeed).isAfter(limit);
-    boolean worthWaiting = tooSlow && !step.doneIfStarted(now, fastest).isAfter(limit);
-    return worthWaiting ? null : best;
+    if (best == null) {
+      return null;
+    }
+    Instant limit = step.job.limit(step.job.lateness(step, now));
+    boolean tooSlow = step.doneIfStarted(now, bestSpeed).isAfter(limit);
+    return tooSlow && isWorthWaiting(step, workers, avoided, limit, now) ? null : best.worker;
   }
 
-  private static double speed(LiveStep step, WorkerState w, Instant now) {
-    MinionProfile m = w.minion;
+  private static boolean isRoomier(Candidate one, Candidate other) {
+    return one.worker.free().milliCpu() > other.worker.free().milliCpu();
+  }
+
+  /** Tells whether some worker, were there room, would end the task in time. */
+  private static boolean isWorthWaiting(
+      LiveStep step, Candidates workers, Set<NodeId> avoided, Instant limit, Instant now) {
+    double fastest = 0;
+    for (Candidate c : workers.look()) {
+      if (mayRun(step, c.worker, avoided)) {
+        fastest = Math.max(fastest, speed(step, c, now));
+      }
+    }
+    return !step.doneIfStarted(now, fastest).isAfter(limit);
+  }
+
+  private static double speed(LiveStep step, Candidate c, Instant now) {
+    MinionProfile m = c.worker.minion;
     String rack = step.spec.dataRack();
     boolean remote = !rack.isEmpty() && m != null && !m.labels().contains(rack);
-    double speed = w.presentSpeed(now);
+    double speed = c.speed(now);
     return remote ? speed / REMOTE_FACTOR : speed;
   }
 
-  private static boolean mayRun(LiveStep step, WorkerState w) {
+  private static boolean mayRun(LiveStep step, WorkerState w, Set<NodeId> avoided) {
     MinionProfile m = w.minion;
     String label = step.spec.requiredLabel();
-    if (m == null || (!label.isEmpty() && !m.labels().contains(label))) {
+    if (m == null
+        || avoided.contains(w.agent)
+        || (!label.isEmpty() && !m.labels().contains(label))) {
       return false;
     }
     int most = step.spec.mostPerMinion();
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -37,6 +37,7 @@
   private final ScheduleSettings settings;
   private final RunListener listener;
   private final Map<NodeId, WorkerState> workers = new LinkedHashMap<>();
+  private long openings;
 
   Fleet(ScheduleSettings settings, RunListener listener) {
     this.settings = settings;
@@ -47,6 +48,11 @@
     return workers.values();
   }
 
+  /** Returns how often a worker may have got room, or may have become usable, by a report. */
+  long openings() {
+    return openings;
+  }
+
   /** Tells whether an agent obeys this leader, or holds no lease. */
   boolean isAccountedFor(NodeId agent) {
     WorkerState w = workers.get(agent);
@@ -101,6 +107,8 @@
       return w;
     }
     MinionProfile former = w.minion;
+    int runs = w.runs.size();
+    boolean wasKnown = w.known;
     if (former != null && !former.life().equals(m.life())) {
       loseRuns(w, now);
       w.newLife();
@@ -111,6 +119,8 @@
       takeLists(w, r, now);
       w.known = true;
     }
+    boolean isOpened = w.runs.size() < runs || !wasKnown || !m.equals(former);
+    openings += isOpened ? 1 : 0;
     return w;
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
@@ -66,7 +66,7 @@
           markStarted(job);
         }
       }
-      ready.removeIfEmpty(s);
+      ready.shrunk(s);
     }
     openSteps(job);
   }
@@ -113,14 +113,7 @@
    * nanoseconds.
    */
   double backlog(ServiceName service, int priority) {
-    double sum = 0;
-    for (LiveStep s : ready.all()) {
-      boolean before = s.job.queue.priority() <= priority && s.lateness != Lateness.USELESS;
-      if (before && s.job.queue.service().equals(service)) {
-        sum += (double) s.waiting.size() * s.spec.milliCpu() * s.work.toNanos();
-      }
-    }
-    return sum;
+    return ready.backlog().before(service, priority);
   }
 
   /** Returns the jobs that have waited so long that starting them now is of no use to anybody. */
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
@@ -233,7 +233,9 @@
     LiveJob job = board.find(id);
     if (job != null) {
       board.remove(job);
-      fleet.giveUpRunsOf(job);
+      if (job.started) {
+        fleet.giveUpRunsOf(job);
+      }
     }
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/ReadyQueue.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/ReadyQueue.java
@@ -23,23 +23,40 @@
           .thenComparingInt(s -> s.number);
 
   private final TreeSet<LiveStep> steps = new TreeSet<>(ORDER);
+  private final Backlog backlog = new Backlog();
+  private long additions;
 
   void add(LiveStep step) {
     if (!step.waiting.isEmpty()) {
       steps.add(step);
+      backlog.count(step);
+      additions++;
     }
   }
 
   void remove(LiveStep step) {
     steps.remove(step);
+    backlog.forget(step);
   }
 
-  void removeIfEmpty(LiveStep step) {
+  /** Takes note that fewer tasks of a step wait. */
+  void shrunk(LiveStep step) {
     if (step.waiting.isEmpty()) {
-      steps.remove(step);
+      remove(step);
+    } else if (steps.contains(step)) {
+      backlog.count(step);
     }
   }
 
+  /** Returns how often a step has come, or has got more tasks that wait. */
+  long additions() {
+    return additions;
+  }
+
+  Backlog backlog() {
+    return backlog;
+  }
+
   /** Moves steps back whose time has run out meanwhile. */
   void age(Instant now) {
     List<LiveStep> aged = new ArrayList<>();
@@ -53,6 +70,7 @@
     for (LiveStep s : aged) {
       s.lateness = s.job.lateness(s, now);
       steps.add(s);
+      backlog.count(s);
     }
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
@@ -64,7 +64,7 @@
     boolean own = run != null && run.step == step;
     if (end.how() == RunEnd.DONE) {
       if (step.complete(index)) {
-        board.ready.removeIfEmpty(step);
+        board.ready.shrunk(step);
         board.openSteps(step.job);
         if (step.job.isDone()) {
           ends.ended(step.job, JobPhase.COMPLETED);
@@ -104,7 +104,7 @@
       return new Run(id, null, need, 0, now);
     }
     step.adopt(index, id.number());
-    board.ready.removeIfEmpty(step);
+    board.ready.shrunk(step);
     board.markStarted(step.job);
     return new Run(id, step, step.spec.need(), 0, now);
   }
