Desk and leader: repeats back off, and one leader refuses a repeat as it refused the first

Cause: an entry sent each unanswered request again every 0.4 s. Towards a leader that lags that is a load several times the usual one, which keeps it behind; and since a repeat might have been admitted after the first was refused, each refusal of a job that had been sent twice was turned into "unanswered".

Ruled out: lost connections; the repeats went to a leader that was connected all the while.

Change: repeats wait twice as long each time, up to 1.6 s. A leader remembers for four seconds what it refused and answers a repeat alike, so that its refusal is certain unless another leader, or the same process in another term, was asked before.

--- a/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
@@ -25,8 +25,8 @@
  *   <li>A request is sent again to each new leader, and to the same one when it keeps silent.
  *   <li>Without a leader a request waits for a short while, then it is refused: it had no effect.
  *       Once that has lasted longer than an election takes, requests are refused as they come.
- *   <li>A job that was sent more than once is not refused as "not run": an earlier leader may have
- *       started it.
+ *   <li>A job that more than one leader was asked for is not refused as "not run": an earlier
+ *       leader may have started it. One leader refuses a repeat as it refused the first.
  *   <li>At its deadline a request that was sent is {@link DeskCode#UNANSWERED}: nobody knows.
  * </ol>
  *
@@ -39,9 +39,15 @@
   /** Time without a leader in which most elections end: two election timeouts and a little. */
   static final Duration ELECTION = Duration.ofMillis(700);
 
-  /** Silence of the leader after which a request is sent again; a commit takes a tenth of it. */
+  /**
+   * Silence of the leader after which a request is sent again; a commit takes a tenth of it. Each
+   * further repeat waits twice as long, lest repeats keep a leader busy that lags behind.
+   */
   static final Duration RESEND = Duration.ofMillis(400);
 
+  /** Longest pause between repeats; leaders remember refusals for longer. */
+  static final Duration LONGEST_RESEND = Duration.ofMillis(1_600);
+
   private final LeaderTracker tracker = LeaderTracker.create();
   private final Map<Long, Waiting> calls = new LinkedHashMap<>();
 
@@ -135,7 +141,7 @@
       if (!now.isBefore(w.deadline) || hopeless) {
         i.remove();
         effects.add(w.mayHaveEffect ? unanswered(w) : noLeader(w));
-      } else if (!now.isBefore(w.sentAt.plus(RESEND))) {
+      } else if (!now.isBefore(w.resendAt)) {
         send(w, "leader_silent", now, effects);
       }
     }
@@ -148,7 +154,7 @@
         String inputs = "leader=" + leader + " sends=" + w.sends + " since=" + w.since;
         effects.add(Decision.of("request_sent_again", w.request.call(), reason, inputs));
       }
-      w.sent(now);
+      w.sent(leader, tracker.term(), now);
       effects.add(new Send(leader, w.request));
     }
   }
@@ -157,9 +163,16 @@
     final LeaderRequest request;
     final Instant since;
     final Instant deadline;
-    Instant sentAt = Instant.MIN;
+    Instant resendAt = Instant.MIN;
     boolean mayHaveEffect;
     private int sends;
+    private Duration pause = RESEND;
+
+    /** The leader that was asked last, in its term, and how many were asked in all. */
+    private @Nullable NodeId leader;
+
+    private long term;
+    private int leaders;
 
     Waiting(LeaderRequest request, Instant since, Instant deadline) {
       this.request = request;
@@ -167,18 +180,26 @@
       this.deadline = deadline;
     }
 
-    void sent(Instant now) {
+    void sent(NodeId to, long inTerm, Instant now) {
+      if (!to.equals(leader) || inTerm != term) {
+        leader = to;
+        term = inTerm;
+        leaders++;
+        pause = RESEND;
+      }
       sends++;
-      sentAt = now;
+      resendAt = now.plus(pause);
+      Duration next = pause.multipliedBy(2);
+      pause = next.compareTo(LONGEST_RESEND) < 0 ? next : LONGEST_RESEND;
       mayHaveEffect = true;
     }
 
     /**
-     * Tells whether a refusal does not prove that nothing has run: a job that was sent before may
-     * have been started by the leader of that time.
+     * Tells whether a refusal does not prove that nothing has run: another leader that was asked
+     * for the job before may have started it.
      */
     boolean isRefusalUncertain(DeskCode code) {
-      return request instanceof SubmitJob && sends > 1 && code != DeskCode.ACCEPTED;
+      return request instanceof SubmitJob && leaders > 1 && code != DeskCode.ACCEPTED;
     }
 
     /** A refusal by the only process that was ever asked proves that nothing happened. */
@@ -186,8 +207,10 @@
       if (sends == 1) {
         mayHaveEffect = false;
         sends = 0;
+        leaders = 0;
+        leader = null;
       }
-      sentAt = Instant.MIN;
+      resendAt = Instant.MIN;
     }
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/desk/LeaderTracker.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/LeaderTracker.java
@@ -73,6 +73,11 @@
     return leader;
   }
 
+  /** Returns the term of the leader that was known last. */
+  public long term() {
+    return term;
+  }
+
   /** Returns the nodes of the control members as far as they are known. */
   public List<NodeId> members() {
     return members;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -186,8 +186,8 @@
     intake.requested(from, request, now);
   }
 
-  private void jobEnded(LiveJob job, JobPhase phase) {
-    intake.ended(job, phase);
+  private void jobEnded(LiveJob job, JobPhase phase, Instant now) {
+    intake.ended(job, phase, now);
   }
 
   /** Tells whether no run can exist that this leader does not know of. */
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobEnds.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobEnds.java
@@ -1,5 +1,6 @@
 package org.cassiastack.schedule.internal;
 
+import java.time.Instant;
 import org.cassiastack.queue.JobPhase;
 
 /** Is told of jobs that have ended by their runs. */
@@ -11,5 +12,5 @@
    * @param job the job
    * @param phase completed when every task is done, failed when one has failed too often
    */
-  void ended(LiveJob job, JobPhase phase);
+  void ended(LiveJob job, JobPhase phase, Instant now);
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
@@ -66,7 +66,7 @@
     } else if (q instanceof AskJob a) {
       answer(caller, asked(a.address()));
     } else if (q instanceof CancelJob c) {
-      cancelled(caller, c.address());
+      cancelled(caller, c.address(), now);
     } else if (q instanceof StoreConfiguration s) {
       commits.configuration(s.configuration(), at -> answer(caller, DeskCode.ACCEPTED));
     } else if (q instanceof SwitchDomain d) {
@@ -83,9 +83,9 @@
 
   private void submitted(Caller caller, SubmitJob s, Instant now) {
     QueuedJobId id = s.job().id();
-    JobPhase known = recent.find(id);
-    if (known != null) {
-      answer(caller, DeskAnswer.phase(DeskCode.ACCEPTED, known));
+    DeskAnswer former = recent.repeat(id, now);
+    if (former != null) {
+      answer(caller, former);
       return;
     }
     if (ledger.knows(id)) {
@@ -114,7 +114,7 @@
     for (StepSpec step : s.job().steps()) {
       if (!fleet.couldHold(queue.service(), step.need())) {
         decide("job_refused", s.job().id(), "unsupported", "need=" + step.need());
-        answer(caller, DeskCode.UNSUPPORTED);
+        refuse(caller, s.job().id(), DeskAnswer.of(DeskCode.UNSUPPORTED), now);
         return;
       }
     }
@@ -124,7 +124,7 @@
     String inputs = "queue=" + queue.name() + " version=" + ledger.version() + " delay=" + delay;
     if (!Admission.isOfUse(job, delay, now)) {
       decide("job_refused", s.job().id(), "overloaded", inputs);
-      answer(caller, DeskAnswer.overloaded(Admission.retryAfter(delay)));
+      refuse(caller, s.job().id(), DeskAnswer.overloaded(Admission.retryAfter(delay)), now);
       return;
     }
     decide("job_admitted", s.job().id(), kept ? "kept" : "not_kept", inputs);
@@ -195,7 +195,7 @@
     return job == null || job.started ? JobPhase.RUNNING : JobPhase.QUEUED;
   }
 
-  private void cancelled(Caller caller, QueueAddress address) {
+  private void cancelled(Caller caller, QueueAddress address, Instant now) {
     int slash = address.path().lastIndexOf('/');
     QueuedJobId id = QueuedJobId.parse(address.path().substring(slash + 1));
     if (id == null || (!ledger.knows(id) && !commits.isAccepting(id) && board.find(id) == null)) {
@@ -212,11 +212,17 @@
           });
     } else {
       drop(id);
-      finish(id, JobPhase.CANCELLED);
+      finish(id, JobPhase.CANCELLED, now);
       answer(caller, DeskCode.ACCEPTED);
     }
   }
 
+  /** Refuses a job, and remembers it for repeated requests: none of them may start it. */
+  private void refuse(Caller caller, QueuedJobId id, DeskAnswer refusal, Instant now) {
+    recent.add(id, refusal, now);
+    answer(caller, refusal);
+  }
+
   private void refuse(LiveJob job, Instant now) {
     Duration delay = delay(job.queue, now);
     String inputs = "waited=" + Duration.between(job.receivedAt, now) + " delay=" + delay;
@@ -224,7 +230,7 @@
     drop(job.job.id());
     Caller caller = callers.remove(job.job.id());
     if (caller != null) {
-      answer(caller, DeskAnswer.overloaded(Admission.retryAfter(delay)));
+      refuse(caller, job.job.id(), DeskAnswer.overloaded(Admission.retryAfter(delay)), now);
     }
   }
 
@@ -240,7 +246,7 @@
   }
 
   /** Takes a job off the board that has ended by its runs, and answers who waits for it. */
-  void ended(LiveJob job, JobPhase phase) {
+  void ended(LiveJob job, JobPhase phase, Instant now) {
     boolean failed = phase == JobPhase.FAILED;
     String inputs = failed ? "attempts=" + job.queue.mostAttempts() : "queue=" + job.queue.name();
     decide("job_ended", job.job.id(), phase.name().toLowerCase(Locale.ROOT), inputs);
@@ -248,18 +254,19 @@
     if (failed) {
       fleet.giveUpRunsOf(job);
     }
-    finish(job.job.id(), phase);
+    finish(job.job.id(), phase, now);
   }
 
   /** Answers the caller who waits for the end of a job that is not kept. */
-  private void finish(QueuedJobId id, JobPhase phase) {
+  private void finish(QueuedJobId id, JobPhase phase, Instant now) {
     if (ledger.knows(id)) {
       return;
     }
-    recent.add(id, phase);
+    DeskAnswer answer = DeskAnswer.phase(DeskCode.ACCEPTED, phase);
+    recent.add(id, answer, now);
     Caller caller = callers.remove(id);
     if (caller != null) {
-      answer(caller, DeskAnswer.phase(DeskCode.ACCEPTED, phase));
+      answer(caller, answer);
     }
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RecentAnswers.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RecentAnswers.java
@@ -6,40 +6,43 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
-import org.cassiastack.queue.JobPhase;
+import org.cassiastack.desk.DeskAnswer;
 import org.cassiastack.queue.QueuedJobId;
 import org.jspecify.annotations.Nullable;
 
-/** How jobs that are not kept have ended lately, for callers whose answer was lost. */
+/**
+ * What callers were answered lately for jobs of which the ledger knows nothing: those that are not
+ * kept, and those that were refused. A repeated request gets the same answer.
+ */
 final class RecentAnswers {
-  /** Front ends ask again within half a second of a lost answer, callers within two. */
+  /** Front ends repeat a request after 1.6 s at most, callers after two. */
   private static final Duration KEPT = Duration.ofSeconds(4);
 
-  private final Map<QueuedJobId, JobPhase> phases = new HashMap<>();
+  private final Map<QueuedJobId, Entry> answers = new HashMap<>();
   private final Deque<Entry> entries = new ArrayDeque<>();
-  private Instant now = Instant.MIN;
 
-  void add(QueuedJobId id, JobPhase phase) {
-    if (phases.put(id, phase) == null) {
-      entries.add(new Entry(id, now));
-    }
+  void add(QueuedJobId id, DeskAnswer answer, Instant now) {
+    Entry e = new Entry(id, answer, now);
+    answers.put(id, e);
+    entries.add(e);
   }
 
-  @Nullable JobPhase find(QueuedJobId id) {
-    return phases.get(id);
+  /** Returns the answer to a request for a job, or null; it is kept for as long once more. */
+  @Nullable DeskAnswer repeat(QueuedJobId id, Instant now) {
+    Entry e = answers.get(id);
+    if (e == null) {
+      return null;
+    }
+    add(id, e.answer, now);
+    return e.answer;
   }
 
-  void forget(Instant present) {
-    now = present;
-    for (Entry e = entries.peek(); e != null && isOld(e); e = entries.peek()) {
+  void forget(Instant now) {
+    for (Entry e = entries.peek(); e != null && e.at.plus(KEPT).isBefore(now); e = entries.peek()) {
       entries.remove();
-      phases.remove(e.id);
+      answers.remove(e.id, e);
     }
   }
 
-  private boolean isOld(Entry e) {
-    return e.at.equals(Instant.MIN) || e.at.plus(KEPT).isBefore(now);
-  }
-
-  private record Entry(QueuedJobId id, Instant at) {}
+  private record Entry(QueuedJobId id, DeskAnswer answer, Instant at) {}
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
@@ -67,7 +67,7 @@
         board.ready.shrunk(step);
         board.openSteps(step.job);
         if (step.job.isDone()) {
-          ends.ended(step.job, JobPhase.COMPLETED);
+          ends.ended(step.job, JobPhase.COMPLETED, now);
         }
       }
     } else if (end.how() == RunEnd.FAILED) {
@@ -77,7 +77,7 @@
         board.release(step, index);
       }
       if (failures >= step.job.queue.mostAttempts() && !step.isDone(index)) {
-        ends.ended(step.job, JobPhase.FAILED);
+        ends.ended(step.job, JobPhase.FAILED, now);
       }
     } else if (own) {
       board.release(step, index);
--- a/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
@@ -112,15 +113,8 @@
 
   @Test
   void a_refusal_by_a_second_leader_does_not_say_that_a_job_has_not_run() {
-    QueuedJob job =
-        new QueuedJob(
-            new QueuedJobId(1),
-            "spec",
-            List.of(StepSpec.plain(1, 100, 1, Duration.ofMillis(50))),
-            false);
-    SubmitJob submit = new SubmitJob(1, new QueueAddress("h", "/p/1"), job, Duration.ofSeconds(1));
     on(notice(FIRST, 1, FIRST), 0);
-    on(new DeskCall(submit, NOW.plusSeconds(1)), 0);
+    on(new DeskCall(submission(), NOW.plusSeconds(1)), 0);
     on(notice(SECOND, 2, SECOND), 50);
 
     List<Effect> effects = on(reply(SECOND, DeskCode.OVERLOADED), 55);
@@ -128,6 +122,44 @@
     assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.UNANSWERED)));
   }
 
+  @Test
+  void a_refusal_by_the_only_leader_that_was_asked_holds_although_it_was_asked_again() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(new DeskCall(submission(), NOW.plusSeconds(1)), 0);
+    on(new Tick(), 400);
+
+    List<Effect> effects = on(reply(FIRST, DeskCode.OVERLOADED), 410);
+
+    assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.OVERLOADED)));
+  }
+
+  @Test
+  void a_refusal_by_a_process_that_led_twice_does_not_say_that_a_job_has_not_run() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(new DeskCall(submission(), NOW.plusSeconds(1)), 0);
+    on(notice(FIRST, 1, null), 10);
+    on(notice(FIRST, 2, FIRST), 20);
+
+    List<Effect> effects = on(reply(FIRST, DeskCode.OVERLOADED), 30);
+
+    assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.UNANSWERED)));
+  }
+
+  @Test
+  void asks_a_silent_leader_less_and_less_often() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(new DeskCall(REQUEST, NOW.plusSeconds(60)), 0);
+
+    List<Long> sentAt = new ArrayList<>();
+    for (long millis = 100; millis <= 7_000; millis += 100) {
+      if (on(new Tick(), millis).contains(new Send(FIRST, REQUEST))) {
+        sentAt.add(millis);
+      }
+    }
+
+    assertThat(sentAt).containsExactly(400L, 1_200L, 2_800L, 4_400L, 6_000L);
+  }
+
   @Test
   void asks_a_silent_leader_again() {
     on(notice(FIRST, 1, FIRST), 0);
@@ -152,6 +184,12 @@
     return new DeskCall(REQUEST, NOW.plus(Duration.ofSeconds(1)));
   }
 
+  private static SubmitJob submission() {
+    List<StepSpec> steps = List.of(StepSpec.plain(1, 100, 1, Duration.ofMillis(50)));
+    QueuedJob job = new QueuedJob(new QueuedJobId(1), "spec", steps, false);
+    return new SubmitJob(1, new QueueAddress("h", "/p/1"), job, Duration.ofSeconds(1));
+  }
+
   private static Received notice(NodeId from, long term, NodeId leader) {
     return new Received(from, new LeaderNotice(term, leader, List.of(FIRST, SECOND)));
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderBacklogLoadTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderBacklogLoadTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import org.cassiastack.desk.DeskCode;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -37,6 +38,18 @@
     assertThat(play.onTimeShare()).isGreaterThan(0.8);
   }
 
+  @Test
+  void callers_that_a_held_up_leader_cannot_serve_are_told_that_their_jobs_have_not_run() {
+    submitFor(Duration.ofSeconds(2).plus(ELECTION).plus(RECOVERY));
+    play.run(Duration.ofSeconds(2));
+
+    play.holdUpLeader(ELECTION);
+    play.run(ELECTION.plus(RECOVERY).plus(AFTERWARDS));
+
+    assertThat(play.answers(DeskCode.OVERLOADED)).isPositive();
+    assertThat(play.waitedInVain()).isZero();
+  }
+
   private void submitFor(Duration time) {
     play.submitEvery(Duration.ofMillis(7), 8, Duration.ofMillis(86), time);
     play.submitEvery(Duration.ofMillis(38), 4, Duration.ofMillis(1_286), time);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -158,4 +158,15 @@
 
     assertThat(stops.stream().distinct()).hasSize(2);
   }
+
+  @Test
+  void refuses_a_repeated_request_for_a_job_that_it_has_refused() {
+    ask(new SubmitJob(++call, ADDRESS, job(List.of(step(1, 9_000)), false), Duration.ofSeconds(1)));
+    answers.clear();
+
+    ask(new SubmitJob(call, ADDRESS, job(List.of(step(1, 1_000)), false), Duration.ofSeconds(1)));
+
+    assertThat(answers).containsExactly(DeskAnswer.of(DeskCode.UNSUPPORTED));
+    assertThat(started()).isEmpty();
+  }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadPlay.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadPlay.java
@@ -6,11 +6,13 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.Random;
+import java.util.Set;
 import java.util.UUID;
 import org.cassiastack.consensus.CommandCommitted;
 import org.cassiastack.consensus.LeaderChanged;
@@ -56,6 +58,7 @@
   private static final Duration HOP = Duration.ofMillis(1);
   private static final Duration TICK = Duration.ofMillis(20);
   private static final Duration OBJECTIVE_SLACK = Duration.ofMillis(60);
+  private static final Duration PATIENCE_SLACK = Duration.ofMillis(1_500);
   private static final double STRETCH = 1.6;
   private static final ScheduleSettings SETTINGS =
       new ScheduleSettings(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
@@ -74,6 +77,8 @@
   private long calls;
   private int jobs;
   private int onTime;
+  private int waitedInVain;
+  private final Set<QueuedJobId> begun = new HashSet<>();
   private final Map<DeskCode, Integer> answers = new EnumMap<>(DeskCode.class);
 
   private boolean busy;
@@ -137,10 +142,16 @@
     return answers.getOrDefault(code, 0);
   }
 
+  /** Returns how many callers got no answer although their jobs never ran. */
+  int waitedInVain() {
+    return waitedInVain;
+  }
+
   /** Forgets what callers got so far. */
   void countAnew() {
     jobs = 0;
     onTime = 0;
+    waitedInVain = 0;
     answers.clear();
   }
 
@@ -203,6 +214,7 @@
           events.add(new CommandCommitted(++index, p.proposal(), p.command()));
         } else if (f instanceof Send s && s.message() instanceof RunOrders o) {
           LoadWorker w = workers.get(s.to());
+          o.starts().forEach(x -> begun.add(x.run().task().job()));
           after(HOP, () -> w.ordered(o));
         } else if (f instanceof Send s && s.message() instanceof LeaderReply r) {
           after(HOP, () -> atDesk(new Received(SELF, r)));
@@ -230,10 +242,10 @@
     QueueAddress address = new QueueAddress("h", "/q/" + id);
     List<StepSpec> steps = new ArrayList<>(List.of(StepSpec.plain(tasks, TASK_CPU, 64, work)));
     Duration objective = Duration.ofNanos((long) (work.toNanos() * STRETCH)).plus(OBJECTIVE_SLACK);
-    submissions.put(calls, new Submission(now().plus(objective)));
+    submissions.put(calls, new Submission(id, now().plus(objective)));
     works.put(id, work);
     QueuedJob job = new QueuedJob(id, "spec", steps, false);
-    Duration patience = objective.multipliedBy(4);
+    Duration patience = objective.plus(PATIENCE_SLACK);
     SubmitJob submit = new SubmitJob(calls, address, job, patience);
     atDesk(new DeskCall(submit, now().plus(patience)));
   }
@@ -242,6 +254,8 @@
     Submission s = submissions.remove(a.call());
     if (s != null) {
       answers.merge(a.answer().code(), 1, Integer::sum);
+      boolean inVain = a.answer().code() == DeskCode.UNANSWERED && !begun.contains(s.job);
+      waitedInVain += inVain ? 1 : 0;
       onTime += a.answer().code() == DeskCode.ACCEPTED && !now().isAfter(s.dueAt) ? 1 : 0;
     }
   }
@@ -259,7 +273,7 @@
     return new QueueConfiguration(1, List.of(q), Payload.ofText("document"));
   }
 
-  private record Submission(Instant dueAt) {}
+  private record Submission(QueuedJobId job, Instant dueAt) {}
 
   /**
    * What the leader's thread takes for an event.
