Leader: a job's time counts from when its caller asked, not from when the leader got it

Callers saw: after an election, jobs that had waited for a leader were started although their time was over, in front of others that could still be served.

Cause: the leader counted a job's objective from the arrival of the message, and an entry told each leader the patience that the caller had at first.

Change: an entry tells how long the caller has waited when it sends a job, and what patience is left. A job that has waited too long is refused at once.

Evidence: refuses_a_job_whose_caller_has_waited_too_long_for_a_leader starts the job where the time counts from the arrival, and refuses it now.

--- a/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
@@ -155,7 +155,7 @@
         effects.add(Decision.of("request_sent_again", w.request.call(), reason, inputs));
       }
       w.sent(leader, tracker.term(), now);
-      effects.add(new Send(leader, w.request));
+      effects.add(new Send(leader, w.requestAt(now)));
     }
   }
 
@@ -194,6 +194,12 @@
       mayHaveEffect = true;
     }
 
+    /** Returns what is sent now: a job tells how long its caller has waited. */
+    LeaderRequest requestAt(Instant now) {
+      Duration waited = Duration.between(since, now);
+      return request instanceof SubmitJob s && !waited.isZero() ? s.sentAfter(waited) : request;
+    }
+
     /**
      * Tells whether a refusal does not prove that nothing has run: another leader that was asked
      * for the job before may have started it.
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobBoard.java
@@ -38,16 +38,16 @@
   }
 
   /** Makes a job with its objective and estimates, without adding it. */
-  LiveJob plan(QueuedJob spec, Queue queue, Instant now, Instant abandonedAt) {
+  LiveJob plan(QueuedJob spec, Queue queue, Instant askedAt, Instant abandonedAt) {
     sequence++;
-    return new LiveJob(spec, queue, sequence, estimates, now, abandonedAt);
+    return new LiveJob(spec, queue, sequence, estimates, askedAt, abandonedAt);
   }
 
-  void add(LiveJob job) {
+  void add(LiveJob job, Instant now) {
     jobs.put(job.job.id(), job);
     unstarted.merge(job.queue.name(), 1, Integer::sum);
     for (LiveStep s : job.steps) {
-      s.lateness = job.lateness(s, job.receivedAt);
+      s.lateness = job.lateness(s, now);
     }
     openSteps(job);
   }
@@ -55,7 +55,7 @@
   /** Adds a job that an earlier leader has worked on. */
   void restore(LedgerJob kept, Queue queue, Instant now) {
     LiveJob job = plan(kept.job(), queue, now, Instant.MAX);
-    add(job);
+    add(job, now);
     for (LiveStep s : job.steps) {
       for (int i = 0; i < s.spec.tasks(); i++) {
         for (long run : kept.failedRuns(s.task(i))) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
@@ -120,7 +120,9 @@
     }
     Duration delay = delay(queue, now);
     boolean kept = s.job().kept();
-    LiveJob job = board.plan(s.job(), queue, now, kept ? Instant.MAX : now.plus(s.patience()));
+    Instant askedAt = now.minus(s.waited());
+    Instant abandonedAt = kept ? Instant.MAX : now.plus(s.patience());
+    LiveJob job = board.plan(s.job(), queue, askedAt, abandonedAt);
     String inputs = "queue=" + queue.name() + " version=" + ledger.version() + " delay=" + delay;
     if (!Admission.isOfUse(job, delay, now)) {
       decide("job_refused", s.job().id(), "overloaded", inputs);
@@ -130,12 +132,12 @@
     decide("job_admitted", s.job().id(), kept ? "kept" : "not_kept", inputs);
     callers.put(s.job().id(), caller);
     if (!kept) {
-      begin(job);
+      begin(job, now);
       return;
     }
     LedgerBatch.Acceptance a =
         new LedgerBatch.Acceptance(s.job(), queue.name(), Math.max(1, queue.mostAttempts()));
-    commits.accept(a, at -> accepted(job));
+    commits.accept(a, at -> accepted(job, at));
   }
 
   /** Returns how long the work in front of a new job takes; nothing while workers are not known. */
@@ -147,10 +149,10 @@
         board.backlog(queue.service(), queue.priority()), fleet.milliCpu(queue.service(), now));
   }
 
-  private void accepted(LiveJob job) {
+  private void accepted(LiveJob job, Instant now) {
     QueuedJobId id = job.job.id();
     if (ledger.live(id) != null) {
-      begin(job);
+      begin(job, now);
     }
     Caller caller = callers.remove(id);
     if (caller != null) {
@@ -158,9 +160,9 @@
     }
   }
 
-  private void begin(LiveJob job) {
+  private void begin(LiveJob job, Instant now) {
     fleet.claimRunsOf(job);
-    board.add(job);
+    board.add(job, now);
     if (job.steps.stream().anyMatch(LiveStep::isBegun)) {
       board.markStarted(job);
     }
@@ -225,7 +227,7 @@
 
   private void refuse(LiveJob job, Instant now) {
     Duration delay = delay(job.queue, now);
-    String inputs = "waited=" + Duration.between(job.receivedAt, now) + " delay=" + delay;
+    String inputs = "waited=" + Duration.between(job.askedAt, now) + " delay=" + delay;
     decide("job_refused", job.job.id(), "overtaken", inputs);
     drop(job.job.id());
     Caller caller = callers.remove(job.job.id());
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
@@ -18,7 +18,10 @@
   final Queue queue;
   final long sequence;
   final List<LiveStep> steps = new ArrayList<>();
-  final Instant receivedAt;
+
+  /** When its caller asked for it, or when this leader took it over. */
+  final Instant askedAt;
+
   final Instant dueAt;
   final Instant uselessAt;
 
@@ -32,20 +35,20 @@
       Queue queue,
       long sequence,
       WorkEstimates estimates,
-      Instant receivedAt,
+      Instant askedAt,
       Instant abandonedAt) {
     this.job = job;
     this.queue = queue;
     this.sequence = sequence;
-    this.receivedAt = receivedAt;
+    this.askedAt = askedAt;
     this.abandonedAt = abandonedAt;
     for (int i = 0; i < job.steps().size(); i++) {
       StepSpec s = job.steps().get(i);
       steps.add(new LiveStep(this, i, s, estimates.work(queue.name(), s)));
     }
     Duration objective = objective();
-    this.dueAt = receivedAt.plus(objective);
-    this.uselessAt = receivedAt.plus(objective.multipliedBy(USEFUL_OBJECTIVES));
+    this.dueAt = askedAt.plus(objective);
+    this.uselessAt = askedAt.plus(objective.multipliedBy(USEFUL_OBJECTIVES));
   }
 
   boolean isDone() {
--- a/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
@@ -145,6 +145,15 @@
     assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.UNANSWERED)));
   }
 
+  @Test
+  void tells_the_next_leader_how_long_a_job_has_waited() {
+    on(new DeskCall(submission(), NOW.plusSeconds(1)), 0);
+
+    List<Effect> effects = on(notice(FIRST, 1, FIRST), 250);
+
+    assertThat(effects).contains(new Send(FIRST, submission().sentAfter(Duration.ofMillis(250))));
+  }
+
   @Test
   void asks_a_silent_leader_less_and_less_often() {
     on(notice(FIRST, 1, FIRST), 0);
@@ -187,7 +196,7 @@
   private static SubmitJob submission() {
     List<StepSpec> steps = List.of(StepSpec.plain(1, 100, 1, Duration.ofMillis(50)));
     QueuedJob job = new QueuedJob(new QueuedJobId(1), "spec", steps, false);
-    return new SubmitJob(1, new QueueAddress("h", "/p/1"), job, Duration.ofSeconds(1));
+    return SubmitJob.of(1, new QueueAddress("h", "/p/1"), job, Duration.ofSeconds(1));
   }
 
   private static Received notice(NodeId from, long term, NodeId leader) {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
@@ -30,7 +30,7 @@
 
     for (int i = 1; i <= 40; i++) {
       QueuedJob job = new QueuedJob(new QueuedJobId(i), "spec", List.of(step(16, 1_000)), false);
-      ask(new SubmitJob(++call, ADDRESS, job, Duration.ofSeconds(9)));
+      ask(SubmitJob.of(++call, ADDRESS, job, Duration.ofSeconds(9)));
     }
 
     assertThat(answers).extracting(DeskAnswer::code).doesNotContain(DeskCode.OVERLOADED);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -82,7 +82,7 @@
 
   @Test
   void refuses_a_job_that_no_minion_could_hold() {
-    ask(new SubmitJob(++call, ADDRESS, job(List.of(step(1, 9_000)), true), Duration.ofSeconds(1)));
+    ask(SubmitJob.of(++call, ADDRESS, job(List.of(step(1, 9_000)), true), Duration.ofSeconds(1)));
 
     assertThat(answers).containsExactly(DeskAnswer.of(DeskCode.UNSUPPORTED));
   }
@@ -91,7 +91,7 @@
   void refuses_at_once_what_could_only_start_when_it_is_of_no_more_use() {
     for (int i = 1; i <= 40; i++) {
       QueuedJob job = new QueuedJob(new QueuedJobId(i), "spec", List.of(step(16, 1_000)), false);
-      ask(new SubmitJob(++call, ADDRESS, job, Duration.ofSeconds(9)));
+      ask(SubmitJob.of(++call, ADDRESS, job, Duration.ofSeconds(9)));
     }
 
     assertThat(answers).extracting(DeskAnswer::code).contains(DeskCode.OVERLOADED);
@@ -102,9 +102,9 @@
 
   @Test
   void refuses_a_waiting_job_as_soon_as_it_can_only_end_too_late() {
-    ask(new SubmitJob(++call, ADDRESS, job(List.of(step(16, 1_000)), true), Duration.ofSeconds(9)));
+    ask(SubmitJob.of(++call, ADDRESS, job(List.of(step(16, 1_000)), true), Duration.ofSeconds(9)));
     QueuedJob waiting = new QueuedJob(new QueuedJobId(7), "spec", List.of(step(2, 1_000)), false);
-    ask(new SubmitJob(++call, ADDRESS, waiting, Duration.ofSeconds(9)));
+    ask(SubmitJob.of(++call, ADDRESS, waiting, Duration.ofSeconds(9)));
     answers.clear();
 
     now = now.plusMillis(500);
@@ -161,12 +161,23 @@
 
   @Test
   void refuses_a_repeated_request_for_a_job_that_it_has_refused() {
-    ask(new SubmitJob(++call, ADDRESS, job(List.of(step(1, 9_000)), false), Duration.ofSeconds(1)));
+    ask(SubmitJob.of(++call, ADDRESS, job(List.of(step(1, 9_000)), false), Duration.ofSeconds(1)));
     answers.clear();
 
-    ask(new SubmitJob(call, ADDRESS, job(List.of(step(1, 1_000)), false), Duration.ofSeconds(1)));
+    ask(SubmitJob.of(call, ADDRESS, job(List.of(step(1, 1_000)), false), Duration.ofSeconds(1)));
 
     assertThat(answers).containsExactly(DeskAnswer.of(DeskCode.UNSUPPORTED));
     assertThat(started()).isEmpty();
   }
+
+  @Test
+  void refuses_a_job_whose_caller_has_waited_too_long_for_a_leader() {
+    SubmitJob late =
+        SubmitJob.of(++call, ADDRESS, job(List.of(step(1, 1_000)), false), Duration.ofSeconds(9));
+
+    ask(late.sentAfter(Duration.ofMillis(700)));
+
+    assertThat(answers).extracting(DeskAnswer::code).containsExactly(DeskCode.OVERLOADED);
+    assertThat(started()).isEmpty();
+  }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
@@ -97,7 +97,7 @@
 
   void submit(int tasks, boolean kept) {
     QueuedJob job = job(List.of(step(tasks, 1_000)), kept);
-    ask(new SubmitJob(++call, ADDRESS, job, Duration.ofSeconds(1)));
+    ask(SubmitJob.of(++call, ADDRESS, job, Duration.ofSeconds(1)));
   }
 
   static QueuedJob job(List<StepSpec> steps, boolean kept) {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadPlay.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadPlay.java
@@ -246,7 +246,7 @@
     works.put(id, work);
     QueuedJob job = new QueuedJob(id, "spec", steps, false);
     Duration patience = objective.plus(PATIENCE_SLACK);
-    SubmitJob submit = new SubmitJob(calls, address, job, patience);
+    SubmitJob submit = SubmitJob.of(calls, address, job, patience);
     atDesk(new DeskCall(submit, now().plus(patience)));
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueWorld.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueWorld.java
@@ -165,7 +165,7 @@
     calls++;
     submissions.put(job.id(), calls);
     Duration patience = Duration.ofMillis(1_500);
-    SubmitJob s = new SubmitJob(calls, address(job.id()), job, patience);
+    SubmitJob s = SubmitJob.of(calls, address(job.id()), job, patience);
     entry().on(new DeskCall(s, now().plus(patience)));
   }
 
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -133,7 +133,7 @@
         new ForwardedApply(new UUID(1, 2), new ApplyResult(ResultCode.STALE_BASE, new Revision(7))),
         new LeaderNotice(5, new NodeId("10.0.0.1"), List.of(new NodeId("10.0.0.1"))),
         new LeaderNotice(5, null, List.of()),
-        new SubmitJob(1, ADDRESS, queuedJob(), Duration.ofMillis(1_470)),
+        new SubmitJob(1, ADDRESS, queuedJob(), Duration.ofMillis(1_470), Duration.ofMillis(30)),
         new AskJob(2, ADDRESS),
         new CancelJob(3, ADDRESS),
         new StoreConfiguration(4, queues(payload)),
