Leader: what it learns of work and of speeds keeps its scale

Cause: the work of a queue was learned from the time of a run and the speed of its worker, and that speed from the time and the work. Only their product is seen, so both drifted together, and with the work the objective by which the leader admits, orders and gives up jobs.

Change: the work is learned relative to the median speed of the service's workers. The line of an admitted job tells its objective.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -13,6 +13,7 @@
 import org.cassiastack.decision.Decision;
 import org.cassiastack.desk.LeaderRequest;
 import org.cassiastack.model.NodeId;
+import org.cassiastack.model.ServiceName;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.JobPhase;
@@ -66,7 +67,14 @@
     this.beganAt = now;
     this.commits = new PendingCommits(codec, proposals);
     Consumer<Decision> decisions = d -> effects.add(d);
-    this.runs = new Runs(board, commits, decisions, this::jobEnded, id -> ledger.live(id) != null);
+    this.runs =
+        new Runs(
+            board,
+            commits,
+            decisions,
+            this::jobEnded,
+            id -> ledger.live(id) != null,
+            this::usualSpeed);
     this.fleet = new Fleet(settings, runs);
     this.intake =
         new JobIntake(
@@ -186,6 +194,10 @@
     intake.requested(from, request, now);
   }
 
+  private double usualSpeed(ServiceName service) {
+    return fleet.usualSpeed(service);
+  }
+
   private void jobEnded(LiveJob job, JobPhase phase, Instant now) {
     intake.ended(job, phase, now);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -4,6 +4,8 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -37,6 +39,7 @@
   private final ScheduleSettings settings;
   private final RunListener listener;
   private final Map<NodeId, WorkerState> workers = new LinkedHashMap<>();
+  private final Map<ServiceName, Double> usualSpeeds = new HashMap<>();
   private long openings;
 
   Fleet(ScheduleSettings settings, RunListener listener) {
@@ -59,6 +62,31 @@
     return w != null && w.known;
   }
 
+  /**
+   * Returns the median speed of the workers of a service, as of the last tick; 1 while none is
+   * known.
+   */
+  double usualSpeed(ServiceName service) {
+    return usualSpeeds.getOrDefault(service, 1.0);
+  }
+
+  private void findUsualSpeeds(Instant now) {
+    Map<ServiceName, List<Double>> speeds = new HashMap<>();
+    for (WorkerState w : workers.values()) {
+      MinionProfile m = w.minion;
+      if (m != null && w.known) {
+        speeds.computeIfAbsent(m.service(), s -> new ArrayList<>()).add(w.speed.value(now));
+      }
+    }
+    usualSpeeds.clear();
+    speeds.forEach((service, all) -> usualSpeeds.put(service, median(all)));
+  }
+
+  private static double median(List<Double> values) {
+    values.sort(Comparator.naturalOrder());
+    return values.get(values.size() / 2);
+  }
+
   /** Returns the processors of the workers of a service, in thousandths of a core at speed 1. */
   double milliCpu(ServiceName service, Instant now) {
     double sum = 0;
@@ -160,6 +188,7 @@
   void tick(Instant now) {
     workers.values().forEach(w -> expire(w, now));
     workers.values().removeIf(w -> now.isAfter(w.reportedAt.plus(MEMORY)));
+    findUsualSpeeds(now);
   }
 
   /** Gives up the runs of a job; they are stopped with the next tick. */
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
@@ -129,7 +129,8 @@
       refuse(caller, s.job().id(), DeskAnswer.overloaded(Admission.retryAfter(delay)), now);
       return;
     }
-    decide("job_admitted", s.job().id(), kept ? "kept" : "not_kept", inputs);
+    String objective = " objective=" + Duration.between(job.askedAt, job.dueAt);
+    decide("job_admitted", s.job().id(), kept ? "kept" : "not_kept", inputs + objective);
     callers.put(s.job().id(), caller);
     if (!kept) {
       begin(job, now);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Runs.java
@@ -5,7 +5,9 @@
 import java.util.Locale;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import org.cassiastack.decision.Decision;
+import org.cassiastack.model.ServiceName;
 import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.LedgerBatch;
 import org.cassiastack.queue.QueuedJobId;
@@ -22,8 +24,10 @@
   /** A stop that has had no effect for this long is ordered again. */
   private static final Duration STOP_AGAIN = Duration.ofMillis(200);
 
-  /** Runs at a worker below this speed say more of the worker than of the work. */
-  private static final double USUAL_SPEED = 0.5;
+  /**
+   * Runs at a worker below this part of the usual speed say more of the worker than of the work.
+   */
+  private static final double LEAST_SPEED = 0.5;
 
   private final JobBoard board;
   private final PendingCommits commits;
@@ -33,13 +37,18 @@
   /** Tells whether the ledger holds a job that has not ended. */
   private final Predicate<QueuedJobId> stored;
 
+  /** Gives the median speed of the workers of a service. */
+  private final ToDoubleFunction<ServiceName> usualSpeed;
+
   Runs(
       JobBoard board,
       PendingCommits commits,
       Consumer<Decision> decisions,
       JobEnds ends,
-      Predicate<QueuedJobId> stored) {
+      Predicate<QueuedJobId> stored,
+      ToDoubleFunction<ServiceName> usualSpeed) {
     this.stored = stored;
+    this.usualSpeed = usualSpeed;
     this.board = board;
     this.commits = commits;
     this.decisions = decisions;
@@ -144,10 +153,11 @@
     LiveStep step = run.step;
     if (step != null && end.how() == RunEnd.DONE && run.order > 0) {
       Duration taken = Duration.between(run.orderedAt, now);
-      double before = w.presentSpeed(now);
+      // Only the product of speed and work is seen: without a fixed scale both would drift.
+      double relative = w.presentSpeed(now) / usualSpeed.applyAsDouble(step.job.queue.service());
       w.speed.observed(step.work, taken, now);
-      if (before >= USUAL_SPEED) {
-        board.estimates().observed(step.job.queue.name(), step.spec, taken, before);
+      if (relative >= LEAST_SPEED) {
+        board.estimates().observed(step.job.queue.name(), step.spec, taken, relative);
       }
       w.health.succeeded();
     } else if (step != null && end.how() == RunEnd.FAILED) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkEstimates.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkEstimates.java
@@ -21,13 +21,13 @@
 
   private final Map<String, Double> ratios = new HashMap<>();
 
-  /** Returns the run time of a task at a worker of speed 1. */
+  /** Returns the run time of a task at a worker of the usual speed. */
   Duration work(String queue, StepSpec step) {
     double millis = base(step).toMillis() * ratios.getOrDefault(queue, 1.0);
     return Duration.ofMillis(Math.max(1, Math.round(millis)));
   }
 
-  /** Takes note of what a run took at a worker of a speed. */
+  /** Takes note of what a run took at a worker of a speed, as a multiple of the usual one. */
   void observed(String queue, StepSpec step, Duration taken, double speed) {
     double ratio = taken.toNanos() * speed / base(step).toNanos();
     double known = ratios.getOrDefault(queue, 1.0);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadPlay.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadPlay.java
@@ -14,6 +14,8 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.UUID;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.cassiastack.consensus.CommandCommitted;
 import org.cassiastack.consensus.LeaderChanged;
 import org.cassiastack.consensus.LeaseExtended;
@@ -23,6 +25,7 @@
 import org.cassiastack.controller.Raise;
 import org.cassiastack.controller.Schedule;
 import org.cassiastack.controller.Tick;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.desk.DeskAnswered;
 import org.cassiastack.desk.DeskCall;
 import org.cassiastack.desk.DeskCode;
@@ -54,6 +57,7 @@
   static final long TASK_CPU = 3_000;
   private static final NodeId SELF = new NodeId("10.0.0.1");
   private static final NodeId ENTRY = new NodeId("10.0.0.1/entry");
+  private static final Pattern OBJECTIVE = Pattern.compile("objective=(\\S+)");
   private static final int USUAL_ROOM = 6;
   private static final Duration HOP = Duration.ofMillis(1);
   private static final Duration TICK = Duration.ofMillis(20);
@@ -78,6 +82,7 @@
   private int jobs;
   private int onTime;
   private int waitedInVain;
+  private Duration lastObjective = Duration.ZERO;
   private final Set<QueuedJobId> begun = new HashSet<>();
   private final Map<DeskCode, Integer> answers = new EnumMap<>(DeskCode.class);
 
@@ -123,7 +128,7 @@
     }
   }
 
-  /** Makes one worker this many times slower from now on; its running tasks as well. */
+  /** Makes one worker this many times slower from now on, or faster; its running tasks as well. */
   void slowDown(int worker, double times) {
     List.copyOf(workers.values()).get(worker).slowDown(times);
   }
@@ -142,6 +147,11 @@
     return answers.getOrDefault(code, 0);
   }
 
+  /** Returns the objective that the leader has found for the job that it admitted last. */
+  Duration lastObjective() {
+    return lastObjective;
+  }
+
   /** Returns how many callers got no answer although their jobs never ran. */
   int waitedInVain() {
     return waitedInVain;
@@ -218,6 +228,9 @@
           after(HOP, () -> w.ordered(o));
         } else if (f instanceof Send s && s.message() instanceof LeaderReply r) {
           after(HOP, () -> atDesk(new Received(SELF, r)));
+        } else if (f instanceof Decision d && d.event().equals("job_admitted")) {
+          Matcher m = OBJECTIVE.matcher(d.inputs());
+          lastObjective = m.find() ? Duration.parse(m.group(1)) : Duration.ZERO;
         } else if (f instanceof PlacingWork w) {
           candidates += w.candidates();
         }
