Leader: a step under a backlog only looks at workers that have room

Change: a round looks at the workers that have room for the smallest need of its steps, and finds the fastest worker once.

Tried and left out, in the same play with workers of three speeds at 1.6 times the load: steps of jobs that have begun in front of others of the same lateness.

--- a/cassiastack-core/src/main/java/org/cassiastack/queue/Resources.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/Resources.java
@@ -30,6 +30,14 @@
         Math.max(gpus, other.gpus));
   }
 
+  /** Returns the smaller amount of each kind. */
+  public Resources min(Resources other) {
+    return new Resources(
+        Math.min(milliCpu, other.milliCpu),
+        Math.min(memoryMb, other.memoryMb),
+        Math.min(gpus, other.gpus));
+  }
+
   /** Tells whether this holds at least as much as a need, in each kind. */
   public boolean covers(Resources need) {
     return milliCpu >= need.milliCpu && memoryMb >= need.memoryMb && gpus >= need.gpus;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Candidates.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Candidates.java
@@ -8,29 +8,48 @@
 /**
  * The workers of one service that may take work, as one round of placing sees them.
  *
- * <p>The speed of a worker is found out once a round: runs that start in it do not change it. The
- * most that any worker has free tells of most steps of a backlog that none can take them, without a
- * look at the workers.
+ * <p>Under a backlog nearly all are full and most steps find no room. So the steps of a round only
+ * look at the workers that have room for the smallest need among them; and the speed of a worker,
+ * which runs that start in the round do not change, is found out once.
  */
 final class Candidates {
+  private final Resources least;
   private final List<Candidate> all = new ArrayList<>();
+  private final List<Candidate> open = new ArrayList<>();
   private Resources most = Resources.NONE;
+  private double fastest = Candidate.UNKNOWN;
   private long looks;
 
+  private Candidates(Resources least) {
+    this.least = least;
+  }
+
+  /** Makes an empty set for tasks of which each needs at least so much. */
+  static Candidates forNeedsFrom(Resources least) {
+    return new Candidates(least);
+  }
+
   void add(WorkerState worker) {
-    all.add(new Candidate(worker));
-    most = most.max(worker.free());
+    Candidate c = new Candidate(worker);
+    all.add(c);
+    if (worker.free().covers(least)) {
+      open.add(c);
+      most = most.max(worker.free());
+    }
   }
 
   void remove(WorkerState worker) {
     all.removeIf(c -> c.worker == worker);
+    open.removeIf(c -> c.worker == worker);
+    fastest = Candidate.UNKNOWN;
     refresh();
   }
 
   /** Takes note that workers have less room than before. */
   void refresh() {
+    open.removeIf(c -> !c.worker.free().covers(least));
     Resources free = Resources.NONE;
-    for (Candidate c : all) {
+    for (Candidate c : open) {
       free = free.max(c.worker.free());
     }
     most = free;
@@ -41,12 +60,26 @@
     return most.covers(need);
   }
 
+  /** Returns the workers that have room for the smallest need, for a look at each of them. */
+  List<Candidate> open() {
+    looks += open.size();
+    return open;
+  }
+
   /** Returns the workers, for a look at each of them. */
-  List<Candidate> look() {
+  List<Candidate> all() {
     looks += all.size();
     return all;
   }
 
+  /** Returns the highest speed of all workers. */
+  double fastest(Instant now) {
+    if (fastest == Candidate.UNKNOWN) {
+      fastest = all().stream().mapToDouble(c -> c.speed(now)).max().orElse(0);
+    }
+    return fastest;
+  }
+
   /** Returns how many workers were looked at. */
   long looks() {
     return looks;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -14,6 +14,7 @@
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
+import org.cassiastack.queue.Resources;
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOrders;
@@ -73,14 +74,24 @@
     placedChanges = changes;
     long firstRun = (generation - 1) * RUNS_PER_GENERATION + 1;
     Map<ServiceName, Candidates> workers = new HashMap<>();
-    for (LiveStep s : board.ready.inOrder(MOST_STEPS)) {
+    List<LiveStep> first = board.ready.inOrder(MOST_STEPS);
+    Resources least = leastNeed(first);
+    for (LiveStep s : first) {
       steps++;
       ServiceName service = ledger.serviceOf(s.job.queue);
-      placeStep(s, workers.computeIfAbsent(service, x -> usable(x, now)), firstRun, now);
+      placeStep(s, workers.computeIfAbsent(service, x -> usable(x, least, now)), firstRun, now);
     }
     workers.values().forEach(c -> looks += c.looks());
   }
 
+  private static Resources leastNeed(List<LiveStep> steps) {
+    Resources least = steps.get(0).spec.need();
+    for (LiveStep s : steps) {
+      least = least.min(s.spec.need());
+    }
+    return least;
+  }
+
   /** Lets the next round look at everything, since time has passed. */
   void reconsider() {
     placedChanges = NEVER;
@@ -109,7 +120,7 @@
   }
 
   private void moveIfPossible(Run run, LiveStep step, WorkerState from, Instant now) {
-    Candidates others = usable(ledger.serviceOf(step.job.queue), now);
+    Candidates others = usable(ledger.serviceOf(step.job.queue), step.spec.need(), now);
     if (placer.choose(step, others, Set.of(from.agent), now) == null) {
       return;
     }
@@ -127,8 +138,8 @@
     }
   }
 
-  private Candidates usable(ServiceName service, Instant now) {
-    Candidates usable = new Candidates();
+  private Candidates usable(ServiceName service, Resources least, Instant now) {
+    Candidates usable = Candidates.forNeedsFrom(least);
     looks += fleet.workers().size();
     for (WorkerState w : fleet.workers()) {
       MinionProfile m = w.minion;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FastestFit.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FastestFit.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.Set;
 import org.cassiastack.model.NodeId;
+import org.cassiastack.queue.StepSpec;
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.schedule.internal.Candidates.Candidate;
 import org.jspecify.annotations.Nullable;
@@ -27,7 +28,7 @@
     }
     Candidate best = null;
     double bestSpeed = 0;
-    for (Candidate c : workers.look()) {
+    for (Candidate c : workers.open()) {
       if (!c.worker.free().covers(step.spec.need()) || !mayRun(step, c.worker, avoided)) {
         continue;
       }
@@ -54,14 +55,23 @@
   private static boolean isWorthWaiting(
       LiveStep step, Candidates workers, Set<NodeId> avoided, Instant limit, Instant now) {
     double fastest = 0;
-    for (Candidate c : workers.look()) {
-      if (mayRun(step, c.worker, avoided)) {
-        fastest = Math.max(fastest, speed(step, c, now));
+    if (isUnconstrained(step) && avoided.isEmpty()) {
+      fastest = workers.fastest(now);
+    } else {
+      for (Candidate c : workers.all()) {
+        if (mayRun(step, c.worker, avoided)) {
+          fastest = Math.max(fastest, speed(step, c, now));
+        }
       }
     }
     return !step.doneIfStarted(now, fastest).isAfter(limit);
   }
 
+  private static boolean isUnconstrained(LiveStep step) {
+    StepSpec s = step.spec;
+    return s.dataRack().isEmpty() && s.requiredLabel().isEmpty() && s.mostPerMinion() == 0;
+  }
+
   private static double speed(LiveStep step, Candidate c, Instant now) {
     MinionProfile m = c.worker.minion;
     String rack = step.spec.dataRack();
