Agent: a start without answer is repeated after 80 ms instead of 250

Cause: the agent waited a quarter of a second for each answer, which is more than the 110 ms that a task of 86 ms has to spare. A minion on the same machine answers in a millisecond, and repeating a start with the same number has no second effect.

Change: the agent tells how long each call may take: 80, 160 and 240 ms.

The new test could not be written against the call without a patience; it asks for less than the 110 ms, and the former constant was 250 ms.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/CallStart.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/CallStart.java
@@ -1,5 +1,6 @@
 package org.cassiastack.agent;
 
+import java.time.Duration;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.runs.MinionLife;
 import org.cassiastack.runs.StartOrder;
@@ -12,7 +13,9 @@
  * @param fence fence of the leader that ordered it
  * @param deadlineMillis time on the minion's clock after which it must not start, and at which its
  *     lease runs out
+ * @param patience how long to wait for the answer
  * @since 0.2
  */
-public record CallStart(MinionLife life, StartOrder order, long fence, long deadlineMillis)
+public record CallStart(
+    MinionLife life, StartOrder order, long fence, long deadlineMillis, Duration patience)
     implements Effect {}
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -138,8 +138,7 @@
       return false;
     }
     long deadline = deadline(leaseUntil, now);
-    starts.add(order, deadline);
-    effects.add(new CallStart(p.life(), order, fence, deadline));
+    effects.add(starts.add(p.life(), order, fence, deadline));
     return true;
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
@@ -13,9 +13,6 @@
 
 /** The starts that may have been carried out, or still may, although no list shows their runs. */
 final class PendingStarts {
-  /** Calls for one start: a minion that leaves so many unanswered is left to the deadline. */
-  private static final int MOST_CALLS = 3;
-
   private final Map<RunId, PendingStart> starts = new LinkedHashMap<>();
 
   boolean isEmpty() {
@@ -26,8 +23,11 @@
     return List.copyOf(starts.keySet());
   }
 
-  void add(StartOrder order, long deadline) {
-    starts.put(order.run(), new PendingStart(order, deadline));
+  /** Takes a start over and returns the first call for it. */
+  CallStart add(MinionLife life, StartOrder order, long fence, long deadline) {
+    PendingStart s = new PendingStart(order, deadline);
+    starts.put(order.run(), s);
+    return s.call(life, fence);
   }
 
   /** Takes the outcome of a start before a hold; tells whether the leader should hear of it. */
@@ -81,10 +81,8 @@
       if (!s.calling && s.revoked) {
         s.calling = true;
         effects.add(new CallStop(life, s.order.run(), fence));
-      } else if (!s.calling && s.doubtful && s.calls < MOST_CALLS && now.isBefore(leaseUntil)) {
-        s.calling = true;
-        s.calls++;
-        effects.add(new CallStart(life, s.order, fence, s.deadlineMillis));
+      } else if (!s.calling && s.mayBeCalledAgain() && now.isBefore(leaseUntil)) {
+        effects.add(s.call(life, fence));
       }
     }
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
@@ -122,6 +122,23 @@
     assertThat(lastReport().unresolved()).isEmpty();
   }
 
+  @Test
+  void a_start_without_answer_is_repeated_while_a_short_task_can_still_be_on_time() {
+    Duration slackOfShortTask = Duration.ofMillis(110);
+
+    List<Effect> effects = new ArrayList<>(order(5, 1, LIFE));
+    effects.addAll(on(new StartAnswered(RUN, StartAnswered.Outcome.UNANSWERED)));
+    effects.addAll(on(new StartAnswered(RUN, StartAnswered.Outcome.UNANSWERED)));
+
+    assertThat(effects)
+        .filteredOn(CallStart.class::isInstance)
+        .extracting(e -> ((CallStart) e).patience())
+        .hasSize(3)
+        .isSorted()
+        .first()
+        .satisfies(p -> assertThat(p).isLessThan(slackOfShortTask));
+  }
+
   @Test
   void a_list_that_was_asked_for_before_a_start_was_answered_does_not_disprove_it() {
     order(5, 1, LIFE);
