Desk: a leader that could not be reached for a while counts as another one

Change: a lost connection makes the next request to the same leader count as one to another leader. The new test answers OVERLOADED before and UNANSWERED now.

--- a/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
@@ -26,7 +26,8 @@
  *   <li>Without a leader a request waits for a short while, then it is refused: it had no effect.
  *       Once that has lasted longer than an election takes, requests are refused as they come.
  *   <li>A job that more than one leader was asked for is not refused as "not run": an earlier
- *       leader may have started it. One leader refuses a repeat as it refused the first.
+ *       leader may have started it. One leader refuses a repeat as it refused the first, as long as
+ *       the connection to it lasts.
  *   <li>At its deadline a request that was sent is {@link DeskCode#UNANSWERED}: nobody knows.
  * </ol>
  *
@@ -77,6 +78,7 @@
       }
     } else if (event instanceof PeerDisconnected d) {
       if (tracker.lost(d.peer())) {
+        calls.values().forEach(Waiting::disconnected);
         leaderChanged(LeaderSeen.Cause.CONNECTION_LOST, now, effects);
       }
     } else if (event instanceof Tick) {
@@ -194,6 +196,14 @@
       mayHaveEffect = true;
     }
 
+    /**
+     * The leader may answer, and forget that it did, before it can be reached again: it then counts
+     * as another one.
+     */
+    void disconnected() {
+      leader = null;
+    }
+
     /** Returns what is sent now: a job tells how long its caller has waited. */
     LeaderRequest requestAt(Instant now) {
       Duration waited = Duration.between(since, now);
--- a/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
@@ -145,6 +145,18 @@
     assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.UNANSWERED)));
   }
 
+  @Test
+  void a_refusal_after_the_connection_was_lost_does_not_say_that_a_job_has_not_run() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(new DeskCall(submission(), NOW.plusSeconds(9)), 0);
+    on(new PeerDisconnected(FIRST), 100);
+    on(notice(FIRST, 1, FIRST), 6_000);
+
+    List<Effect> effects = on(reply(FIRST, DeskCode.OVERLOADED), 6_010);
+
+    assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.UNANSWERED)));
+  }
+
   @Test
   void tells_the_next_leader_how_long_a_job_has_waited() {
     on(new DeskCall(submission(), NOW.plusSeconds(1)), 0);
