Leader: a repeat of a job that it gave up after it had begun is not refused

Cause: the leader gives up a job once its caller's patience is over, and forgot it. A repeat of the request that came after that was refused as overloaded; since an entry hands a refusal by the only leader that was asked on as certain.

Change: the leader remembers that such a job had begun and answers a repeat with UNANSWERED. The new test gets OVERLOADED on the code before.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
@@ -283,8 +283,13 @@
       refuse(job, now);
     }
     for (LiveJob job : board.abandoned(now)) {
-      drop(job.job.id());
-      callers.remove(job.job.id());
+      QueuedJobId id = job.job.id();
+      drop(id);
+      callers.remove(id);
+      if (job.started) {
+        // A repeat may still be on its way: it must not be refused as if nothing had run.
+        recent.add(id, DeskAnswer.of(DeskCode.UNANSWERED), now);
+      }
     }
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -180,4 +180,17 @@
     assertThat(answers).extracting(DeskAnswer::code).containsExactly(DeskCode.OVERLOADED);
     assertThat(started()).isEmpty();
   }
+
+  @Test
+  void does_not_refuse_a_repeat_that_comes_after_it_has_given_up_a_job_that_had_begun() {
+    submit(2, false);
+    now = now.plusMillis(1_100);
+    on(new Tick());
+
+    SubmitJob repeat =
+        SubmitJob.of(call, ADDRESS, job(List.of(step(2, 1_000)), false), Duration.ofSeconds(1));
+    ask(repeat.sentAfter(Duration.ofMillis(900)));
+
+    assertThat(answers).extracting(DeskAnswer::code).containsExactly(DeskCode.UNANSWERED);
+  }
 }
