Desk: a refusal of a repeat counts as certain only in the term that the job was first sent in

Replies now carry the term; a refusal from another term than that of the first request is "unanswered", unless only one request was sent. The new test fails without the comparison of terms by construction: it hands the desk a refusal of term 2 for a job sent in term 1.

--- a/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/desk/DeskController.java
@@ -121,9 +121,7 @@
     }
     calls.remove(reply.call());
     DeskAnswer answer =
-        w.isRefusalUncertain(reply.answer().code())
-            ? DeskAnswer.of(DeskCode.UNANSWERED)
-            : reply.answer();
+        w.isRefusalUncertain(reply) ? DeskAnswer.of(DeskCode.UNANSWERED) : reply.answer();
     effects.add(new DeskAnswered(reply.call(), answer));
   }
 
@@ -212,10 +210,13 @@
 
     /**
      * Tells whether a refusal does not prove that nothing has run: another leader that was asked
-     * for the job before may have started it.
+     * for the job before, or the same one in the term that it was asked in, may have started it.
      */
-    boolean isRefusalUncertain(DeskCode code) {
-      return request instanceof SubmitJob && leaders > 1 && code != DeskCode.ACCEPTED;
+    boolean isRefusalUncertain(LeaderReply reply) {
+      boolean severalTerms = leaders > 1 || (sends > 1 && reply.term() != term);
+      return request instanceof SubmitJob
+          && severalTerms
+          && reply.answer().code() != DeskCode.ACCEPTED;
     }
 
     /** A refusal by the only process that was ever asked proves that nothing happened. */
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
@@ -113,7 +113,7 @@
     DispatchTerm t = term;
     if (event instanceof Received r && r.message() instanceof LeaderRequest q) {
       if (t == null || !t.isSure(now)) {
-        LeaderReply reply = new LeaderReply(q.call(), DeskAnswer.of(DeskCode.NOT_LEADER));
+        LeaderReply reply = new LeaderReply(q.call(), DeskAnswer.of(DeskCode.NOT_LEADER), 0);
         effects.add(new Send(r.from(), reply));
         return;
       }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DispatchTerm.java
@@ -78,6 +78,7 @@
     this.fleet = new Fleet(settings, runs);
     this.intake =
         new JobIntake(
+            fence,
             ledger,
             board,
             fleet,
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobIntake.java
@@ -31,6 +31,7 @@
 
 /** Answers what callers and operators ask of the leader, from the ledger where it can. */
 final class JobIntake {
+  private final long fence;
   private final JobLedger ledger;
   private final JobBoard board;
   private final Fleet fleet;
@@ -42,6 +43,7 @@
   private final RecentAnswers recent = new RecentAnswers();
 
   JobIntake(
+      long fence,
       JobLedger ledger,
       JobBoard board,
       Fleet fleet,
@@ -49,6 +51,7 @@
       Consumer<Decision> decisions,
       Replies replies,
       BooleanSupplier accounted) {
+    this.fence = fence;
     this.ledger = ledger;
     this.board = board;
     this.fleet = fleet;
@@ -302,7 +305,7 @@
   }
 
   private void answer(Caller caller, DeskAnswer answer) {
-    replies.send(caller.node(), new LeaderReply(caller.call(), answer));
+    replies.send(caller.node(), new LeaderReply(caller.call(), answer, fence));
   }
 
   private record Caller(NodeId node, long call) {}
--- a/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/desk/DeskControllerTest.java
@@ -145,6 +145,17 @@
     assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.UNANSWERED)));
   }
 
+  @Test
+  void a_refusal_in_a_later_term_than_the_job_was_first_sent_in_is_uncertain() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(new DeskCall(submission(), NOW.plusSeconds(9)), 0);
+    on(new Tick(), 400);
+
+    List<Effect> effects = on(reply(FIRST, DeskCode.OVERLOADED, 2), 410);
+
+    assertThat(effects).containsExactly(new DeskAnswered(1, DeskAnswer.of(DeskCode.UNANSWERED)));
+  }
+
   @Test
   void a_refusal_after_the_connection_was_lost_does_not_say_that_a_job_has_not_run() {
     on(notice(FIRST, 1, FIRST), 0);
@@ -216,6 +227,10 @@
   }
 
   private static Received reply(NodeId from, DeskCode code) {
-    return new Received(from, new LeaderReply(1, DeskAnswer.of(code)));
+    return reply(from, code, 1);
+  }
+
+  private static Received reply(NodeId from, DeskCode code, long term) {
+    return new Received(from, new LeaderReply(1, DeskAnswer.of(code), term));
   }
 }
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -139,8 +139,8 @@
         new StoreConfiguration(4, queues(payload)),
         new AskQueueConfiguration(5),
         new SwitchDomain(6, new FailureDomain("north"), true),
-        new LeaderReply(7, DeskAnswer.phase(DeskCode.FOUND, JobPhase.RUNNING)),
-        new LeaderReply(8, DeskAnswer.document(payload)),
+        new LeaderReply(7, DeskAnswer.phase(DeskCode.FOUND, JobPhase.RUNNING), 4),
+        new LeaderReply(8, DeskAnswer.document(payload), 5),
         new AgentReport(
             INCARNATION,
             ISSUED,
