--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -43,7 +43,6 @@
   private final JobLedger ledger;
   private final Consumer<Decision> decisions;
   private final Placer placer = new FastestFit();
-  private long steps;
   private long looks;
   private long placedChanges = NEVER;
 
@@ -56,8 +55,7 @@
 
   /** Returns what was looked at since this was asked last. */
   PlacingWork work() {
-    PlacingWork work = new PlacingWork(steps, looks);
-    steps = 0;
+    PlacingWork work = new PlacingWork(looks);
     looks = 0;
     return work;
   }
@@ -77,7 +75,6 @@
     List<LiveStep> first = board.ready.inOrder(MOST_STEPS);
     Resources least = leastNeed(first);
     for (LiveStep s : first) {
-      steps++;
       ServiceName service = ledger.serviceOf(s.job.queue);
       placeStep(s, workers.computeIfAbsent(service, x -> usable(x, least, now)), firstRun, now);
     }
