Replicated log: a member that joins is passed on to the leader

Cause: a member without a log greets the listed nodes only, and a listed node that is not the leader kept the greeting to itself. While a node that is not listed led, a member that had lost its disk, or a new machine, never joined; the next lost disks took the quorum. Change: a member that is greeted sends a JoinRequest to the leader that it knows. A receiver that is not the leader drops it, so that no request can circle.

--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/MemberChanges.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/MemberChanges.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import org.cassiastack.consensus.JoinPolicy;
+import org.cassiastack.consensus.JoinRequest;
 import org.cassiastack.consensus.LogEntry;
 import org.cassiastack.consensus.MemberGreeting;
 import org.cassiastack.consensus.MemberId;
@@ -66,9 +67,11 @@
     latestMembers.put(from.node(), from);
     if (g.inReplyTo() == null) {
       state.emit(greeting(from, from));
-      boolean listed = state.settings.nodes().contains(from.node());
-      if (state.isLeader() && (listed || state.settings.joinPolicy().unlistedAllowed())) {
-        joinRequests.put(from.node(), from);
+      MemberId leader = state.leader();
+      if (state.isLeader()) {
+        onJoinRequest(new JoinRequest(from));
+      } else if (leader != null && !leader.node().equals(from.node())) {
+        state.emit(new Send(leader.node(), new JoinRequest(from)));
       }
     } else if (state.self.equals(g.inReplyTo())) {
       if (g.logEmpty()) {
@@ -80,6 +83,15 @@
     }
   }
 
+  /** Handles a request to add a member; ignored by a member that is not the leader. */
+  void onJoinRequest(JoinRequest r) {
+    NodeId node = r.member().node();
+    boolean listed = state.settings.nodes().contains(node);
+    if (state.isLeader() && (listed || state.settings.joinPolicy().unlistedAllowed())) {
+      joinRequests.put(node, r.member());
+    }
+  }
+
   /**
    * Returns whether a message comes from a data folder that its node no longer uses. A member with
    * an empty log cannot detect that by the term, and would accept entries that were never
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftMember.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftMember.java
@@ -7,6 +7,7 @@
 import org.cassiastack.consensus.AppendRequest;
 import org.cassiastack.consensus.HandLeadershipOver;
 import org.cassiastack.consensus.InstallSnapshot;
+import org.cassiastack.consensus.JoinRequest;
 import org.cassiastack.consensus.LeaderChanged;
 import org.cassiastack.consensus.LeadershipReleased;
 import org.cassiastack.consensus.MemberGreeting;
@@ -98,6 +99,8 @@
       onMessage(m, now);
     } else if (event instanceof Received r && r.message() instanceof MemberGreeting g) {
       memberChanges.onGreeting(g, now);
+    } else if (event instanceof Received r && r.message() instanceof JoinRequest j) {
+      memberChanges.onJoinRequest(j);
     } else if (event instanceof Persisted p) {
       state.persistence.onPersisted(p.sequence()).forEach(state::emit);
       follower.sendPendingReply();
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/JoinPolicyTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/JoinPolicyTest.java
@@ -13,6 +13,7 @@
 class JoinPolicyTest {
   private static final Duration VOTER_TIMEOUT = Duration.ofSeconds(2);
   private static final Duration TIMEOUT = Duration.ofSeconds(20);
+  private static final int MAX_ELECTIONS = 50;
 
   private final FakeCluster cluster = FakeCluster.ofThreeWithUnlistedAllowed(7, VOTER_TIMEOUT);
 
@@ -66,6 +67,33 @@
     assertThat(cluster.invariants().isCommitted(uncommitted)).isFalse();
   }
 
+  @Test
+  void a_member_that_lost_its_disk_joins_again_while_an_unlisted_node_leads() {
+    FakeMember unlisted = cluster.join("c3");
+    cluster.runUntil(cluster::allMembersAreVoters, TIMEOUT);
+    FakeMember leader = awaitLeadershipOf(unlisted);
+    FakeMember emptied = cluster.anyExcept(leader);
+    emptied.loseDisk();
+
+    emptied.start();
+    commit(leader);
+
+    assertThat(cluster.runUntil(() -> emptied.state().equals(leader.state()), TIMEOUT)).isTrue();
+  }
+
+  /** Crashes and restarts each other leader until the given member is elected. */
+  private FakeMember awaitLeadershipOf(FakeMember member) {
+    FakeMember leader = cluster.awaitLeader();
+    for (int i = 0; i < MAX_ELECTIONS && leader != member; i++) {
+      leader.crash();
+      cluster.awaitLeader();
+      leader.start();
+      leader = cluster.awaitLeader();
+    }
+    assertThat(leader).isSameAs(member);
+    return leader;
+  }
+
   private UUID commit(FakeMember leader) {
     UUID proposal = cluster.propose(leader);
     assertThat(cluster.runUntil(() -> cluster.invariants().isCommitted(proposal), TIMEOUT))
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
@@ -17,6 +17,7 @@
 import org.cassiastack.configuration.Configuration;
 import org.cassiastack.configuration.ConfigurationChanged;
 import org.cassiastack.configuration.ConfigurationController;
+import org.cassiastack.consensus.JoinRequest;
 import org.cassiastack.consensus.MemberGreeting;
 import org.cassiastack.consensus.Persist;
 import org.cassiastack.consensus.RaftMessage;
@@ -140,6 +141,7 @@
     return message instanceof Announce
         || message instanceof RaftMessage
         || message instanceof MemberGreeting
+        || message instanceof JoinRequest
         || message instanceof AskConfiguration
         || message instanceof ConfigurationAge
         || message instanceof ConfigurationUpdate
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
@@ -5,6 +5,7 @@
 import org.cassiastack.consensus.AppendReply;
 import org.cassiastack.consensus.AppendRequest;
 import org.cassiastack.consensus.InstallSnapshot;
+import org.cassiastack.consensus.JoinRequest;
 import org.cassiastack.consensus.LeadershipReleased;
 import org.cassiastack.consensus.MemberGreeting;
 import org.cassiastack.consensus.VoteReply;
@@ -74,6 +75,8 @@
   MEMBER_GREETING(45, MemberGreeting.class),
   /** Former leader to control member: the leader has given up its lease. */
   LEADERSHIP_RELEASED(46, LeadershipReleased.class),
+  /** Any process that was greeted by a control member to leader: the member to add. */
+  JOIN_REQUEST(48, JoinRequest.class),
   /**
    * Any process to a process that may hold a newer configuration: request for a confirmation that
    * the sender's revision is the newest.
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -18,6 +18,7 @@
 import org.cassiastack.consensus.AppendReply;
 import org.cassiastack.consensus.AppendRequest;
 import org.cassiastack.consensus.InstallSnapshot;
+import org.cassiastack.consensus.JoinRequest;
 import org.cassiastack.consensus.LeadershipReleased;
 import org.cassiastack.consensus.LogEntry;
 import org.cassiastack.consensus.MemberGreeting;
@@ -128,6 +129,7 @@
         new InstallSnapshot(FIRST, SECOND, 5, ISSUED, new Snapshot(7, 4, MEMBERS, payload)),
         new MemberGreeting(FIRST, true, null),
         new MemberGreeting(SECOND, false, FIRST),
+        new JoinRequest(FIRST),
         new AskConfiguration(5, new Revision(7)),
         new ConfigurationAge(5, new Revision(7), Duration.ofMillis(120)),
         new ConfigurationUpdate(List.of(delta())),
