--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -78,7 +78,7 @@
     } else if (event instanceof HoldAnswered h) {
       reportDue |= minion.onHoldAnswered(h, now);
     } else if (event instanceof HoldFailed h) {
-      minion.onHoldFailed(h.number());
+      reportDue |= minion.onHoldFailed(h.number());
     } else if (event instanceof Received r) {
       onReceived(r, now, effects);
     } else if (event instanceof PeerDisconnected d && tracker.onDisconnect(d.peer())) {
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionAnnounced.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionAnnounced.java
@@ -9,8 +9,6 @@
  * @param profile what the minion states about itself
  * @param sequence number of the announcement within the incarnation of the minion; an announcement
  *     with a lower number is outdated
- * @param clockMillis reading of the minion's clock in the announcement
  * @since 0.2
  */
-public record MinionAnnounced(MinionProfile profile, long sequence, long clockMillis)
-    implements Event {}
+public record MinionAnnounced(MinionProfile profile, long sequence) implements Event {}
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -45,10 +45,23 @@
    */
   private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(400);
 
+  /**
+   * How far the start time of a new incarnation may be ahead of the agent's clock. A time further
+   * ahead would make every later incarnation look outdated.
+   */
+  private static final Duration MAX_START_TIME_LEAD = Duration.ofMinutes(10);
+
   private final AgentSettings settings;
   private final MinionClock clock = new MinionClock();
   private final PendingStarts starts = new PendingStarts();
   private @Nullable MinionProfile profile;
+
+  /**
+   * Announcement of another incarnation that is adopted if the current one does not answer the next
+   * hold call, or null.
+   */
+  private @Nullable MinionAnnounced successor;
+
   private long sequence;
   private List<ActiveRun> running = List.of();
   private List<EndedRun> ended = List.of();
@@ -111,25 +124,56 @@
     return !now.isAfter(answeredAt.plus(HOLD_MAX_WAIT).plus(ANSWER_TIMEOUT));
   }
 
-  /** Handles an announcement; returns whether it changes the profile. */
+  /**
+   * Handles an announcement; returns whether it changes the profile. An announcement of another
+   * incarnation may come from another writer. While the current incarnation answers, it is
+   * therefore adopted only if the next hold call fails.
+   */
   boolean onAnnounced(MinionAnnounced a, Instant now) {
     MinionProfile previous = profile;
-    if (previous != null && previous.life().equals(a.profile().life())) {
-      if (a.sequence() <= sequence) {
-        return false;
-      }
-    } else if (previous != null
-        && a.profile().life().startedAtMillis() < previous.life().startedAtMillis()) {
+    if (previous == null || previous.life().equals(a.profile().life())) {
+      return applyAnnouncement(a);
+    }
+    if (!isPlausibleSuccessor(a.profile().life(), previous.life(), now)) {
       return false;
-    } else {
+    }
+    if (!isVerified(now)) {
+      return applyAnnouncement(a);
+    }
+    successor = a;
+    verifyAgain();
+    return false;
+  }
+
+  private static boolean isPlausibleSuccessor(
+      MinionIncarnation announced, MinionIncarnation current, Instant now) {
+    long latestStartMillis = now.plus(MAX_START_TIME_LEAD).toEpochMilli();
+    return announced.startedAtMillis() >= current.startedAtMillis()
+        && announced.startedAtMillis() <= latestStartMillis;
+  }
+
+  private boolean applyAnnouncement(MinionAnnounced a) {
+    MinionProfile previous = profile;
+    boolean sameIncarnation = previous != null && previous.life().equals(a.profile().life());
+    if (sameIncarnation && a.sequence() <= sequence) {
+      return false;
+    }
+    if (!sameIncarnation) {
       beginIncarnation(previous != null && previous.life().id().equals(a.profile().life().id()));
     }
     sequence = a.sequence();
     profile = a.profile();
-    clock.addSample(a.clockMillis(), now);
     return !a.profile().equals(previous);
   }
 
+  /** Makes the next hold call due at once, and sends no starts until it is answered. */
+  private void verifyAgain() {
+    verifiedAt = Instant.MIN;
+    holdInFlight = false;
+    lastHoldNumber++;
+    nextHold = Instant.MIN;
+  }
+
   /** Handles the end of the minion and all its runs; returns whether the profile changes. */
   boolean onLeft(MinionId id) {
     MinionProfile p = profile;
@@ -200,6 +244,7 @@
     }
     holdInFlight = false;
     verifiedAt = holdSentAt;
+    successor = null;
     answeredAt = now;
     clock.addSample(h.clockMillis(), now);
     boolean changed = !runs(h.running()).equals(runs(running)) || !h.ended().equals(ended);
@@ -214,12 +259,17 @@
     return changed;
   }
 
-  void onHoldFailed(long number) {
-    if (number == lastHoldNumber && holdInFlight) {
-      holdInFlight = false;
-      verifiedAt = Instant.MIN;
-      nextHold = Instant.MAX;
+  /** Handles a hold call without a valid answer; returns whether the profile changes. */
+  boolean onHoldFailed(long number) {
+    if (number != lastHoldNumber || !holdInFlight) {
+      return false;
     }
+    holdInFlight = false;
+    verifiedAt = Instant.MIN;
+    nextHold = Instant.MAX;
+    MinionAnnounced announced = successor;
+    successor = null;
+    return announced != null && applyAnnouncement(announced);
   }
 
   /** Advances time; returns whether all runs are now known to have expired. */
@@ -242,7 +292,9 @@
     if (p == null) {
       return;
     }
-    starts.sendDueCalls(p.life(), fence, leaseUntil, now, effects);
+    if (successor == null) {
+      starts.sendDueCalls(p.life(), fence, leaseUntil, now, effects);
+    }
     if (holdInFlight || now.isBefore(nextHold)) {
       return;
     }
@@ -303,10 +355,8 @@
     sequence = 0;
     acknowledgedThrough = 0;
     acknowledgedWhenListed = 0;
-    holdInFlight = false;
-    verifiedAt = Instant.MIN;
-    lastHoldNumber++;
-    nextHold = Instant.MIN;
+    successor = null;
+    verifyAgain();
     runsExpireAt = Instant.MIN;
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/queue/StepSpec.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/StepSpec.java
@@ -29,8 +29,22 @@
     String requiredLabel,
     String dataRack,
     int maxPerMinion) {
-  /** Creates a step; the list is copied. */
+  /** Maximum estimate of a run time; a longer one is reduced to it. */
+  public static final Duration MAX_ESTIMATED_RUN_TIME = Duration.ofDays(1);
+
+  /**
+   * Creates a step; the list is copied, and the estimate is limited to the range from zero to
+   * {@link #MAX_ESTIMATED_RUN_TIME}.
+   *
+   * @throws IllegalArgumentException if an amount of a resource is negative
+   */
   public StepSpec {
+    if (milliCpu < 0 || memoryMb < 0 || gpus < 0) {
+      throw new IllegalArgumentException("a step needs a negative amount of a resource");
+    }
+    boolean tooLong = estimatedRunTime.compareTo(MAX_ESTIMATED_RUN_TIME) > 0;
+    estimatedRunTime = tooLong ? MAX_ESTIMATED_RUN_TIME : estimatedRunTime;
+    estimatedRunTime = estimatedRunTime.isNegative() ? Duration.ZERO : estimatedRunTime;
     dependsOn = List.copyOf(dependsOn);
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
@@ -107,6 +107,38 @@
     assertThat(order(5, 1, MINION)).noneMatch(CallStart.class::isInstance);
   }
 
+  @Test
+  void keeps_following_its_minion_when_another_writer_announces_a_later_incarnation() {
+    on(announced(RESTARTED_MINION, 1, false));
+    answerHold();
+
+    assertThat(order(5, 1, MINION)).anyMatch(CallStart.class::isInstance);
+  }
+
+  @Test
+  void follows_a_restarted_minion_once_the_former_incarnation_does_not_answer() {
+    on(announced(RESTARTED_MINION, 1, false));
+    failHold();
+    on(new Tick());
+    advance(60);
+    answerHold();
+
+    assertThat(order(5, 1, RESTARTED_MINION)).anyMatch(CallStart.class::isInstance);
+  }
+
+  @Test
+  void ignores_an_incarnation_that_claims_to_have_started_in_the_far_future() {
+    failHold();
+    long tomorrow = now.plus(Duration.ofDays(1)).toEpochMilli();
+    MinionIncarnation odd = new MinionIncarnation(new MinionId("i-1"), tomorrow);
+
+    on(announced(odd, 1, false));
+    advance(100);
+    answerHold();
+
+    assertThat(order(5, 1, MINION)).anyMatch(CallStart.class::isInstance);
+  }
+
   @Test
   void reports_an_unanswered_start_as_unresolved_until_its_deadline_has_passed() {
     order(5, 1, MINION);
@@ -160,8 +192,11 @@
 
     List<Effect> effects = new ArrayList<>(on(announced(RESTARTED_MINION, 1, false)));
     effects.addAll(on(new StartAnswered(RUN, StartAnswered.Outcome.UNANSWERED)));
+    effects.addAll(failHold());
 
-    assertThat(effects).anyMatch(e -> e instanceof CallStop s && s.run().equals(RUN));
+    assertThat(effects)
+        .anyMatch(e -> e instanceof CallStop s && s.run().equals(RUN))
+        .noneMatch(CallStart.class::isInstance);
     assertThat(lastReport().unresolved()).containsExactly(RUN);
   }
 
@@ -235,6 +270,10 @@
     on(new HoldAnswered(lastHoldNumber, minionClockMillis(), List.of(), List.of()));
   }
 
+  private List<Effect> failHold() {
+    return on(new HoldFailed(lastHoldNumber));
+  }
+
   private void lease(long fence) {
     lease(fence, 0);
   }
@@ -265,7 +304,7 @@
             new Resources(8_000, 8_000, 0),
             List.of(),
             draining);
-    return new MinionAnnounced(p, sequence, minionClockMillis());
+    return new MinionAnnounced(p, sequence);
   }
 
   private long minionClockMillis() {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
@@ -74,7 +74,7 @@
     MinionProfile profile =
         new MinionProfile(
             incarnation(), SERVICE, new FailureDomain(domain), CAPACITY, List.of("a"), draining);
-    return new MinionAnnounced(profile, announcementCount, clock());
+    return new MinionAnnounced(profile, announcementCount);
   }
 
   /** Announces from now on that the minion is about to leave. */
