--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/MemberChanges.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/MemberChanges.java
@@ -2,11 +2,14 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import org.cassiastack.consensus.GreetingWithoutLog;
 import org.cassiastack.consensus.JoinPolicy;
 import org.cassiastack.consensus.JoinRequest;
 import org.cassiastack.consensus.LogEntry;
@@ -20,9 +23,10 @@
 /**
  * Bootstraps the log and changes its members, one change at a time.
  *
- * <p>The listed node with the lowest name bootstraps the log if its own log is empty and every
- * other listed node has reported an empty log too. Only replies that the bootstrapping process has
- * received since it started count.
+ * <p>Of the listed nodes with storage, the one with the lowest name bootstraps the log if its own
+ * log is empty and every other one has reported an empty log too. Only replies that the
+ * bootstrapping process has received since it started count. If no listed node has storage, the
+ * listed node with the lowest name designates the member that bootstraps the log.
  *
  * <p>A member with a new data folder first becomes a learner. If its node already has a voter with
  * another data folder, that voter is removed once the learner has caught up, and then the learner
@@ -41,6 +45,13 @@
   private final Map<NodeId, MemberId> emptyMembers = new HashMap<>();
   private final Map<NodeId, MemberId> latestMembers = new HashMap<>();
   private final Map<NodeId, MemberId> joinRequests = new HashMap<>();
+
+  /** Listed nodes without storage. */
+  private final Set<NodeId> logless = new HashSet<>();
+
+  /** Whether the listed nodes, which have no storage, have designated this member as founder. */
+  private boolean designatedFounder;
+
   private Instant nextGreeting = Instant.MIN;
 
   MemberChanges(RaftState state, Leadership leadership) {
@@ -65,6 +76,7 @@
   void onGreeting(MemberGreeting g, Instant now) {
     MemberId from = g.from();
     latestMembers.put(from.node(), from);
+    logless.remove(from.node());
     if (g.inReplyTo() == null) {
       state.emit(greeting(from, from));
       MemberId leader = state.leader();
@@ -92,6 +104,15 @@
     }
   }
 
+  void onGreetingWithoutLog(GreetingWithoutLog g, Instant now) {
+    if (state.self.equals(g.inReplyTo())) {
+      logless.add(g.from());
+      boolean fromLowest = state.settings.nodes().get(0).equals(g.from());
+      designatedFounder |= fromLowest && state.self.equals(g.founder());
+      bootstrapIfPossible(now);
+    }
+  }
+
   /**
    * Returns whether a message comes from a data folder that its node no longer uses. A member with
    * an empty log cannot detect that by the term, and would accept entries that were never
@@ -121,25 +142,27 @@
     if (!state.settings.joinPolicy().bootstrapAllowed()) {
       return;
     }
-    boolean lowest = state.settings.nodes().get(0).equals(state.self.node());
     emptyMembers.put(state.self.node(), state.self);
-    if (!lowest || !state.log.isEmpty() || emptyMembers.size() < state.settings.nodes().size()) {
+    List<NodeId> founders = new ArrayList<>(state.settings.nodes());
+    founders.removeAll(logless);
+    if (founders.isEmpty() && designatedFounder) {
+      founders.add(state.self.node());
+    }
+    boolean first = !founders.isEmpty() && founders.get(0).equals(state.self.node());
+    if (!first || !state.log.isEmpty() || !emptyMembers.keySet().containsAll(founders)) {
       return;
     }
     // The first term is the current time in microseconds, so that it is higher than any term of a
     // log that was bootstrapped earlier and lost.
     long term = Math.max(state.term() + 1, micros(now));
     state.persistVote(term, null, null);
-    LogEntry first = LogEntry.members(1, term, MemberSet.ofVoters(initialVoters()));
-    state.log.append(first);
-    state.emit(state.persistence.persistEntries(List.of(first)));
+    List<MemberId> voters = founders.stream().map(emptyMembers::get).toList();
+    LogEntry entry = LogEntry.members(1, term, MemberSet.ofVoters(voters));
+    state.log.append(entry);
+    state.emit(state.persistence.persistEntries(List.of(entry)));
     state.resetElectionDeadline(now);
   }
 
-  private List<MemberId> initialVoters() {
-    return state.settings.nodes().stream().map(emptyMembers::get).toList();
-  }
-
   private static long micros(Instant now) {
     return now.getEpochSecond() * MICROS_PER_SECOND + now.getNano() / NANOS_PER_MICRO;
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftMember.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftMember.java
@@ -5,6 +5,7 @@
 import java.util.random.RandomGenerator;
 import org.cassiastack.consensus.AppendReply;
 import org.cassiastack.consensus.AppendRequest;
+import org.cassiastack.consensus.GreetingWithoutLog;
 import org.cassiastack.consensus.HandLeadershipOver;
 import org.cassiastack.consensus.InstallSnapshot;
 import org.cassiastack.consensus.JoinRequest;
@@ -99,6 +100,8 @@
       onMessage(m, now);
     } else if (event instanceof Received r && r.message() instanceof MemberGreeting g) {
       memberChanges.onGreeting(g, now);
+    } else if (event instanceof Received r && r.message() instanceof GreetingWithoutLog g) {
+      memberChanges.onGreetingWithoutLog(g, now);
     } else if (event instanceof Received r && r.message() instanceof JoinRequest j) {
       memberChanges.onJoinRequest(j);
     } else if (event instanceof Persisted p) {
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftControllerTest.java
@@ -205,6 +205,45 @@
     assertThat(effects).noneMatch(e -> e instanceof Persist);
   }
 
+  @Test
+  void bootstraps_the_log_with_the_listed_nodes_that_have_storage() {
+    controller = RaftController.create(SETTINGS, RecoveredLog.empty(SELF), new Random(1));
+    on(new Received(SECOND.node(), new GreetingWithoutLog(SECOND.node(), SELF, null)));
+
+    List<Effect> effects = on(new Received(THIRD.node(), new MemberGreeting(THIRD, true, SELF)));
+
+    assertThat(persistedMembers(effects)).containsExactly(MemberSet.ofVoters(List.of(SELF, THIRD)));
+  }
+
+  @Test
+  void a_designated_founder_bootstraps_the_log_when_no_listed_node_has_storage() {
+    MemberId unlisted = member("c9", 9);
+    controller =
+        RaftController.create(
+            SETTINGS.withJoinPolicy(JoinPolicy.unlistedAllowed(true, 3, Duration.ofSeconds(2))),
+            RecoveredLog.empty(unlisted),
+            new Random(1));
+    List<Effect> before = new ArrayList<>();
+    for (MemberId listed : List.of(SECOND, THIRD)) {
+      GreetingWithoutLog g = new GreetingWithoutLog(listed.node(), unlisted, unlisted);
+      before.addAll(on(new Received(listed.node(), g)));
+    }
+
+    List<Effect> effects =
+        on(new Received(SELF.node(), new GreetingWithoutLog(SELF.node(), unlisted, unlisted)));
+
+    assertThat(before).noneMatch(e -> e instanceof Persist);
+    assertThat(persistedMembers(effects)).containsExactly(MemberSet.ofVoters(List.of(unlisted)));
+  }
+
+  private static List<MemberSet> persistedMembers(List<Effect> effects) {
+    return effects.stream()
+        .filter(e -> e instanceof Persist)
+        .flatMap(e -> ((Persist) e).entries().stream())
+        .map(LogEntry::members)
+        .toList();
+  }
+
   private void elect() {
     on(new Tick());
     advanceTime(SETTINGS.electionTimeout().multipliedBy(2));
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.cassiastack.consensus.AppendReply;
 import org.cassiastack.consensus.AppendRequest;
+import org.cassiastack.consensus.GreetingWithoutLog;
 import org.cassiastack.consensus.InstallSnapshot;
 import org.cassiastack.consensus.JoinRequest;
 import org.cassiastack.consensus.LeadershipReleased;
@@ -75,6 +76,8 @@
   MEMBER_GREETING(45, MemberGreeting.class),
   /** Former leader to control member: the leader has given up its lease. */
   LEADERSHIP_RELEASED(46, LeadershipReleased.class),
+  /** Listed node without storage to control member: answer to a greeting. */
+  GREETING_WITHOUT_LOG(47, GreetingWithoutLog.class),
   /** Any process that was greeted by a control member to leader: the member to add. */
   JOIN_REQUEST(48, JoinRequest.class),
   /**
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -17,6 +17,7 @@
 import org.cassiastack.configuration.ServiceSpec;
 import org.cassiastack.consensus.AppendReply;
 import org.cassiastack.consensus.AppendRequest;
+import org.cassiastack.consensus.GreetingWithoutLog;
 import org.cassiastack.consensus.InstallSnapshot;
 import org.cassiastack.consensus.JoinRequest;
 import org.cassiastack.consensus.LeadershipReleased;
@@ -129,6 +130,8 @@
         new InstallSnapshot(FIRST, SECOND, 5, ISSUED, new Snapshot(7, 4, MEMBERS, payload)),
         new MemberGreeting(FIRST, true, null),
         new MemberGreeting(SECOND, false, FIRST),
+        new GreetingWithoutLog(SECOND.node(), FIRST, null),
+        new GreetingWithoutLog(SECOND.node(), FIRST, FIRST),
         new JoinRequest(FIRST),
         new AskConfiguration(5, new Revision(7)),
         new ConfigurationAge(5, new Revision(7), Duration.ofMillis(120)),
