--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/LoglessSeed.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/LoglessSeed.java
@@ -1,4 +1,4 @@
-package org.cassiastack.consensus;
+package org.cassiastack.request;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -6,14 +6,17 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.cassiastack.consensus.GreetingWithoutLog;
+import org.cassiastack.consensus.JoinPolicy;
+import org.cassiastack.consensus.JoinRequest;
+import org.cassiastack.consensus.MemberGreeting;
+import org.cassiastack.consensus.MemberId;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
-import org.cassiastack.request.LeaderNotice;
-import org.cassiastack.request.LeaderTracker;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -76,6 +79,11 @@
     return effects;
   }
 
+  @Override
+  public Instant nextTickAt(Instant now) {
+    return Instant.MAX;
+  }
+
   private void onGreeting(MemberGreeting g, Instant now, List<Effect> effects) {
     MemberId from = g.from();
     greeted.put(from.node(), from);
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/LoglessSeedTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/request/LoglessSeedTest.java
@@ -1,4 +1,4 @@
-package org.cassiastack.consensus;
+package org.cassiastack.request;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -6,12 +6,15 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.UUID;
+import org.cassiastack.consensus.GreetingWithoutLog;
+import org.cassiastack.consensus.JoinRequest;
+import org.cassiastack.consensus.MemberGreeting;
+import org.cassiastack.consensus.MemberId;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Message;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
-import org.cassiastack.request.LeaderNotice;
 import org.junit.jupiter.api.Test;
 
 class LoglessSeedTest {
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/OperatorNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/OperatorNode.java
@@ -2,13 +2,13 @@
 
 import java.time.Duration;
 import java.util.List;
-import org.cassiastack.consensus.LoglessSeed;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.request.LeaderNoticeRelay;
 import org.cassiastack.request.LeaderRequestController;
+import org.cassiastack.request.LoglessSeed;
 import org.cassiastack.request.RequestAnswered;
 
 /**
