Start of a process: less to load and to link

Cause: a class-loading log of an agent showed where its start goes: the INI library and the locale data that one formatted text brought in, a DNS client that IP numbers do not need, and 33 classes that were generated to join strings and to compare records. The start is most of what 100 processes cost. Change: ini4j instead of commons-configuration and commons-beanutils; strings are joined by code in the class; records that are keys spell out equals and hashCode; the default address resolver; job ids are formatted by HexFormat.

--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/MemberId.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/MemberId.java
@@ -3,6 +3,7 @@
 import java.util.Comparator;
 import java.util.UUID;
 import org.cassiastack.model.NodeId;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Identity of a member of the replicated log: a node together with its data folder. A node that
@@ -21,4 +22,16 @@
   public String toString() {
     return node + "/" + dataFolder;
   }
+
+  // Spelled out, because the generated methods are linked at the first use, which delays each
+  // start.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof MemberId o && node.equals(o.node) && dataFolder.equals(o.dataFolder);
+  }
+
+  @Override
+  public int hashCode() {
+    return node.hashCode() * 31 + dataFolder.hashCode();
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/model/Incarnation.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/Incarnation.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One run of a process, from its start to its end.
@@ -33,4 +34,16 @@
   public String toString() {
     return Long.toString(value);
   }
+
+  // Spelled out, because the generated methods are linked at the first use, which delays each
+  // start.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof Incarnation o && value == o.value;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(value);
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/model/NodeId.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/NodeId.java
@@ -1,6 +1,7 @@
 package org.cassiastack.model;
 
 import java.util.Comparator;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Identity of one process of the system, which stays the same across restarts.
@@ -16,4 +17,16 @@
   public String toString() {
     return name;
   }
+
+  // Spelled out, because the generated methods are linked at the first use, which delays each
+  // start.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof NodeId o && name.equals(o.name);
+  }
+
+  @Override
+  public int hashCode() {
+    return name.hashCode();
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/model/ServiceName.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/model/ServiceName.java
@@ -1,5 +1,7 @@
 package org.cassiastack.model;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Name of a service that minions offer and jobs request.
  *
@@ -11,4 +13,16 @@
   public String toString() {
     return name;
   }
+
+  // Spelled out, because the generated methods are linked at the first use, which delays each
+  // start.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof ServiceName o && name.equals(o.name);
+  }
+
+  @Override
+  public int hashCode() {
+    return name.hashCode();
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/queue/QueuedJobId.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/QueuedJobId.java
@@ -1,5 +1,6 @@
 package org.cassiastack.queue;
 
+import java.util.HexFormat;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -34,6 +35,18 @@
 
   @Override
   public String toString() {
-    return String.format("%016x", bits);
+    return HexFormat.of().toHexDigits(bits);
+  }
+
+  // Spelled out, because the generated methods are linked at the first use, which delays each
+  // start.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof QueuedJobId o && bits == o.bits;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode(bits);
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/queue/QueuedTaskId.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/QueuedTaskId.java
@@ -1,5 +1,7 @@
 package org.cassiastack.queue;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Identity of one task of a queued job.
  *
@@ -15,4 +17,20 @@
   public String toString() {
     return job + "." + occurrence + "." + step + "." + index;
   }
+
+  // Spelled out, because the generated methods are linked at the first use, which delays each
+  // start.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof QueuedTaskId o
+        && index == o.index
+        && step == o.step
+        && occurrence == o.occurrence
+        && job.equals(o.job);
+  }
+
+  @Override
+  public int hashCode() {
+    return ((job.hashCode() * 31 + occurrence) * 31 + step) * 31 + index;
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/queue/Resources.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/Resources.java
@@ -1,5 +1,7 @@
 package org.cassiastack.queue;
 
+import org.jspecify.annotations.Nullable;
+
 /**
  * Amounts of resources that a minion has or that a task needs.
  *
@@ -42,4 +44,19 @@
   public boolean covers(Resources need) {
     return milliCpu >= need.milliCpu && memoryMb >= need.memoryMb && gpus >= need.gpus;
   }
+
+  // Spelled out, because the generated methods are linked at the first use, which delays each
+  // start.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof Resources o
+        && milliCpu == o.milliCpu
+        && memoryMb == o.memoryMb
+        && gpus == o.gpus;
+  }
+
+  @Override
+  public int hashCode() {
+    return Long.hashCode((milliCpu * 31 + memoryMb) * 31 + gpus);
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/runs/MinionProfile.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/runs/MinionProfile.java
@@ -4,6 +4,7 @@
 import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.queue.Resources;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The properties that a minion announces.
@@ -27,4 +28,22 @@
   public MinionProfile {
     labels = List.copyOf(labels);
   }
+
+  // Spelled out, because the generated methods are linked at the first use, which delays each
+  // start.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof MinionProfile o
+        && draining == o.draining
+        && life.equals(o.life)
+        && service.equals(o.service)
+        && domain.equals(o.domain)
+        && capacity.equals(o.capacity)
+        && labels.equals(o.labels);
+  }
+
+  @Override
+  public int hashCode() {
+    return life.hashCode();
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/runs/RunId.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/runs/RunId.java
@@ -1,6 +1,7 @@
 package org.cassiastack.runs;
 
 import org.cassiastack.queue.QueuedTaskId;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Identity of a run, which is one attempt to execute a task. A later run of the same task has a
@@ -15,4 +16,16 @@
   public String toString() {
     return task + "#" + number;
   }
+
+  // Spelled out, because the generated methods are linked at the first use, which delays each
+  // start.
+  @Override
+  public boolean equals(@Nullable Object other) {
+    return other instanceof RunId o && number == o.number && task.equals(o.task);
+  }
+
+  @Override
+  public int hashCode() {
+    return task.hashCode() * 31 + Long.hashCode(number);
+  }
 }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/IniFile.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/IniFile.java
@@ -9,18 +9,17 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.apache.commons.configuration2.INIConfiguration;
-import org.apache.commons.configuration2.SubnodeConfiguration;
-import org.apache.commons.configuration2.ex.ConfigurationException;
 import org.cassiastack.model.CassiaException;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Refusal;
 import org.cassiastack.model.ResultCode;
+import org.ini4j.Config;
+import org.ini4j.Ini;
+import org.ini4j.Profile;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -40,11 +39,11 @@
   private static final int MAX_PORT = 65_535;
 
   private final String fileName;
-  private final INIConfiguration ini;
+  private final Ini ini;
   private final ResultCode code;
   private final Set<String> readKeys = new HashSet<>();
 
-  private IniFile(String fileName, INIConfiguration ini, ResultCode code) {
+  private IniFile(String fileName, Ini ini, ResultCode code) {
     this.fileName = fileName;
     this.ini = ini;
     this.code = code;
@@ -76,10 +75,11 @@
    */
   public static IniFile parse(String fileName, Reader text, ResultCode code)
       throws CassiaException {
-    INIConfiguration ini = new INIConfiguration();
+    Ini ini = new Ini();
+    ini.setConfig(format());
     try {
-      ini.read(text);
-    } catch (ConfigurationException | IOException e) {
+      ini.load(text);
+    } catch (IOException e) {
       throw CassiaException.of(
           new Refusal(
               code, "File %s is not a valid INI file: %s.".formatted(fileName, e.getMessage())));
@@ -87,14 +87,25 @@
     return new IniFile(fileName, ini, code);
   }
 
+  /** Returns the format: text is taken as it is, and keys may stand before the first section. */
+  private static Config format() {
+    Config format = new Config();
+    format.setEscape(false);
+    format.setTree(false);
+    format.setEmptyOption(true);
+    format.setGlobalSection(true);
+    format.setGlobalSectionName("");
+    return format;
+  }
+
   /**
    * Returns the full names of the sections whose name is the given first word, a space and a
    * further name, such as {@code service ice} for {@code service}.
    */
   public List<String> sections(String firstWord) {
     List<String> found = new ArrayList<>();
-    for (String s : ini.getSections()) {
-      if (s != null && s.startsWith(firstWord + " ")) {
+    for (String s : ini.keySet()) {
+      if (s.startsWith(firstWord + " ")) {
         found.add(s);
       }
     }
@@ -141,7 +152,7 @@
   public int number(String section, String key, int defaultValue, int min, int max)
       throws CassiaException {
     String value = text(section, key, Integer.toString(defaultValue));
-    String allowed = "a whole number from %d to %d".formatted(min, max);
+    String allowed = "a whole number from " + min + " to " + max;
     try {
       int n = Integer.parseInt(value);
       if (n < min || n > max) {
@@ -256,16 +267,13 @@
    * @throws CassiaException if the file contains an unknown key
    */
   public void refuseUnknownKeys() throws CassiaException {
-    for (String section : ini.getSections()) {
-      SubnodeConfiguration s = ini.getSection(section);
-      for (Iterator<String> keys = s.getKeys(); keys.hasNext(); ) {
-        String key = keys.next();
-        String sectionName = section == null ? "" : section;
-        if (!readKeys.contains(sectionName + "\n" + key)) {
+    for (Map.Entry<String, Profile.Section> section : ini.entrySet()) {
+      for (Map.Entry<String, String> option : section.getValue().entrySet()) {
+        if (!readKeys.contains(section.getKey() + "\n" + option.getKey())) {
           throw refusal(
-              sectionName,
-              key,
-              String.valueOf(s.getString(key)),
+              section.getKey(),
+              option.getKey(),
+              String.valueOf(option.getValue()),
               "no value, because the key is unknown");
         }
       }
@@ -305,12 +313,7 @@
   }
 
   private @Nullable String find(String section, String key) {
-    // Commons Configuration takes a dot in a key as a separator of levels, unless the dot is
-    // doubled.
-    String escapedKey = key.replace(".", "..");
-    readKeys.add(section + "\n" + escapedKey);
-    return ini.getSections().contains(section)
-        ? ini.getSection(section).getString(escapedKey)
-        : null;
+    readKeys.add(section + "\n" + key);
+    return ini.get(section, key);
   }
 }
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 import io.netty.handler.flush.FlushConsolidationHandler;
+import io.netty.resolver.DefaultAddressResolverGroup;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Set;
@@ -111,6 +112,8 @@
     resources.add(
         TcpClient.create()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timings.idleTimeout().toMillis())
+            // Addresses are IP numbers; the default resolver would set up a DNS client.
+            .resolver(DefaultAddressResolverGroup.INSTANCE)
             .remoteAddress(() -> address)
             .doOnChannelInit((observer, channel, remote) -> configure(channel))
             .handle(this::handle)
