Turns on demand: one turn for all waiting events, ticks only when needed

Cause: each event was a turn of its own, after each of which the leader went through all workers and proposed changes; each process woke 40 or 50 times a second whether anything was due or not. Change: a turn takes the events that wait, 64 at most, and ends once for all of them: placing, orders, proposals, calls and reports leave together. The time is read again before the end of a turn, since leases may have run out meanwhile. A controller tells when it next needs a tick; idle entries need none, followers one at the next election or notice, agents one at the next report or call. LoopTurn names all events of a turn; loop_busy divides the time among them. Effects that a leader had collected when it lost the lead still leave. Result: ControllerLoopTest; RaftProperties, QueueFaultProperties and the load plays pass with ticks that come only when a controller asks.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -89,11 +89,25 @@
     } else if (event instanceof Tick) {
       reportDue |= minion.onTick(now) || !now.isBefore(reportedAt.plus(REPORT_INTERVAL));
     }
+    return effects;
+  }
+
+  /** Sends the calls and the report that are due after all events of the turn. */
+  @Override
+  public List<Effect> endTurn(Instant now) {
+    List<Effect> effects = new ArrayList<>();
     minion.sendDueCalls(fence, leaseUntil, now, effects);
     report(now, effects);
     return effects;
   }
 
+  @Override
+  public Instant nextTickAt(Instant now) {
+    Instant reportAt = tracker.leader() == null ? Instant.MAX : reportedAt.plus(REPORT_INTERVAL);
+    Instant callAt = minion.nextTickAt(now);
+    return callAt.isBefore(reportAt) ? callAt : reportAt;
+  }
+
   private void onReceived(Received r, Instant now, List<Effect> effects) {
     if (r.message() instanceof LeaderNotice n) {
       // Other members may have named this leader before it was ready to accept a report.
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -121,7 +121,11 @@
 
   /** Returns whether the minion has answered recently enough to get work. */
   boolean isReachable(Instant now) {
-    return !now.isAfter(answeredAt.plus(HOLD_MAX_WAIT).plus(ANSWER_TIMEOUT));
+    return !now.isAfter(unreachableAt());
+  }
+
+  private Instant unreachableAt() {
+    return answeredAt.plus(HOLD_MAX_WAIT).plus(ANSWER_TIMEOUT);
   }
 
   /**
@@ -286,6 +290,18 @@
     return false;
   }
 
+  /** Returns when the next call is due, or when the runs of a silent minion have ended. */
+  Instant nextTickAt(Instant now) {
+    if (profile == null) {
+      return Instant.MAX;
+    }
+    Instant at = nextHold.equals(Instant.MAX) ? now : nextHold;
+    at = holdInFlight ? Instant.MAX : at;
+    boolean hasRuns = !running.isEmpty() || !starts.isEmpty();
+    Instant expiry = runsExpireAt.isBefore(unreachableAt()) ? unreachableAt() : runsExpireAt;
+    return hasRuns && expiry.isBefore(at) ? expiry : at;
+  }
+
   /** Adds the calls that are due. */
   void sendDueCalls(long fence, Instant leaseUntil, Instant now, List<Effect> effects) {
     MinionProfile p = profile;
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/RaftController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/RaftController.java
@@ -54,4 +54,9 @@
   public List<Effect> on(Event event, Instant now) {
     return member.on(event, now);
   }
+
+  @Override
+  public Instant nextTickAt(Instant now) {
+    return member.nextTickAt(now);
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Leadership.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Leadership.java
@@ -55,6 +55,10 @@
     }
   }
 
+  Instant nextHeartbeat() {
+    return nextHeartbeat;
+  }
+
   void propose(ProposeCommand p, Instant now) {
     long index = state.log.lastIndex() + 1;
     append(LogEntry.command(index, state.term(), p.proposalId(), p.command()), now);
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/MemberChanges.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/MemberChanges.java
@@ -65,14 +65,23 @@
       return;
     }
     joinRequests.clear();
-    boolean possiblyNotVoter = !state.isVoter() || state.settings.joinPolicy().unlistedAllowed();
-    if (possiblyNotVoter && !state.hasRecentLeader(now) && !now.isBefore(nextGreeting)) {
+    if (!state.hasRecentLeader(now) && !now.isBefore(nextGreeting())) {
       nextGreeting = now.plus(state.settings.electionTimeout());
       greetAll();
       bootstrapIfPossible(now);
     }
   }
 
+  /** Returns when this member next sends greetings unless it hears from a leader before. */
+  Instant nextGreeting() {
+    boolean possiblyNotVoter = !state.isVoter() || state.settings.joinPolicy().unlistedAllowed();
+    if (!possiblyNotVoter) {
+      return Instant.MAX;
+    }
+    Instant leaderlessAt = state.leaderlessAt();
+    return leaderlessAt.isAfter(nextGreeting) ? leaderlessAt : nextGreeting;
+  }
+
   void onGreeting(MemberGreeting g, Instant now) {
     MemberId from = g.from();
     latestMembers.put(from.node(), from);
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftMember.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftMember.java
@@ -81,6 +81,23 @@
     return state.drainEffects();
   }
 
+  /** Returns when the next heartbeat, election or greeting is due. */
+  public Instant nextTickAt(Instant now) {
+    if (failed) {
+      return Instant.MAX;
+    }
+    if (!started) {
+      return now;
+    }
+    if (state.isLeader()) {
+      return leadership.nextHeartbeat();
+    }
+    Instant greeting = memberChanges.nextGreeting();
+    return state.isVoter() && state.electionDeadline.isBefore(greeting)
+        ? state.electionDeadline
+        : greeting;
+  }
+
   private void start(Instant now) {
     started = true;
     // Before its restart this member may have answered a leader whose lease has not expired yet. It
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
@@ -86,7 +86,12 @@
 
   /** Returns whether the last contact to a leader is so recent that no other may be elected. */
   boolean hasRecentLeader(Instant now) {
-    return isLeader() || now.isBefore(lastLeaderContact.plus(settings.electionTimeout()));
+    return isLeader() || now.isBefore(leaderlessAt());
+  }
+
+  /** Returns when the last contact to a leader stops being recent. */
+  Instant leaderlessAt() {
+    return lastLeaderContact.plus(settings.electionTimeout());
   }
 
   void emit(Effect effect) {
--- a/cassiastack-core/src/main/java/org/cassiastack/controller/Controller.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/Controller.java
@@ -11,7 +11,8 @@
  *       controller, so its state needs no locks.
  *   <li>Its decisions depend only on its state, the event and the time that is passed in. It reads
  *       no clock, uses no source of randomness that was not given to it, and does no I/O.
- *   <li>It returns the actions to carry out as effects, in order:
+ *   <li>It returns the actions to carry out as effects, in order. What has to be decided only once
+ *       for several events, it decides at the end of the turn:
  * </ol>
  *
  * <pre>{@code
@@ -30,4 +31,26 @@
    * @return the effects to carry out, in order
    */
   List<Effect> on(Event event, Instant now);
+
+  /**
+   * Ends a turn of the loop: called after the events that waited, and the events raised by them,
+   * have been handled, and again after events that are raised by it. A controller returns here the
+   * effects that need to be decided only once for all these events.
+   *
+   * @param now the current time, not earlier than that of the events
+   * @return the effects to carry out, in order
+   */
+  default List<Effect> endTurn(Instant now) {
+    return List.of();
+  }
+
+  /**
+   * Returns when this controller next needs a {@link Tick} if no event arrives before; {@link
+   * Instant#MAX} for never. By default a controller needs one in each tick interval.
+   *
+   * @param now the current time
+   */
+  default Instant nextTickAt(Instant now) {
+    return now;
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/controller/ControllerLoop.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/ControllerLoop.java
@@ -3,12 +3,16 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import reactor.core.Disposable;
 import reactor.core.scheduler.Scheduler;
 import reactor.core.scheduler.Schedulers;
 
@@ -16,11 +20,13 @@
  * Runs a set of controllers on one thread.
  *
  * <ol>
- *   <li>Any thread may post events. The thread of the loop passes each event to every controller,
- *       in the order of the controllers.
+ *   <li>Any thread may post events. One turn of the loop takes the events that wait, passes each of
+ *       them to every controller, in the order of the controllers, and then lets each controller
+ *       end the turn.
  *   <li>Effects go to the handler, except {@link Raise}: its event is passed to the controllers
  *       within the same turn, before the next posted event.
- *   <li>Between events the thread blocks in its scheduler; it does not busy-wait.
+ *   <li>A {@link Tick} comes when a controller needs one, at most once in a tick interval.
+ *   <li>Between turns the thread blocks in its scheduler; it does not busy-wait.
  * </ol>
  *
  * <pre>{@code
@@ -31,14 +37,26 @@
  * @since 0.1
  */
 public final class ControllerLoop implements AutoCloseable {
+  /** Maximum number of events in one turn, which bounds how long effects wait for its end. */
+  private static final int MAX_EVENTS_PER_TURN = 64;
+
   private final List<Controller> controllers;
   private final EffectHandler handler;
   private final TimeSource time;
   private final Consumer<Throwable> onError;
   private final LoopListener listener;
+  private final Queue<PostedEvent> posted = new ConcurrentLinkedQueue<>();
   private final AtomicInteger queuedEvents = new AtomicInteger();
   private final Scheduler scheduler;
   private final Scheduler.Worker worker;
+  private volatile boolean closed;
+
+  /** Minimum time between two ticks; null until ticks are wanted. */
+  private @Nullable Duration tickInterval;
+
+  private Instant lastTickAt = Instant.MIN;
+  private Instant nextTickAt = Instant.MAX;
+  private @Nullable Disposable scheduledTick;
 
   private ControllerLoop(
       String name,
@@ -96,62 +114,153 @@
 
   /** Passes an event to the controllers on the thread of the loop. Does not wait for them. */
   public void post(Event event) {
-    Instant posted = time.now();
-    queuedEvents.incrementAndGet();
-    try {
-      worker.schedule(
-          () -> {
-            queuedEvents.decrementAndGet();
-            turn(event, posted);
-          });
-    } catch (RejectedExecutionException ignored) {
-      // A closed loop drops the event, as it drops the events that were queued when it was closed.
-      queuedEvents.decrementAndGet();
+    if (closed) {
+      return;
+    }
+    posted.add(new PostedEvent(event, time.now()));
+    if (queuedEvents.getAndIncrement() == 0) {
+      scheduleTurn();
     }
   }
 
-  /** Passes a {@link Tick} to the controllers at a fixed interval until the loop is closed. */
+  /**
+   * Passes a {@link Tick} to the controllers whenever one of them needs it, until the loop is
+   * closed.
+   *
+   * @param interval minimum time between two ticks
+   */
   public void tickEvery(Duration interval) {
-    long millis = interval.toMillis();
-    worker.schedulePeriodically(this::tick, millis, millis, TimeUnit.MILLISECONDS);
+    worker.schedule(
+        () -> {
+          tickInterval = interval;
+          lastTickAt = time.now();
+          scheduleTick(lastTickAt);
+        });
   }
 
   /** Stops the loop; events that are still queued are dropped. */
   @Override
   public void close() {
+    closed = true;
     worker.dispose();
     scheduler.dispose();
   }
 
-  private void tick() {
-    turn(new Tick(), time.now());
+  private void scheduleTurn() {
+    try {
+      worker.schedule(this::takeTurn);
+    } catch (RejectedExecutionException ignored) {
+      // A closed loop drops the events that are still queued.
+      closed = true;
+    }
   }
 
-  private void turn(Event first, Instant posted) {
-    Queue<Event> events = new ArrayDeque<>();
-    events.add(first);
+  private void takeTurn() {
+    int count = Math.min(queuedEvents.get(), MAX_EVENTS_PER_TURN);
+    List<Event> events = new ArrayList<>(count);
     Instant now = time.now();
+    Instant firstPostedAt = now;
+    while (events.size() < count) {
+      PostedEvent p = posted.remove();
+      firstPostedAt = events.isEmpty() ? p.postedAt : firstPostedAt;
+      events.add(p.event);
+    }
+    handleTurn(events, now, Duration.between(firstPostedAt, now), count);
+    if (queuedEvents.get() > 0) {
+      scheduleTurn();
+    }
+  }
+
+  private void tick() {
+    nextTickAt = Instant.MAX;
+    Instant now = time.now();
+    lastTickAt = now;
+    handleTurn(List.of(new Tick()), now, Duration.ZERO, 0);
+  }
+
+  private void handleTurn(List<Event> events, Instant now, Duration waitTime, int takenEvents) {
+    Queue<Event> raised = new ArrayDeque<>();
+    for (Event e : events) {
+      raised.add(e);
+      handleAll(raised, now);
+    }
+    // Decisions at the end of the turn depend on leases, which may have expired meanwhile.
+    Instant end = events.size() > 1 ? time.now() : now;
+    endTurn(raised, end);
+    Instant finishedAt = time.now();
+    int waiting = queuedEvents.addAndGet(-takenEvents);
+    listener.onHandled(new LoopTurn(events, waitTime, Duration.between(now, finishedAt), waiting));
+    scheduleTick(finishedAt);
+  }
+
+  private void handleAll(Queue<Event> events, Instant now) {
     for (Event event = events.poll(); event != null; event = events.poll()) {
       for (Controller c : controllers) {
         handle(c, event, now, events);
       }
     }
-    Duration handlingTime = Duration.between(now, time.now());
-    listener.onHandled(
-        new LoopTurn(first, Duration.between(posted, now), handlingTime, queuedEvents.get()));
   }
 
-  private void handle(Controller controller, Event event, Instant now, Queue<Event> events) {
-    try {
-      for (Effect effect : controller.on(event, now)) {
-        if (effect instanceof Raise raise) {
-          events.add(raise.event());
-        } else {
-          handler.handle(effect);
+  private void endTurn(Queue<Event> raised, Instant now) {
+    do {
+      handleAll(raised, now);
+      for (Controller c : controllers) {
+        try {
+          perform(c.endTurn(now), raised);
+        } catch (RuntimeException e) {
+          onError.accept(e);
         }
       }
+    } while (!raised.isEmpty());
+  }
+
+  private void handle(Controller controller, Event event, Instant now, Queue<Event> events) {
+    try {
+      perform(controller.on(event, now), events);
     } catch (RuntimeException e) {
       onError.accept(e);
     }
   }
+
+  private void perform(List<Effect> effects, Queue<Event> events) {
+    for (Effect effect : effects) {
+      if (effect instanceof Raise raise) {
+        events.add(raise.event());
+      } else {
+        handler.handle(effect);
+      }
+    }
+  }
+
+  /** Schedules the next tick, unless one is scheduled that is early enough. */
+  private void scheduleTick(Instant now) {
+    Duration interval = tickInterval;
+    if (interval == null) {
+      return;
+    }
+    Instant neededAt = Instant.MAX;
+    for (Controller c : controllers) {
+      Instant at = c.nextTickAt(now);
+      neededAt = at.isBefore(neededAt) ? at : neededAt;
+    }
+    Instant earliest = lastTickAt.plus(interval);
+    Instant at = neededAt.isBefore(earliest) ? earliest : neededAt;
+    if (!at.isBefore(nextTickAt)) {
+      return;
+    }
+    Disposable former = scheduledTick;
+    if (former != null) {
+      former.dispose();
+    }
+    nextTickAt = at;
+    long delayNanos = Math.max(0, Duration.between(now, at).toNanos());
+    try {
+      scheduledTick = worker.schedule(this::tick, delayNanos, TimeUnit.NANOSECONDS);
+    } catch (RejectedExecutionException ignored) {
+      // A closed loop ticks no more.
+      scheduledTick = null;
+    }
+  }
+
+  private record PostedEvent(Event event, Instant postedAt) {}
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/controller/LoopListener.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/LoopListener.java
@@ -1,8 +1,8 @@
 package org.cassiastack.controller;
 
 /**
- * Is notified of each turn of a loop, on the thread of the loop. A turn handles one posted event or
- * tick, and the events that are raised meanwhile.
+ * Is notified of each turn of a loop, on the thread of the loop. A turn handles the posted events
+ * that wait, or a tick, and the events that are raised meanwhile.
  *
  * @since 0.2
  */
--- a/cassiastack-core/src/main/java/org/cassiastack/controller/Tick.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/Tick.java
@@ -1,7 +1,7 @@
 package org.cassiastack.controller;
 
 /**
- * Event: time has passed. A loop raises it at a fixed interval.
+ * Event: time has passed. A loop raises it when a controller needs it.
  *
  * @since 0.1
  */
--- a/cassiastack-core/src/main/java/org/cassiastack/request/LeaderNoticeRelay.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/LeaderNoticeRelay.java
@@ -58,6 +58,11 @@
     return effects;
   }
 
+  @Override
+  public Instant nextTickAt(Instant now) {
+    return nextNoticeAt;
+  }
+
   private void broadcast(List<Effect> effects) {
     peers.forEach(p -> sendNotice(p, effects));
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
@@ -96,6 +96,11 @@
     return effects;
   }
 
+  @Override
+  public Instant nextTickAt(Instant now) {
+    return pendingRequests.isEmpty() ? Instant.MAX : now;
+  }
+
   private void onCall(DeskCall c, Instant now, List<Effect> effects) {
     PendingRequest pending = new PendingRequest(c.request(), now, c.deadline());
     if (isElectionOverdue(now)) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
@@ -92,7 +92,7 @@
   public List<Effect> on(Event event, Instant now) {
     List<Effect> effects = new ArrayList<>();
     if (event instanceof CommandCommitted c) {
-      onCommandCommitted(c, now, effects);
+      onCommandCommitted(c, now);
     } else if (event instanceof SnapshotRestored s) {
       ledger.restore(codec.decodeSnapshot(s.state()));
     } else if (event instanceof SnapshotWanted w) {
@@ -112,6 +112,18 @@
     return effects;
   }
 
+  /** Places tasks, and sends orders and proposals, for all events of the turn together. */
+  @Override
+  public List<Effect> endTurn(Instant now) {
+    LeaderTerm t = term;
+    return t == null ? List.of() : t.advance(now);
+  }
+
+  @Override
+  public Instant nextTickAt(Instant now) {
+    return term == null ? nextNoticeAt : now;
+  }
+
   private void handleLeaderEvent(Event event, Instant now, List<Effect> effects) {
     LeaderTerm t = term;
     if (event instanceof Received r && r.message() instanceof LeaderRequest request) {
@@ -139,26 +151,21 @@
         nextNoticeAt = now.plus(NOTICE_INTERVAL);
         broadcastNotice(effects);
       }
-    } else {
-      return;
-    }
-    if (t != null) {
-      effects.addAll(t.advance(now));
     }
   }
 
-  private void onCommandCommitted(CommandCommitted c, Instant now, List<Effect> effects) {
+  private void onCommandCommitted(CommandCommitted c, Instant now) {
     ledger.apply(codec.decodeBatch(c.command()));
     LeaderTerm t = term;
     if (t != null) {
       t.onCommitted(c.proposalId(), now);
-      effects.addAll(t.advance(now));
     }
   }
 
   private void onLeaderChanged(LeaderChanged l, Instant now, List<Effect> effects) {
     if (!l.leading()) {
       if (term != null) {
+        effects.addAll(term.takeEffects());
         effects.add(Decision.of("leadership_ended", term.fence(), "lost", "leader=" + l.leader()));
       }
       term = null;
@@ -167,7 +174,6 @@
       if (lease != null && lease.term() == l.term()) {
         t.onLeaseExtended(lease.until());
       }
-      effects.addAll(t.advance(now));
       term = t;
     }
     updateNotice(new LeaderNotice(l.term(), l.leader(), notice.members()), effects);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -215,6 +215,11 @@
       dispatcher.sendOrders(w, fence, now, effects);
     }
     commits.propose(now, effects);
+    return takeEffects();
+  }
+
+  /** Returns the effects since the last call of this method or of {@link #advance}. */
+  public List<Effect> takeEffects() {
     List<Effect> collected = effects;
     effects = new ArrayList<>();
     return collected;
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
@@ -231,7 +231,8 @@
                 new Incarnation(8), now, Duration.ofSeconds(1), Duration.ofMillis(50)));
     restartedAgent.on(new Received(LEADER, new LeaderNotice(1, LEADER, List.of(LEADER))), now);
 
-    List<Effect> effects = restartedAgent.on(announced(MINION, 1, false), now.plusMillis(10));
+    restartedAgent.on(announced(MINION, 1, false), now.plusMillis(10));
+    List<Effect> effects = restartedAgent.endTurn(now.plusMillis(10));
 
     assertThat(effects)
         .anyMatch(
@@ -244,7 +245,8 @@
 
   private List<Effect> on(Event event) {
     now = now.plusMillis(1);
-    List<Effect> effects = agent.on(event, now);
+    List<Effect> effects = new ArrayList<>(agent.on(event, now));
+    effects.addAll(agent.endTurn(now));
     for (Effect e : effects) {
       if (e instanceof CallHold h) {
         lastHoldNumber = h.number();
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeMember.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeMember.java
@@ -158,7 +158,7 @@
         TICK,
         () -> {
           if (incarnation == targetIncarnation && controller != null) {
-            if (!paused) {
+            if (!paused && !controller.nextTickAt(localNow()).isAfter(localNow())) {
               on(new Tick());
             }
             scheduleTick(targetIncarnation);
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/controller/ControllerLoopTest.java
@@ -0,0 +1,138 @@
+package org.cassiastack.controller;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(30)
+class ControllerLoopTest {
+  private static final Duration INTERVAL = Duration.ofMillis(1);
+
+  private final BlockingQueue<LoopTurn> turns = new LinkedBlockingQueue<>();
+  private final CountDownLatch started = new CountDownLatch(1);
+  private final CountDownLatch released = new CountDownLatch(1);
+
+  @Test
+  void events_that_wait_for_the_loop_are_handled_in_one_turn() throws InterruptedException {
+    try (ControllerLoop loop = start(new BlockedController())) {
+      loop.post(new Numbered(0));
+      started.await();
+      for (int i = 1; i <= 3; i++) {
+        loop.post(new Numbered(i));
+      }
+      released.countDown();
+
+      assertThat(turns.take().events()).containsExactly(new Numbered(0));
+      assertThat(turns.take().events())
+          .containsExactly(new Numbered(1), new Numbered(2), new Numbered(3));
+    }
+  }
+
+  @Test
+  void a_turn_is_ended_once_for_all_its_events_and_again_for_what_that_raises()
+      throws InterruptedException {
+    EndCounter controller = new EndCounter();
+    try (ControllerLoop loop = start(controller)) {
+      loop.post(new Numbered(0));
+      turns.take();
+
+      assertThat(controller.ends.get()).isEqualTo(2);
+      assertThat(controller.handled).containsExactly(new Numbered(0), new Numbered(1));
+    }
+  }
+
+  @Test
+  void a_controller_that_needs_no_tick_gets_none() throws InterruptedException {
+    TickCounter controller = new TickCounter(3);
+    try (ControllerLoop loop = start(controller)) {
+      loop.tickEvery(INTERVAL);
+      controller.ticked.await();
+
+      LoopTurn next = pollAfterTicks(3);
+
+      assertThat(next).isNull();
+      assertThat(controller.count.get()).isEqualTo(3);
+    }
+  }
+
+  private LoopTurn pollAfterTicks(int ticks) throws InterruptedException {
+    for (int i = 0; i < ticks; i++) {
+      turns.take();
+    }
+    return turns.poll(50, TimeUnit.MILLISECONDS);
+  }
+
+  private ControllerLoop start(Controller controller) {
+    return ControllerLoop.start(
+        "test", List.of(controller), e -> {}, TimeSource.system(), e -> {}, turns::add);
+  }
+
+  private record Numbered(int number) implements Event {}
+
+  /** Blocks in the first event until the test releases it. */
+  private final class BlockedController implements Controller {
+    @Override
+    public List<Effect> on(Event event, Instant now) {
+      started.countDown();
+      try {
+        released.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+      return List.of();
+    }
+  }
+
+  /** Raises one event at the end of its first turn. */
+  private static final class EndCounter implements Controller {
+    final AtomicInteger ends = new AtomicInteger();
+    final List<Event> handled = new ArrayList<>();
+
+    @Override
+    public List<Effect> on(Event event, Instant now) {
+      handled.add(event);
+      return List.of();
+    }
+
+    @Override
+    public List<Effect> endTurn(Instant now) {
+      return ends.incrementAndGet() == 1 ? List.of(new Raise(new Numbered(1))) : List.of();
+    }
+  }
+
+  /** Needs a number of ticks. */
+  private static final class TickCounter implements Controller {
+    final AtomicInteger count = new AtomicInteger();
+    final CountDownLatch ticked;
+    private final int needed;
+
+    TickCounter(int needed) {
+      this.needed = needed;
+      this.ticked = new CountDownLatch(needed);
+    }
+
+    @Override
+    public List<Effect> on(Event event, Instant now) {
+      if (event instanceof Tick) {
+        count.incrementAndGet();
+        ticked.countDown();
+      }
+      return List.of();
+    }
+
+    @Override
+    public Instant nextTickAt(Instant now) {
+      return count.get() < needed ? now : Instant.MAX;
+    }
+  }
+}
--- a/cassiastack-core/src/test/java/org/cassiastack/controller/LoopListenerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/controller/LoopListenerTest.java
@@ -36,9 +36,11 @@
       LoopTurn second = turns.take();
 
       assertThat(first)
-          .isEqualTo(new LoopTurn(new SlowEvent(), Duration.ZERO, Duration.ofMillis(300), 1));
+          .isEqualTo(
+              new LoopTurn(List.of(new SlowEvent()), Duration.ZERO, Duration.ofMillis(300), 1));
       assertThat(second)
-          .isEqualTo(new LoopTurn(new QuickEvent(), Duration.ofMillis(300), Duration.ZERO, 0));
+          .isEqualTo(
+              new LoopTurn(List.of(new QuickEvent()), Duration.ofMillis(300), Duration.ZERO, 0));
     }
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
@@ -171,8 +171,10 @@
   /** Passes an event to the leader and records the effects. */
   void on(Event first) {
     Queue<Event> events = new ArrayDeque<>(List.of(first));
-    for (Event e = events.poll(); e != null; e = events.poll()) {
-      for (Effect f : leader.on(e, now)) {
+    boolean turnEnded;
+    do {
+      Event e = events.poll();
+      for (Effect f : e == null ? leader.endTurn(now) : leader.on(e, now)) {
         if (f instanceof Raise r && r.event() instanceof ProposeCommand p && !holdCommits) {
           events.add(new CommandCommitted(++lastCommitIndex, p.proposalId(), p.command()));
         } else if (f instanceof Send s && s.message() instanceof RunOrders o) {
@@ -186,7 +188,8 @@
           answers.add(r.answer());
         }
       }
-    }
+      turnEnded = e == null;
+    } while (!turnEnded || !events.isEmpty());
   }
 
   static QueueConfiguration configuration() {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadSimulation.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadSimulation.java
@@ -229,8 +229,10 @@
   /** Passes an event to the leader and commits its proposals at once. */
   private void handle(Event first) {
     Queue<Event> events = new ArrayDeque<>(List.of(first));
-    for (Event e = events.poll(); e != null; e = events.poll()) {
-      for (Effect f : leader.on(e, now())) {
+    boolean turnEnded;
+    do {
+      Event e = events.poll();
+      for (Effect f : e == null ? leader.endTurn(now()) : leader.on(e, now())) {
         if (f instanceof Raise r && r.event() instanceof ProposeCommand p) {
           events.add(new CommandCommitted(++lastCommitIndex, p.proposalId(), p.command()));
         } else if (f instanceof Send s && s.message() instanceof RunOrders o) {
@@ -246,7 +248,8 @@
           candidatesExamined += p.candidatesExamined();
         }
       }
-    }
+      turnEnded = e == null;
+    } while (!turnEnded || !events.isEmpty());
   }
 
   private void handleAtEntry(Event event) {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
@@ -1,5 +1,6 @@
 package org.cassiastack.schedule.faults;
 
+import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
@@ -88,25 +89,39 @@
       return;
     }
     Queue<Event> events = new ArrayDeque<>(List.of(first));
-    for (Event e = events.poll(); e != null && up; e = events.poll()) {
-      for (Controller c : controllers) {
-        for (Effect f : c.on(e, simulation.now())) {
-          if (f instanceof Raise r) {
-            events.add(r.event());
-          } else {
-            simulation.perform(this, f);
-          }
+    do {
+      for (Event e = events.poll(); e != null && up; e = events.poll()) {
+        for (Controller c : controllers) {
+          perform(c.on(e, simulation.now()), events);
         }
       }
+      for (Controller c : up ? controllers : List.<Controller>of()) {
+        perform(c.endTurn(simulation.now()), events);
+      }
+    } while (!events.isEmpty() && up);
+  }
+
+  private void perform(List<Effect> effects, Queue<Event> events) {
+    for (Effect f : effects) {
+      if (f instanceof Raise r) {
+        events.add(r.event());
+      } else {
+        simulation.perform(this, f);
+      }
     }
   }
 
+  private boolean isTickNeeded() {
+    Instant now = simulation.now();
+    return controllers.stream().anyMatch(c -> !c.nextTickAt(now).isAfter(now));
+  }
+
   private void scheduleTick(int expectedIncarnation) {
     simulation.runAfter(
         TICK_MILLIS,
         () -> {
           if (incarnation == expectedIncarnation && up) {
-            if (!paused) {
+            if (!paused && isTickNeeded()) {
               on(new Tick());
             }
             scheduleTick(expectedIncarnation);
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/NodeRuntime.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/NodeRuntime.java
@@ -139,7 +139,7 @@
           turn.waitTime(),
           turn.handlingTime(),
           turn.queuedEvents(),
-          QueueMetrics.eventType(turn.event()));
+          QueueMetrics.eventType(turn.events().get(0)));
     }
   }
 
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
@@ -118,12 +118,18 @@
     return out.toByteArray();
   }
 
-  /** Records the wait time and the handling time of an event that the controllers have handled. */
+  /**
+   * Records the wait time and the handling time of a turn. The handling time is divided equally
+   * among the events of the turn.
+   */
   void recordLoopTurn(LoopTurn turn) {
-    String type = eventType(turn.event());
     loopWaits.observe(seconds(turn.waitTime()));
-    loopBusySeconds.labelValues(type).inc(seconds(turn.handlingTime()));
-    loopEvents.labelValues(type).inc();
+    double secondsPerEvent = seconds(turn.handlingTime()) / turn.events().size();
+    for (Event e : turn.events()) {
+      String type = eventType(e);
+      loopBusySeconds.labelValues(type).inc(secondsPerEvent);
+      loopEvents.labelValues(type).inc();
+    }
     loopQueuedEvents.set(turn.queuedEvents());
   }
 
