Agent: a report shares the wake-up of the minion's answer

Cause: an idle agent woke ten times a second for answers of its minion and for reports. Change: a report that is older than 150 ms follows at once when the minion answers.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -40,6 +40,12 @@
   /** Interval of reports when nothing changes. A lease is still valid after four lost reports. */
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(200);
 
+  /**
+   * Age from which the last report is followed by another one as soon as the minion has answered,
+   * so that the answer and the report share a wake-up.
+   */
+  private static final Duration OLD_REPORT_AGE = Duration.ofMillis(150);
+
   private final AgentSettings settings;
   private final LeaderTracker tracker = LeaderTracker.create();
   private final MinionLink minion;
@@ -76,7 +82,7 @@
     } else if (event instanceof StopAnswered s) {
       minion.onStopAnswered(s);
     } else if (event instanceof HoldAnswered h) {
-      reportDue |= minion.onHoldAnswered(h, now);
+      reportDue |= minion.onHoldAnswered(h, now) || isReportOld(now);
     } else if (event instanceof HoldFailed h) {
       reportDue |= minion.onHoldFailed(h.number());
     } else if (event instanceof Received r) {
@@ -156,6 +162,10 @@
     }
   }
 
+  private boolean isReportOld(Instant now) {
+    return !now.isBefore(reportedAt.plus(OLD_REPORT_AGE));
+  }
+
   private void report(Instant now, List<Effect> effects) {
     NodeId leader = tracker.leader();
     if (!reportDue || leader == null || !now.isAfter(reportedAt)) {
