--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/ScheduleSettings.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/ScheduleSettings.java
@@ -11,9 +11,18 @@
  *     minion's clock: covers other differences of clock rates and the time that a minion takes to
  *     end its runs
  * @param retention how long the phase of an ended job can be queried
+ * @param remoteFactor factor by which a task runs longer on a rack that does not hold its data
  * @since 0.2
  */
-public record ScheduleSettings(Duration lease, Duration leaseExpiryMargin, Duration retention) {
+public record ScheduleSettings(
+    Duration lease, Duration leaseExpiryMargin, Duration retention, double remoteFactor) {
+  private static final double DEFAULT_REMOTE_FACTOR = 1.5;
+
+  /** Creates settings with a remote factor of 1.5. */
+  public ScheduleSettings(Duration lease, Duration leaseExpiryMargin, Duration retention) {
+    this(lease, leaseExpiryMargin, retention, DEFAULT_REMOTE_FACTOR);
+  }
+
   /**
    * Returns the time after an agent's last report by which its lease has expired and its runs have
    * ended: the lease, the drift of the minion's clock, and the margin.
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -46,7 +46,7 @@
   private final Fleet fleet;
   private final JobLedger ledger;
   private final Consumer<Decision> decisions;
-  private final Placer placer = new FastestFit();
+  private final Placer placer;
   private long candidatesExamined;
 
   /**
@@ -55,7 +55,13 @@
    */
   private long lastPlacedChanges = FORCE_ROUND;
 
-  Dispatcher(LiveJobs liveJobs, Fleet fleet, JobLedger ledger, Consumer<Decision> decisions) {
+  Dispatcher(
+      LiveJobs liveJobs,
+      Fleet fleet,
+      JobLedger ledger,
+      Consumer<Decision> decisions,
+      Placer placer) {
+    this.placer = placer;
     this.decisions = decisions;
     this.liveJobs = liveJobs;
     this.fleet = fleet;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FastestFit.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FastestFit.java
@@ -5,6 +5,7 @@
 import org.cassiastack.model.NodeId;
 import org.cassiastack.queue.StepSpec;
 import org.cassiastack.runs.MinionProfile;
+import org.cassiastack.schedule.ScheduleSettings;
 import org.cassiastack.schedule.internal.Candidates.Candidate;
 import org.jspecify.annotations.Nullable;
 
@@ -17,15 +18,20 @@
  * worker would otherwise delay most jobs.
  */
 final class FastestFit implements Placer {
-  /**
-   * Factor by which a task runs longer on a rack that does not hold its data; the platform states
-   * 1.5.
-   */
-  private static final double REMOTE_FACTOR = 1.5;
-
   /** Speeds that differ by less than this count as equal. */
   private static final double SPEED_TOLERANCE = 0.01;
 
+  private final double remoteFactor;
+
+  private FastestFit(double remoteFactor) {
+    this.remoteFactor = remoteFactor;
+  }
+
+  /** Creates a placer. See {@link ScheduleSettings#remoteFactor}. */
+  static FastestFit withRemoteFactor(double remoteFactor) {
+    return new FastestFit(remoteFactor);
+  }
+
   @Override
   public @Nullable WorkerState choose(
       LiveStep step, Candidates workers, Set<NodeId> avoided, Instant now) {
@@ -58,7 +64,7 @@
   }
 
   /** Returns whether any worker would end the task in time if it had free capacity now. */
-  private static boolean isWorthWaiting(
+  private boolean isWorthWaiting(
       LiveStep step, Candidates workers, Set<NodeId> avoided, Instant latestEnd, Instant now) {
     double maxSpeed = 0;
     if (isUnconstrained(step) && avoided.isEmpty()) {
@@ -78,12 +84,12 @@
     return s.dataRack().isEmpty() && s.requiredLabel().isEmpty() && s.maxPerMinion() == 0;
   }
 
-  private static double speed(LiveStep step, Candidate c, Instant now) {
+  private double speed(LiveStep step, Candidate c, Instant now) {
     MinionProfile m = c.worker.minion;
     String rack = step.spec.dataRack();
     boolean remote = !rack.isEmpty() && m != null && !m.labels().contains(rack);
     double speed = c.speed(now);
-    return remote ? speed / REMOTE_FACTOR : speed;
+    return remote ? speed / remoteFactor : speed;
   }
 
   private static boolean mayRun(LiveStep step, WorkerState w, Set<NodeId> avoided) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -98,7 +98,13 @@
             decisions,
             (to, reply) -> effects.add(new Send(to, reply)),
             () -> agentsSynced);
-    this.dispatcher = new Dispatcher(liveJobs, fleet, ledger, decisions);
+    this.dispatcher =
+        new Dispatcher(
+            liveJobs,
+            fleet,
+            ledger,
+            decisions,
+            FastestFit.withRemoteFactor(settings.remoteFactor()));
   }
 
   /** Starts a term with the live jobs of the ledger. */
