ControllerLoop: an error or a failing listener no longer stops the loop

Cause: since a turn takes several events, an error that is no exception, such as a stack overflow in a controller, or a failing listener left the count of waiting events too high, so that no later turn was scheduled: the process would have stood still. Found by reading. Change: the count and the next tick are settled whatever happens in a turn; a stack overflow in a controller is reported like an exception. Result: ControllerLoopTest, a_failure_in_a_controller_does_not_stop_the_loop and a_failure_of_the_listener_does_not_stop_the_loop, pass; not run against the code before.

--- a/cassiastack-core/src/main/java/org/cassiastack/controller/ControllerLoop.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/ControllerLoop.java
@@ -165,9 +165,12 @@
       firstPostedAt = events.isEmpty() ? p.postedAt : firstPostedAt;
       events.add(p.event);
     }
-    handleTurn(events, now, Duration.between(firstPostedAt, now), count);
-    if (queuedEvents.get() > 0) {
-      scheduleTurn();
+    try {
+      handleTurn(events, now, Duration.between(firstPostedAt, now), count);
+    } finally {
+      if (queuedEvents.addAndGet(-count) > 0) {
+        scheduleTurn();
+      }
     }
   }
 
@@ -179,18 +182,20 @@
   }
 
   private void handleTurn(List<Event> events, Instant now, Duration waitTime, int takenEvents) {
-    Queue<Event> raised = new ArrayDeque<>();
-    for (Event e : events) {
-      raised.add(e);
-      handleAll(raised, now);
+    try {
+      Queue<Event> raised = new ArrayDeque<>();
+      for (Event e : events) {
+        raised.add(e);
+        handleAll(raised, now);
+      }
+      // Decisions at the end of the turn depend on leases, which may have expired meanwhile.
+      endTurn(raised, events.size() > 1 ? time.now() : now);
+      Duration handlingTime = Duration.between(now, time.now());
+      int waiting = queuedEvents.get() - takenEvents;
+      listener.onHandled(new LoopTurn(events, waitTime, handlingTime, waiting));
+    } finally {
+      scheduleTick(time.now());
     }
-    // Decisions at the end of the turn depend on leases, which may have expired meanwhile.
-    Instant end = events.size() > 1 ? time.now() : now;
-    endTurn(raised, end);
-    Instant finishedAt = time.now();
-    int waiting = queuedEvents.addAndGet(-takenEvents);
-    listener.onHandled(new LoopTurn(events, waitTime, Duration.between(now, finishedAt), waiting));
-    scheduleTick(finishedAt);
   }
 
   private void handleAll(Queue<Event> events, Instant now) {
@@ -207,7 +212,7 @@
       for (Controller c : controllers) {
         try {
           perform(c.endTurn(now), raised);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | StackOverflowError e) {
           onError.accept(e);
         }
       }
@@ -217,7 +222,7 @@
   private void handle(Controller controller, Event event, Instant now, Queue<Event> events) {
     try {
       perform(controller.on(event, now), events);
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | StackOverflowError e) {
       onError.accept(e);
     }
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/controller/ControllerLoopTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/controller/ControllerLoopTest.java
@@ -13,6 +13,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 
 @Timeout(30)
 class ControllerLoopTest {
@@ -65,6 +67,46 @@
     }
   }
 
+  @ParameterizedTest
+  @MethodSource("failures")
+  void a_failure_in_a_controller_does_not_stop_the_loop(Throwable failure)
+      throws InterruptedException {
+    try (ControllerLoop loop = start(new FailingController(failure))) {
+      loop.post(new Numbered(0));
+      loop.post(new Numbered(1));
+      loop.post(new Numbered(2));
+
+      for (int handled = 0; handled < 3; ) {
+        handled += turns.take().events().size();
+      }
+
+      assertThat(turns).isEmpty();
+    }
+  }
+
+  static List<Throwable> failures() {
+    return List.of(new IllegalStateException("failed"), new StackOverflowError());
+  }
+
+  @Test
+  void a_failure_of_the_listener_does_not_stop_the_loop() throws InterruptedException {
+    LoopListener failing =
+        turn -> {
+          turns.add(turn);
+          throw new IllegalStateException("failed");
+        };
+    Controller idle = (event, now) -> List.of();
+    try (ControllerLoop loop =
+        ControllerLoop.start(
+            "test", List.of(idle), e -> {}, TimeSource.system(), e -> {}, failing)) {
+      loop.post(new Numbered(0));
+      turns.take();
+      loop.post(new Numbered(1));
+
+      assertThat(turns.take().events()).containsExactly(new Numbered(1));
+    }
+  }
+
   private LoopTurn pollAfterTicks(int ticks) throws InterruptedException {
     for (int i = 0; i < ticks; i++) {
       turns.take();
@@ -93,6 +135,17 @@
     }
   }
 
+  /** Fails in each event. */
+  private record FailingController(Throwable failure) implements Controller {
+    @Override
+    public List<Effect> on(Event event, Instant now) {
+      if (failure instanceof Error e) {
+        throw e;
+      }
+      throw (RuntimeException) failure;
+    }
+  }
+
   /** Raises one event at the end of its first turn. */
   private static final class EndCounter implements Controller {
     final AtomicInteger ends = new AtomicInteger();
