--- a/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/configuration/ConfigurationController.java
@@ -11,9 +11,9 @@
 import org.cassiastack.consensus.LeaderChanged;
 import org.cassiastack.consensus.ProposalRefused;
 import org.cassiastack.consensus.ProposeCommand;
+import org.cassiastack.consensus.SnapshotRequested;
 import org.cassiastack.consensus.SnapshotRestored;
 import org.cassiastack.consensus.SnapshotTaken;
-import org.cassiastack.consensus.SnapshotWanted;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
@@ -69,7 +69,7 @@
     if (event instanceof LeaderChanged l && !l.leading()) {
       return answerUnresolved(Instant.MAX);
     }
-    if (event instanceof SnapshotWanted w) {
+    if (event instanceof SnapshotRequested w) {
       return List.of(new Raise(new SnapshotTaken(w.index(), codec.encodeState(store.state()))));
     }
     if (event instanceof SnapshotRestored r) {
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/SnapshotWanted.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/SnapshotRequested.java
@@ -10,4 +10,4 @@
  *     its state includes the entries up to exactly this index
  * @since 0.1
  */
-public record SnapshotWanted(long index) implements Event {}
+public record SnapshotRequested(long index) implements Event {}
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
@@ -14,7 +14,7 @@
 import org.cassiastack.consensus.RaftMessage;
 import org.cassiastack.consensus.RaftSettings;
 import org.cassiastack.consensus.RecoveredLog;
-import org.cassiastack.consensus.SnapshotWanted;
+import org.cassiastack.consensus.SnapshotRequested;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Raise;
@@ -168,7 +168,7 @@
     if (commitIndex - Math.max(log.baseIndex(), snapshotRequestedIndex)
         >= settings.snapshotThreshold()) {
       snapshotRequestedIndex = commitIndex;
-      raise(new SnapshotWanted(commitIndex));
+      raise(new SnapshotRequested(commitIndex));
     }
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/request/DeskCode.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/AnswerCode.java
@@ -5,7 +5,7 @@
  *
  * @since 0.2
  */
-public enum DeskCode {
+public enum AnswerCode {
   /**
    * The job is stored or, if it is not durable, has ended. For a cancellation: the job has ended.
    * For another change: the change is committed.
@@ -52,7 +52,7 @@
 
   private final int number;
 
-  DeskCode(int number) {
+  AnswerCode(int number) {
     this.number = number;
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/request/CallerRequestFilters.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/CallerRequestFilters.java
@@ -13,21 +13,21 @@
   private CallerRequestFilters() {}
 
   /**
-   * Refuses every request with {@link DeskCode#NO_LEADER} while a condition holds. A refused
+   * Refuses every request with {@link AnswerCode#NO_LEADER} while a condition holds. A refused
    * request has no effect.
    */
   public static RequestFilter<CallerRequest, RequestAnswer> refuseWhile(BooleanSupplier condition) {
     return (request, now, next) ->
         condition.getAsBoolean()
-            ? Mono.just(RequestAnswer.of(DeskCode.NO_LEADER))
+            ? Mono.just(RequestAnswer.of(AnswerCode.NO_LEADER))
             : next.proceed(request, now);
   }
 
-  /** Refuses each request whose timeout is zero or negative with {@link DeskCode#TOO_LATE}. */
+  /** Refuses each request whose timeout is zero or negative with {@link AnswerCode#TOO_LATE}. */
   public static RequestFilter<CallerRequest, RequestAnswer> refuseExpired() {
     return (request, now, next) ->
         request.timeout().isNegative() || request.timeout().isZero()
-            ? Mono.just(RequestAnswer.of(DeskCode.TOO_LATE))
+            ? Mono.just(RequestAnswer.of(AnswerCode.TOO_LATE))
             : next.proceed(request, now);
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
@@ -28,11 +28,11 @@
  *       and is then refused. When no leader has been known for longer than most elections take, new
  *       requests are refused at once.
  *   <li>When a job was sent to more than one leader, a refusal is replaced by {@link
- *       DeskCode#UNANSWERED}, because an earlier leader may have started the job. A leader counts
+ *       AnswerCode#UNANSWERED}, because an earlier leader may have started the job. A leader counts
  *       once, however often the job is sent to it in one term over one connection, because it
  *       refuses a repeated request as it refused the first.
- *   <li>A request that was sent and has no answer at its deadline gets {@link DeskCode#UNANSWERED}:
- *       it is not known whether the request had an effect.
+ *   <li>A request that was sent and has no answer at its deadline gets {@link
+ *       AnswerCode#UNANSWERED}: it is not known whether the request had an effect.
  * </ol>
  *
  * @since 0.2
@@ -77,7 +77,7 @@
     if (tracker.leader() == null && leaderlessSince == null) {
       leaderlessSince = now;
     }
-    if (event instanceof DeskCall c) {
+    if (event instanceof RequestPosted c) {
       onCall(c, now, effects);
     } else if (event instanceof Received r && r.message() instanceof LeaderReply a) {
       onReply(a, effects);
@@ -101,7 +101,7 @@
     return pendingRequests.isEmpty() ? Instant.MAX : now;
   }
 
-  private void onCall(DeskCall c, Instant now, List<Effect> effects) {
+  private void onCall(RequestPosted c, Instant now, List<Effect> effects) {
     PendingRequest pending = new PendingRequest(c.request(), now, c.deadline());
     if (isElectionOverdue(now)) {
       effects.add(noLeader(pending));
@@ -116,11 +116,12 @@
   }
 
   private static RequestAnswered noLeader(PendingRequest pending) {
-    return new RequestAnswered(pending.request.requestId(), RequestAnswer.of(DeskCode.NO_LEADER));
+    return new RequestAnswered(pending.request.requestId(), RequestAnswer.of(AnswerCode.NO_LEADER));
   }
 
   private static RequestAnswered unanswered(PendingRequest pending) {
-    return new RequestAnswered(pending.request.requestId(), RequestAnswer.of(DeskCode.UNANSWERED));
+    return new RequestAnswered(
+        pending.request.requestId(), RequestAnswer.of(AnswerCode.UNANSWERED));
   }
 
   private void onReply(LeaderReply reply, List<Effect> effects) {
@@ -128,14 +129,16 @@
     if (pending == null) {
       return;
     }
-    if (reply.answer().code() == DeskCode.NOT_LEADER) {
+    if (reply.answer().code() == AnswerCode.NOT_LEADER) {
       // The request is sent again on the next leader change or tick.
       pending.onNotLeader();
       return;
     }
     pendingRequests.remove(reply.requestId());
     RequestAnswer answer =
-        pending.isRefusalUncertain(reply) ? RequestAnswer.of(DeskCode.UNANSWERED) : reply.answer();
+        pending.isRefusalUncertain(reply)
+            ? RequestAnswer.of(AnswerCode.UNANSWERED)
+            : reply.answer();
     effects.add(new RequestAnswered(reply.requestId(), answer));
   }
 
@@ -245,7 +248,7 @@
       boolean sentInSeveralTerms = leaderCount > 1 || (sendCount > 1 && reply.term() != term);
       return request instanceof SubmitJob
           && sentInSeveralTerms
-          && reply.answer().code() != DeskCode.ACCEPTED;
+          && reply.answer().code() != AnswerCode.ACCEPTED;
     }
 
     /**
--- a/cassiastack-core/src/main/java/org/cassiastack/request/RequestAnswer.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/RequestAnswer.java
@@ -16,32 +16,32 @@
  * @since 0.2
  */
 public record RequestAnswer(
-    DeskCode code, @Nullable JobPhase phase, int pending, Duration retryAfter, Payload document) {
+    AnswerCode code, @Nullable JobPhase phase, int pending, Duration retryAfter, Payload document) {
   /** Creates an answer that consists of a code alone. */
-  public static RequestAnswer of(DeskCode code) {
+  public static RequestAnswer of(AnswerCode code) {
     return new RequestAnswer(code, null, 0, Duration.ZERO, Payload.EMPTY);
   }
 
   /** Creates an answer with the phase of a job. */
-  public static RequestAnswer phase(DeskCode code, JobPhase phase) {
+  public static RequestAnswer phase(AnswerCode code, JobPhase phase) {
     return new RequestAnswer(code, phase, 0, Duration.ZERO, Payload.EMPTY);
   }
 
   /** Creates an answer with the number of jobs that have not started. */
   public static RequestAnswer pending(int pending) {
-    return new RequestAnswer(DeskCode.FOUND, null, pending, Duration.ZERO, Payload.EMPTY);
+    return new RequestAnswer(AnswerCode.FOUND, null, pending, Duration.ZERO, Payload.EMPTY);
   }
 
   /** Creates an answer with the document of a configuration. */
   public static RequestAnswer document(Payload document) {
-    return new RequestAnswer(DeskCode.FOUND, null, 0, Duration.ZERO, document);
+    return new RequestAnswer(AnswerCode.FOUND, null, 0, Duration.ZERO, document);
   }
 
   /**
-   * Creates a refusal with {@link DeskCode#OVERLOADED} and the time after which a retry may
+   * Creates a refusal with {@link AnswerCode#OVERLOADED} and the time after which a retry may
    * succeed.
    */
   public static RequestAnswer overloaded(Duration retryAfter) {
-    return new RequestAnswer(DeskCode.OVERLOADED, null, 0, retryAfter, Payload.EMPTY);
+    return new RequestAnswer(AnswerCode.OVERLOADED, null, 0, retryAfter, Payload.EMPTY);
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/request/RequestAnswered.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/RequestAnswered.java
@@ -3,7 +3,7 @@
 import org.cassiastack.controller.Effect;
 
 /**
- * Effect: answers a {@link DeskCall}. Each call is answered once.
+ * Effect: answers a {@link RequestPosted}. Each call is answered once.
  *
  * @param requestId identity of the request
  * @param answer the leader's answer, or the outcome that this process determined without an answer
--- a/cassiastack-core/src/main/java/org/cassiastack/request/DeskCall.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/RequestPosted.java
@@ -10,4 +10,4 @@
  * @param deadline time after which an answer is too late to be useful
  * @since 0.2
  */
-public record DeskCall(LeaderRequest request, Instant deadline) implements Event {}
+public record RequestPosted(LeaderRequest request, Instant deadline) implements Event {}
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
@@ -12,9 +12,9 @@
 import org.cassiastack.consensus.LeaderChanged;
 import org.cassiastack.consensus.LeaseExtended;
 import org.cassiastack.consensus.MembersChanged;
+import org.cassiastack.consensus.SnapshotRequested;
 import org.cassiastack.consensus.SnapshotRestored;
 import org.cassiastack.consensus.SnapshotTaken;
-import org.cassiastack.consensus.SnapshotWanted;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
@@ -28,7 +28,7 @@
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.LedgerCodec;
-import org.cassiastack.request.DeskCode;
+import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.LeaderNotice;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.LeaderRequest;
@@ -95,7 +95,7 @@
       onCommandCommitted(c, now);
     } else if (event instanceof SnapshotRestored s) {
       ledger.restore(codec.decodeSnapshot(s.state()));
-    } else if (event instanceof SnapshotWanted w) {
+    } else if (event instanceof SnapshotRequested w) {
       effects.add(new Raise(new SnapshotTaken(w.index(), codec.encode(ledger.snapshot()))));
     } else if (event instanceof LeaderChanged l) {
       onLeaderChanged(l, now, effects);
@@ -129,7 +129,7 @@
     if (event instanceof Received r && r.message() instanceof LeaderRequest request) {
       if (t == null || !t.holdsLeadership(now)) {
         LeaderReply reply =
-            new LeaderReply(request.requestId(), RequestAnswer.of(DeskCode.NOT_LEADER), 0);
+            new LeaderReply(request.requestId(), RequestAnswer.of(AnswerCode.NOT_LEADER), 0);
         effects.add(new Send(r.from(), reply));
         return;
       }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -16,10 +16,10 @@
 import org.cassiastack.queue.QueueConfiguration;
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.queue.StepSpec;
+import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.AskQueueConfiguration;
 import org.cassiastack.request.CancelJob;
-import org.cassiastack.request.DeskCode;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.LeaderRequest;
 import org.cassiastack.request.QueueAddress;
@@ -81,17 +81,17 @@
     } else if (request instanceof CancelJob c) {
       cancel(caller, c.address(), now);
     } else if (request instanceof StoreConfiguration s) {
-      commits.addConfiguration(s.configuration(), at -> answer(caller, DeskCode.ACCEPTED));
+      commits.addConfiguration(s.configuration(), at -> answer(caller, AnswerCode.ACCEPTED));
     } else if (request instanceof SwitchDomain d) {
       commits.addDomainSwitch(
           new LedgerBatch.DomainSwitch(d.domain(), d.out()),
-          at -> answer(caller, DeskCode.ACCEPTED));
+          at -> answer(caller, AnswerCode.ACCEPTED));
     } else if (request instanceof AskQueueConfiguration) {
       QueueConfiguration c = ledger.configuration();
       answer(
           caller,
           c == null
-              ? RequestAnswer.of(DeskCode.NOT_CONFIGURED)
+              ? RequestAnswer.of(AnswerCode.NOT_CONFIGURED)
               : RequestAnswer.document(c.document()));
     }
   }
@@ -104,7 +104,7 @@
       return;
     }
     if (ledger.contains(id)) {
-      answer(caller, DeskCode.ACCEPTED);
+      answer(caller, AnswerCode.ACCEPTED);
       return;
     }
     if (liveJobs.find(id) != null || commits.isAccepting(id)) {
@@ -115,12 +115,12 @@
     }
     QueueConfiguration c = ledger.configuration();
     if (c == null) {
-      answer(caller, DeskCode.NOT_CONFIGURED);
+      answer(caller, AnswerCode.NOT_CONFIGURED);
       return;
     }
     Queue queue = c.find(s.address().host(), s.address().path());
     if (queue == null) {
-      answer(caller, DeskCode.NO_SUCH_QUEUE);
+      answer(caller, AnswerCode.NO_SUCH_QUEUE);
       return;
     }
     admit(caller, s, queue, now);
@@ -130,7 +130,7 @@
     for (StepSpec step : s.job().steps()) {
       if (!fleet.canEverFit(queue.service(), step.need())) {
         addDecision("job_refused", s.job().id(), "unsupported", "need=" + step.need());
-        refuse(caller, s.job().id(), RequestAnswer.of(DeskCode.UNSUPPORTED), now);
+        refuse(caller, s.job().id(), RequestAnswer.of(AnswerCode.UNSUPPORTED), now);
         return;
       }
     }
@@ -178,7 +178,7 @@
     }
     Caller caller = callers.remove(id);
     if (caller != null) {
-      answer(caller, DeskCode.ACCEPTED);
+      answer(caller, AnswerCode.ACCEPTED);
     }
   }
 
@@ -193,11 +193,11 @@
   private RequestAnswer query(QueueAddress address) {
     QueueConfiguration c = ledger.configuration();
     if (c == null) {
-      return RequestAnswer.of(DeskCode.NOT_CONFIGURED);
+      return RequestAnswer.of(AnswerCode.NOT_CONFIGURED);
     }
     Queue queue = c.find(address.host(), address.path());
     if (queue == null) {
-      return RequestAnswer.of(DeskCode.NO_SUCH_QUEUE);
+      return RequestAnswer.of(AnswerCode.NO_SUCH_QUEUE);
     }
     String jobPart = address.path().substring(queue.pathPrefix().length());
     if (jobPart.isEmpty()) {
@@ -206,8 +206,8 @@
     QueuedJobId id = QueuedJobId.parse(jobPart);
     JobPhase phase = id == null ? null : phase(id);
     return phase == null
-        ? RequestAnswer.of(DeskCode.NO_SUCH_JOB)
-        : RequestAnswer.phase(DeskCode.FOUND, phase);
+        ? RequestAnswer.of(AnswerCode.NO_SUCH_JOB)
+        : RequestAnswer.phase(AnswerCode.FOUND, phase);
   }
 
   private @Nullable JobPhase phase(QueuedJobId id) {
@@ -224,21 +224,21 @@
     QueuedJobId id = QueuedJobId.parse(address.path().substring(slash + 1));
     if (id == null
         || (!ledger.contains(id) && !commits.isAccepting(id) && liveJobs.find(id) == null)) {
-      answer(caller, DeskCode.NO_SUCH_JOB);
+      answer(caller, AnswerCode.NO_SUCH_JOB);
     } else if (ledger.finalPhase(id) != null) {
-      answer(caller, DeskCode.ACCEPTED);
+      answer(caller, AnswerCode.ACCEPTED);
     } else if (ledger.live(id) != null || commits.isAccepting(id)) {
       commits.addCancellation(
           id,
           at -> {
             addDecision("job_ended", id, "cancelled", "");
             removeJob(id);
-            answer(caller, DeskCode.ACCEPTED);
+            answer(caller, AnswerCode.ACCEPTED);
           });
     } else {
       removeJob(id);
       answerJobEnd(id, JobPhase.CANCELLED, now);
-      answer(caller, DeskCode.ACCEPTED);
+      answer(caller, AnswerCode.ACCEPTED);
     }
   }
 
@@ -287,7 +287,7 @@
     if (ledger.contains(id)) {
       return;
     }
-    RequestAnswer answer = RequestAnswer.phase(DeskCode.ACCEPTED, phase);
+    RequestAnswer answer = RequestAnswer.phase(AnswerCode.ACCEPTED, phase);
     recentAnswers.add(id, answer, now);
     Caller caller = callers.remove(id);
     if (caller != null) {
@@ -311,7 +311,7 @@
       if (job.started) {
         // A repeated request may still arrive. It must not be refused, because a refusal states
         // that no task has run.
-        recentAnswers.add(id, RequestAnswer.of(DeskCode.UNANSWERED), now);
+        recentAnswers.add(id, RequestAnswer.of(AnswerCode.UNANSWERED), now);
       }
     }
   }
@@ -320,7 +320,7 @@
     decisions.accept(Decision.of(event, subject, outcome, inputs));
   }
 
-  private void answer(Caller caller, DeskCode code) {
+  private void answer(Caller caller, AnswerCode code) {
     answer(caller, RequestAnswer.of(code));
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/configuration/ConfigurationControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/configuration/ConfigurationControllerTest.java
@@ -13,9 +13,9 @@
 import org.cassiastack.consensus.ProposalRefused;
 import org.cassiastack.consensus.ProposeCommand;
 import org.cassiastack.consensus.SingleMemberLog;
+import org.cassiastack.consensus.SnapshotRequested;
 import org.cassiastack.consensus.SnapshotRestored;
 import org.cassiastack.consensus.SnapshotTaken;
-import org.cassiastack.consensus.SnapshotWanted;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Raise;
@@ -125,7 +125,7 @@
     for (int i = 0; i < 500; i++) {
       run(request(new UUID(5, i), new ChangeId(new UUID(6, i)), i, i), log, controller);
     }
-    SnapshotTaken taken = (SnapshotTaken) run(new SnapshotWanted(500), controller).get(0);
+    SnapshotTaken taken = (SnapshotTaken) run(new SnapshotRequested(500), controller).get(0);
 
     ConfigurationController restarted = ConfigurationController.create(codec);
     List<Event> restored = run(new SnapshotRestored(500, taken.state()), restarted);
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeMember.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeMember.java
@@ -142,7 +142,7 @@
       }
     } else if (event instanceof SnapshotRestored s) {
       state = s.state().toText();
-    } else if (event instanceof SnapshotWanted w) {
+    } else if (event instanceof SnapshotRequested w) {
       events.add(new SnapshotTaken(w.index(), Payload.ofText(state)));
     } else if (event instanceof LeaderChanged c) {
       leaderView = c;
--- a/cassiastack-core/src/test/java/org/cassiastack/request/DeskCodeTableTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/request/AnswerCodeTableTest.java
@@ -8,13 +8,13 @@
 import org.cassiastack.model.CodeTable;
 import org.junit.jupiter.api.Test;
 
-class DeskCodeTableTest {
+class AnswerCodeTableTest {
   @Test
   void the_table_in_the_docs_lists_exactly_the_codes_in_order() throws IOException {
     List<String> rows = CodeTable.rows("QUEUES.md");
 
     assertThat(rows)
         .containsExactlyElementsOf(
-            Arrays.stream(DeskCode.values()).map(c -> c.number() + " " + c.name()).toList());
+            Arrays.stream(AnswerCode.values()).map(c -> c.number() + " " + c.name()).toList());
   }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/request/CallerRequestFiltersTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/request/CallerRequestFiltersTest.java
@@ -12,14 +12,14 @@
 class CallerRequestFiltersTest {
   private static final Instant NOW = Instant.parse("2026-12-04T08:00:00Z");
   private static final FilterChain<CallerRequest, RequestAnswer> LEADER =
-      (request, now) -> Mono.just(RequestAnswer.of(DeskCode.ACCEPTED));
+      (request, now) -> Mono.just(RequestAnswer.of(AnswerCode.ACCEPTED));
 
   @Test
   void refuses_every_request_while_the_condition_holds() {
     FilterChain<CallerRequest, RequestAnswer> chain =
         FilterChain.of(List.of(CallerRequestFilters.refuseWhile(() -> true)), LEADER);
 
-    assertThat(code(chain, Duration.ofSeconds(1))).isEqualTo(DeskCode.NO_LEADER);
+    assertThat(code(chain, Duration.ofSeconds(1))).isEqualTo(AnswerCode.NO_LEADER);
   }
 
   @Test
@@ -27,8 +27,8 @@
     FilterChain<CallerRequest, RequestAnswer> chain =
         FilterChain.of(List.of(CallerRequestFilters.refuseExpired()), LEADER);
 
-    assertThat(code(chain, Duration.ZERO)).isEqualTo(DeskCode.TOO_LATE);
-    assertThat(code(chain, Duration.ofMillis(-5))).isEqualTo(DeskCode.TOO_LATE);
+    assertThat(code(chain, Duration.ZERO)).isEqualTo(AnswerCode.TOO_LATE);
+    assertThat(code(chain, Duration.ofMillis(-5))).isEqualTo(AnswerCode.TOO_LATE);
   }
 
   @Test
@@ -40,10 +40,11 @@
                 CallerRequestFilters.refuseExpired()),
             LEADER);
 
-    assertThat(code(chain, Duration.ofSeconds(1))).isEqualTo(DeskCode.ACCEPTED);
+    assertThat(code(chain, Duration.ofSeconds(1))).isEqualTo(AnswerCode.ACCEPTED);
   }
 
-  private static DeskCode code(FilterChain<CallerRequest, RequestAnswer> chain, Duration timeout) {
+  private static AnswerCode code(
+      FilterChain<CallerRequest, RequestAnswer> chain, Duration timeout) {
     QueueAddress address = new QueueAddress("h", "/p/1");
     CallerRequest request =
         new CallerRequest(
--- a/cassiastack-core/src/test/java/org/cassiastack/request/LeaderRequestControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/request/LeaderRequestControllerTest.java
@@ -31,17 +31,18 @@
   void sends_a_request_to_the_leader_and_passes_on_the_answer() {
     on(notice(FIRST, 1, FIRST), 0);
 
-    List<Effect> sent = on(deskCall(), 0);
-    List<Effect> answered = on(reply(FIRST, DeskCode.FOUND), 5);
+    List<Effect> sent = on(requestPosted(), 0);
+    List<Effect> answered = on(reply(FIRST, AnswerCode.FOUND), 5);
 
     assertThat(sent).containsExactly(new Send(FIRST, REQUEST));
-    assertThat(answered).containsExactly(new RequestAnswered(1, RequestAnswer.of(DeskCode.FOUND)));
+    assertThat(answered)
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.FOUND)));
   }
 
   @Test
   void sends_a_request_again_to_the_next_leader() {
     on(notice(FIRST, 1, FIRST), 0);
-    on(deskCall(), 0);
+    on(requestPosted(), 0);
 
     List<Effect> effects = on(notice(SECOND, 2, SECOND), 50);
 
@@ -57,13 +58,14 @@
 
   @Test
   void refuses_a_request_after_a_short_wait_without_a_leader() {
-    on(deskCall(), 0);
+    on(requestPosted(), 0);
 
     List<Effect> early = on(new Tick(), 200);
     List<Effect> late = on(new Tick(), 301);
 
     assertThat(early).isEmpty();
-    assertThat(late).containsExactly(new RequestAnswered(1, RequestAnswer.of(DeskCode.NO_LEADER)));
+    assertThat(late)
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.NO_LEADER)));
   }
 
   @Test
@@ -72,10 +74,10 @@
     on(new PeerDisconnected(FIRST), 10);
     on(new Tick(), 710);
 
-    List<Effect> effects = on(deskCall(), 711);
+    List<Effect> effects = on(requestPosted(), 711);
 
     assertThat(effects)
-        .containsExactly(new RequestAnswered(1, RequestAnswer.of(DeskCode.NO_LEADER)));
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.NO_LEADER)));
   }
 
   @Test
@@ -84,13 +86,13 @@
     on(notice(FIRST, 1, FIRST), 2_000);
     on(new PeerDisconnected(FIRST), 2_010);
 
-    assertThat(on(deskCall(), 2_020)).isEmpty();
+    assertThat(on(requestPosted(), 2_020)).isEmpty();
   }
 
   @Test
   void reports_a_request_as_unanswered_if_a_leader_may_have_received_it() {
     on(notice(FIRST, 1, FIRST), 0);
-    on(deskCall(), 0);
+    on(requestPosted(), 0);
     on(new PeerDisconnected(FIRST), 10);
 
     List<Effect> beforeDeadline = on(new Tick(), 500);
@@ -98,87 +100,87 @@
 
     assertThat(beforeDeadline).isEmpty();
     assertThat(atDeadline)
-        .containsExactly(new RequestAnswered(1, RequestAnswer.of(DeskCode.UNANSWERED)));
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.UNANSWERED)));
   }
 
   @Test
   void a_not_leader_answer_from_the_only_receiver_proves_that_a_request_had_no_effect() {
     on(notice(FIRST, 1, FIRST), 0);
-    on(deskCall(), 0);
-    on(reply(FIRST, DeskCode.NOT_LEADER), 5);
+    on(requestPosted(), 0);
+    on(reply(FIRST, AnswerCode.NOT_LEADER), 5);
     on(notice(FIRST, 1, null), 6);
 
     List<Effect> effects = on(new Tick(), 400);
 
     assertThat(effects)
-        .containsExactly(new RequestAnswered(1, RequestAnswer.of(DeskCode.NO_LEADER)));
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.NO_LEADER)));
   }
 
   @Test
   void a_refusal_by_a_second_leader_does_not_prove_that_a_job_has_not_run() {
     on(notice(FIRST, 1, FIRST), 0);
-    on(new DeskCall(submission(), NOW.plusSeconds(1)), 0);
+    on(new RequestPosted(submission(), NOW.plusSeconds(1)), 0);
     on(notice(SECOND, 2, SECOND), 50);
 
-    List<Effect> effects = on(reply(SECOND, DeskCode.OVERLOADED), 55);
+    List<Effect> effects = on(reply(SECOND, AnswerCode.OVERLOADED), 55);
 
     assertThat(effects)
-        .containsExactly(new RequestAnswered(1, RequestAnswer.of(DeskCode.UNANSWERED)));
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.UNANSWERED)));
   }
 
   @Test
   void a_refusal_of_a_repeated_job_is_passed_on_if_only_one_leader_got_the_job() {
     on(notice(FIRST, 1, FIRST), 0);
-    on(new DeskCall(submission(), NOW.plusSeconds(1)), 0);
+    on(new RequestPosted(submission(), NOW.plusSeconds(1)), 0);
     on(new Tick(), 400);
 
-    List<Effect> effects = on(reply(FIRST, DeskCode.OVERLOADED), 410);
+    List<Effect> effects = on(reply(FIRST, AnswerCode.OVERLOADED), 410);
 
     assertThat(effects)
-        .containsExactly(new RequestAnswered(1, RequestAnswer.of(DeskCode.OVERLOADED)));
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.OVERLOADED)));
   }
 
   @Test
   void a_refusal_by_a_leader_in_its_second_term_does_not_prove_that_a_job_has_not_run() {
     on(notice(FIRST, 1, FIRST), 0);
-    on(new DeskCall(submission(), NOW.plusSeconds(1)), 0);
+    on(new RequestPosted(submission(), NOW.plusSeconds(1)), 0);
     on(notice(FIRST, 1, null), 10);
     on(notice(FIRST, 2, FIRST), 20);
 
-    List<Effect> effects = on(reply(FIRST, DeskCode.OVERLOADED), 30);
+    List<Effect> effects = on(reply(FIRST, AnswerCode.OVERLOADED), 30);
 
     assertThat(effects)
-        .containsExactly(new RequestAnswered(1, RequestAnswer.of(DeskCode.UNANSWERED)));
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.UNANSWERED)));
   }
 
   @Test
   void a_refusal_in_a_later_term_does_not_prove_that_a_job_sent_earlier_has_not_run() {
     on(notice(FIRST, 1, FIRST), 0);
-    on(new DeskCall(submission(), NOW.plusSeconds(9)), 0);
+    on(new RequestPosted(submission(), NOW.plusSeconds(9)), 0);
     on(new Tick(), 400);
 
-    List<Effect> effects = on(reply(FIRST, DeskCode.OVERLOADED, 2), 410);
+    List<Effect> effects = on(reply(FIRST, AnswerCode.OVERLOADED, 2), 410);
 
     assertThat(effects)
-        .containsExactly(new RequestAnswered(1, RequestAnswer.of(DeskCode.UNANSWERED)));
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.UNANSWERED)));
   }
 
   @Test
   void a_refusal_after_the_connection_was_lost_does_not_prove_that_a_job_has_not_run() {
     on(notice(FIRST, 1, FIRST), 0);
-    on(new DeskCall(submission(), NOW.plusSeconds(9)), 0);
+    on(new RequestPosted(submission(), NOW.plusSeconds(9)), 0);
     on(new PeerDisconnected(FIRST), 100);
     on(notice(FIRST, 1, FIRST), 6_000);
 
-    List<Effect> effects = on(reply(FIRST, DeskCode.OVERLOADED), 6_010);
+    List<Effect> effects = on(reply(FIRST, AnswerCode.OVERLOADED), 6_010);
 
     assertThat(effects)
-        .containsExactly(new RequestAnswered(1, RequestAnswer.of(DeskCode.UNANSWERED)));
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.UNANSWERED)));
   }
 
   @Test
   void sends_the_wait_time_of_a_job_to_the_next_leader() {
-    on(new DeskCall(submission(), NOW.plusSeconds(1)), 0);
+    on(new RequestPosted(submission(), NOW.plusSeconds(1)), 0);
 
     List<Effect> effects = on(notice(FIRST, 1, FIRST), 250);
 
@@ -189,7 +191,7 @@
   @Test
   void repeats_a_request_with_increasing_delay_while_the_leader_does_not_answer() {
     on(notice(FIRST, 1, FIRST), 0);
-    on(new DeskCall(REQUEST, NOW.plusSeconds(60)), 0);
+    on(new RequestPosted(REQUEST, NOW.plusSeconds(60)), 0);
 
     List<Long> sentAt = new ArrayList<>();
     for (long millis = 100; millis <= 7_000; millis += 100) {
@@ -204,7 +206,7 @@
   @Test
   void repeats_a_request_that_the_leader_does_not_answer() {
     on(notice(FIRST, 1, FIRST), 0);
-    on(deskCall(), 0);
+    on(requestPosted(), 0);
 
     assertThat(on(new Tick(), 300)).isEmpty();
     assertThat(on(new Tick(), 400))
@@ -221,8 +223,8 @@
     return controller.on(event, NOW.plusMillis(millis));
   }
 
-  private static DeskCall deskCall() {
-    return new DeskCall(REQUEST, NOW.plus(Duration.ofSeconds(1)));
+  private static RequestPosted requestPosted() {
+    return new RequestPosted(REQUEST, NOW.plus(Duration.ofSeconds(1)));
   }
 
   private static SubmitJob submission() {
@@ -235,11 +237,11 @@
     return new Received(from, new LeaderNotice(term, leader, List.of(FIRST, SECOND)));
   }
 
-  private static Received reply(NodeId from, DeskCode code) {
+  private static Received reply(NodeId from, AnswerCode code) {
     return reply(from, code, 1);
   }
 
-  private static Received reply(NodeId from, DeskCode code, long term) {
+  private static Received reply(NodeId from, AnswerCode code, long term) {
     return new Received(from, new LeaderReply(1, RequestAnswer.of(code), term));
   }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderBacklogLoadTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderBacklogLoadTest.java
@@ -3,7 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import org.cassiastack.request.DeskCode;
+import org.cassiastack.request.AnswerCode;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -46,7 +46,7 @@
     simulation.pauseLeader(ELECTION);
     simulation.run(ELECTION.plus(RECOVERY).plus(MEASUREMENT));
 
-    assertThat(simulation.answers(DeskCode.OVERLOADED)).isPositive();
+    assertThat(simulation.answers(AnswerCode.OVERLOADED)).isPositive();
     assertThat(simulation.unansweredUnstartedJobs()).isZero();
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
@@ -12,8 +12,8 @@
 import org.cassiastack.queue.QueuedJob;
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.queue.QueuedTaskId;
+import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.AskJob;
-import org.cassiastack.request.DeskCode;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.runs.ActiveRun;
@@ -33,7 +33,7 @@
       request(SubmitJob.of(++lastRequestId, ADDRESS, job, Duration.ofSeconds(9)));
     }
 
-    assertThat(answers).extracting(RequestAnswer::code).doesNotContain(DeskCode.OVERLOADED);
+    assertThat(answers).extracting(RequestAnswer::code).doesNotContain(AnswerCode.OVERLOADED);
   }
 
   @Test
@@ -121,7 +121,7 @@
 
     request(new AskJob(++lastRequestId, ADDRESS));
 
-    assertThat(answers).containsExactly(RequestAnswer.of(DeskCode.NOT_LEADER));
+    assertThat(answers).containsExactly(RequestAnswer.of(AnswerCode.NOT_LEADER));
   }
 
   @Test
@@ -132,7 +132,7 @@
 
     request(new AskJob(++lastRequestId, ADDRESS));
 
-    assertThat(answers).containsExactly(RequestAnswer.of(DeskCode.NO_SUCH_JOB));
+    assertThat(answers).containsExactly(RequestAnswer.of(AnswerCode.NO_SUCH_JOB));
   }
 
   @Test
@@ -167,6 +167,7 @@
 
     assertThat(started()).isEmpty();
     assertThat(stops).isEmpty();
-    assertThat(answers).containsExactly(RequestAnswer.phase(DeskCode.ACCEPTED, JobPhase.COMPLETED));
+    assertThat(answers)
+        .containsExactly(RequestAnswer.phase(AnswerCode.ACCEPTED, JobPhase.COMPLETED));
   }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -10,7 +10,7 @@
 import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.QueuedJob;
 import org.cassiastack.queue.QueuedJobId;
-import org.cassiastack.request.DeskCode;
+import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.request.SwitchDomain;
@@ -25,7 +25,7 @@
   void accepts_and_starts_a_durable_job_once_it_is_committed() {
     submit(2, true);
 
-    assertThat(answers).containsExactly(RequestAnswer.of(DeskCode.ACCEPTED));
+    assertThat(answers).containsExactly(RequestAnswer.of(AnswerCode.ACCEPTED));
     assertThat(started()).hasSize(2);
   }
 
@@ -68,7 +68,8 @@
     report(agent, List.of(), List.of(new EndedRun(1, started().get(0), RunOutcome.DONE)));
 
     assertThat(answersBeforeEnd).isEmpty();
-    assertThat(answers).containsExactly(RequestAnswer.phase(DeskCode.ACCEPTED, JobPhase.COMPLETED));
+    assertThat(answers)
+        .containsExactly(RequestAnswer.phase(AnswerCode.ACCEPTED, JobPhase.COMPLETED));
   }
 
   @Test
@@ -86,7 +87,7 @@
         SubmitJob.of(
             ++lastRequestId, ADDRESS, job(List.of(step(1, 9_000)), true), Duration.ofSeconds(1)));
 
-    assertThat(answers).containsExactly(RequestAnswer.of(DeskCode.UNSUPPORTED));
+    assertThat(answers).containsExactly(RequestAnswer.of(AnswerCode.UNSUPPORTED));
   }
 
   @Test
@@ -96,9 +97,9 @@
       request(SubmitJob.of(++lastRequestId, ADDRESS, job, Duration.ofSeconds(9)));
     }
 
-    assertThat(answers).extracting(RequestAnswer::code).contains(DeskCode.OVERLOADED);
+    assertThat(answers).extracting(RequestAnswer::code).contains(AnswerCode.OVERLOADED);
     assertThat(answers)
-        .filteredOn(a -> a.code() == DeskCode.OVERLOADED)
+        .filteredOn(a -> a.code() == AnswerCode.OVERLOADED)
         .allMatch(a -> a.retryAfter().compareTo(Duration.ofSeconds(1)) >= 0);
   }
 
@@ -118,7 +119,7 @@
     on(new Tick());
 
     assertThat(answersBeforeUseless).isEmpty();
-    assertThat(answers).extracting(RequestAnswer::code).containsExactly(DeskCode.OVERLOADED);
+    assertThat(answers).extracting(RequestAnswer::code).containsExactly(AnswerCode.OVERLOADED);
   }
 
   @Test
@@ -174,7 +175,7 @@
         SubmitJob.of(
             lastRequestId, ADDRESS, job(List.of(step(1, 1_000)), false), Duration.ofSeconds(1)));
 
-    assertThat(answers).containsExactly(RequestAnswer.of(DeskCode.UNSUPPORTED));
+    assertThat(answers).containsExactly(RequestAnswer.of(AnswerCode.UNSUPPORTED));
     assertThat(started()).isEmpty();
   }
 
@@ -186,7 +187,7 @@
 
     request(late.withAdditionalWait(Duration.ofMillis(700)));
 
-    assertThat(answers).extracting(RequestAnswer::code).containsExactly(DeskCode.OVERLOADED);
+    assertThat(answers).extracting(RequestAnswer::code).containsExactly(AnswerCode.OVERLOADED);
     assertThat(started()).isEmpty();
   }
 
@@ -201,6 +202,6 @@
             lastRequestId, ADDRESS, job(List.of(step(2, 1_000)), false), Duration.ofSeconds(1));
     request(repeat.withAdditionalWait(Duration.ofMillis(900)));
 
-    assertThat(answers).extracting(RequestAnswer::code).containsExactly(DeskCode.UNANSWERED);
+    assertThat(answers).extracting(RequestAnswer::code).containsExactly(AnswerCode.UNANSWERED);
   }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadSimulation.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadSimulation.java
@@ -36,13 +36,13 @@
 import org.cassiastack.queue.QueuedJob;
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.queue.StepSpec;
-import org.cassiastack.request.DeskCall;
-import org.cassiastack.request.DeskCode;
+import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.LeaderNotice;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.LeaderRequestController;
 import org.cassiastack.request.QueueAddress;
 import org.cassiastack.request.RequestAnswered;
+import org.cassiastack.request.RequestPosted;
 import org.cassiastack.request.StoreConfiguration;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.runs.RunId;
@@ -86,7 +86,7 @@
   private int unansweredUnstartedJobs;
   private Duration lastObjective = Duration.ZERO;
   private final Set<QueuedJobId> startedJobs = new HashSet<>();
-  private final Map<DeskCode, Integer> answers = new EnumMap<>(DeskCode.class);
+  private final Map<AnswerCode, Integer> answers = new EnumMap<>(AnswerCode.class);
 
   private boolean leaderBusy;
   private Instant leaderPausedUntil = Instant.MIN;
@@ -154,7 +154,7 @@
   }
 
   /** Returns the number of jobs that were answered with a code. */
-  int answers(DeskCode code) {
+  int answers(AnswerCode code) {
     return answers.getOrDefault(code, 0);
   }
 
@@ -276,7 +276,7 @@
     QueuedJob job = new QueuedJob(id, "spec", steps, false);
     Duration timeout = objective.plus(TIMEOUT_MARGIN);
     SubmitJob submit = SubmitJob.of(lastRequestId, address, job, timeout);
-    handleAtEntry(new DeskCall(submit, now().plus(timeout)));
+    handleAtEntry(new RequestPosted(submit, now().plus(timeout)));
   }
 
   private void recordAnswer(RequestAnswered a) {
@@ -284,9 +284,10 @@
     if (s != null) {
       answers.merge(a.answer().code(), 1, Integer::sum);
       boolean unansweredUnstarted =
-          a.answer().code() == DeskCode.UNANSWERED && !startedJobs.contains(s.job);
+          a.answer().code() == AnswerCode.UNANSWERED && !startedJobs.contains(s.job);
       unansweredUnstartedJobs += unansweredUnstarted ? 1 : 0;
-      jobsOnTime += a.answer().code() == DeskCode.ACCEPTED && !now().isAfter(s.objectiveAt) ? 1 : 0;
+      jobsOnTime +=
+          a.answer().code() == AnswerCode.ACCEPTED && !now().isAfter(s.objectiveAt) ? 1 : 0;
     }
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
@@ -26,13 +26,13 @@
 import org.cassiastack.queue.QueuedJob;
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.queue.StepSpec;
+import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.CancelJob;
-import org.cassiastack.request.DeskCall;
-import org.cassiastack.request.DeskCode;
 import org.cassiastack.request.QueueAddress;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.RequestAnswered;
+import org.cassiastack.request.RequestPosted;
 import org.cassiastack.request.StoreConfiguration;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.runs.RunId;
@@ -141,7 +141,7 @@
             Duration.ofSeconds(20));
     lastRequestId++;
     QueueConfiguration c = new QueueConfiguration(version, List.of(q), Payload.ofText("v"));
-    entry().on(new DeskCall(new StoreConfiguration(lastRequestId, c), now().plusSeconds(5)));
+    entry().on(new RequestPosted(new StoreConfiguration(lastRequestId, c), now().plusSeconds(5)));
   }
 
   /**
@@ -172,36 +172,36 @@
     submissions.put(job.id(), lastRequestId);
     Duration timeout = Duration.ofMillis(1_500);
     SubmitJob s = SubmitJob.of(lastRequestId, address(job.id()), job, timeout);
-    entry().on(new DeskCall(s, now().plus(timeout)));
+    entry().on(new RequestPosted(s, now().plus(timeout)));
   }
 
   void cancel(QueuedJobId id) {
     lastRequestId++;
     cancellations.put(id, lastRequestId);
-    entry().on(new DeskCall(new CancelJob(lastRequestId, address(id)), now().plusSeconds(1)));
+    entry().on(new RequestPosted(new CancelJob(lastRequestId, address(id)), now().plusSeconds(1)));
   }
 
   boolean wasAccepted(QueuedJobId id) {
     RequestAnswer a = answers.get(submissions.get(id));
-    return a != null && a.code() == DeskCode.ACCEPTED;
+    return a != null && a.code() == AnswerCode.ACCEPTED;
   }
 
   boolean wasRefused(QueuedJobId id) {
     RequestAnswer a = answers.get(submissions.get(id));
-    return a != null && a.code() != DeskCode.ACCEPTED && a.code() != DeskCode.UNANSWERED;
+    return a != null && a.code() != AnswerCode.ACCEPTED && a.code() != AnswerCode.UNANSWERED;
   }
 
   boolean wasCancelled(QueuedJobId id) {
     Long requestId = cancellations.get(id);
     RequestAnswer a = requestId == null ? null : answers.get(requestId);
-    return a != null && a.code() == DeskCode.ACCEPTED;
+    return a != null && a.code() == AnswerCode.ACCEPTED;
   }
 
   /** Queries a job, and runs the simulation until the answer arrives; null after 2.2 s. */
   RequestAnswer query(QueuedJobId id) {
     lastRequestId++;
     long requestId = lastRequestId;
-    entry().on(new DeskCall(new AskJob(requestId, address(id)), now().plusSeconds(2)));
+    entry().on(new RequestPosted(new AskJob(requestId, address(id)), now().plusSeconds(2)));
     for (int i = 0; i < 220 && !answers.containsKey(requestId); i++) {
       run(10);
     }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/LeaderClient.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/LeaderClient.java
@@ -12,12 +12,12 @@
 import org.cassiastack.filter.FilterChain;
 import org.cassiastack.filter.RequestFilter;
 import org.cassiastack.model.Incarnation;
+import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.CallerRequest;
-import org.cassiastack.request.DeskCall;
-import org.cassiastack.request.DeskCode;
 import org.cassiastack.request.LeaderRequest;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.RequestAnswered;
+import org.cassiastack.request.RequestPosted;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
@@ -57,7 +57,8 @@
         sink -> {
           long requestId = lastRequestId.incrementAndGet();
           pendingRequests.put(requestId, sink);
-          events.accept(new DeskCall(requestFactory.apply(requestId), time.now().plus(timeout)));
+          events.accept(
+              new RequestPosted(requestFactory.apply(requestId), time.now().plus(timeout)));
         });
   }
 
@@ -73,12 +74,12 @@
   }
 
   /**
-   * Answers every pending request with {@link DeskCode#UNANSWERED}: it is not known whether the
+   * Answers every pending request with {@link AnswerCode#UNANSWERED}: it is not known whether the
    * request had an effect.
    */
   public void answerPendingAsUnanswered() {
     for (long requestId : pendingRequests.keySet()) {
-      onAnswered(new RequestAnswered(requestId, RequestAnswer.of(DeskCode.UNANSWERED)));
+      onAnswered(new RequestAnswered(requestId, RequestAnswer.of(AnswerCode.UNANSWERED)));
     }
   }
 
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
@@ -9,11 +9,13 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
+import java.util.Map;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.LoopTurn;
 import org.cassiastack.protocol.Received;
+import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.CallerRequest;
-import org.cassiastack.request.DeskCode;
+import org.cassiastack.request.RequestPosted;
 import org.cassiastack.schedule.PlacementStats;
 
 /**
@@ -22,6 +24,9 @@
  * @since 0.2
  */
 public final class QueueMetrics {
+  /** Names of event types in labels where the type was renamed; a label keeps its value. */
+  private static final Map<Class<?>, String> FORMER_NAMES = Map.of(RequestPosted.class, "DeskCall");
+
   /**
    * Upper bounds of the buckets of answer times, in seconds. Latency objectives range from 0.2 s to
    * 2 s, and an answer is useful for up to three times the objective.
@@ -102,7 +107,7 @@
   }
 
   /** Counts an answer to a caller by kind and code, and records the time from request to answer. */
-  public void recordAnswer(CallerRequest.Kind kind, DeskCode code, Duration answerTime) {
+  public void recordAnswer(CallerRequest.Kind kind, AnswerCode code, Duration answerTime) {
     answers.labelValues(kind.name(), code.name()).inc();
     answerTimes.labelValues(kind.name()).observe(seconds(answerTime));
   }
@@ -143,9 +148,8 @@
    * message.
    */
   static String eventType(Event event) {
-    return event instanceof Received r
-        ? r.message().getClass().getSimpleName()
-        : event.getClass().getSimpleName();
+    Class<?> type = event instanceof Received r ? r.message().getClass() : event.getClass();
+    return FORMER_NAMES.getOrDefault(type, type.getSimpleName());
   }
 
   private static double seconds(Duration duration) {
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/QueueMetricsTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/QueueMetricsTest.java
@@ -7,14 +7,20 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.cassiastack.controller.LoopTurn;
+import org.cassiastack.controller.Tick;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.decision.Decision;
+import org.cassiastack.request.AnswerCode;
+import org.cassiastack.request.AskQueueConfiguration;
 import org.cassiastack.request.CallerRequest;
-import org.cassiastack.request.DeskCode;
+import org.cassiastack.request.RequestPosted;
 import org.junit.jupiter.api.Test;
 
 class QueueMetricsTest {
@@ -33,7 +39,7 @@
 
   @Test
   void counts_each_refusal_by_its_code() {
-    metrics.recordAnswer(CallerRequest.Kind.SUBMIT, DeskCode.OVERLOADED, Duration.ofMillis(3));
+    metrics.recordAnswer(CallerRequest.Kind.SUBMIT, AnswerCode.OVERLOADED, Duration.ofMillis(3));
 
     assertThat(prometheusText())
         .contains("cassia_desk_answers_total{code=\"OVERLOADED\",kind=\"SUBMIT\"} 1.0");
@@ -52,6 +58,17 @@
         .contains("cassia_log_lines_dropped_total{event=\"run_gone\"}");
   }
 
+  @Test
+  void divides_the_time_of_a_turn_among_its_events_under_the_labels_that_dashboards_use() {
+    RequestPosted request = new RequestPosted(new AskQueueConfiguration(1), Instant.EPOCH);
+    metrics.recordLoopTurn(
+        new LoopTurn(List.of(request, new Tick()), Duration.ZERO, Duration.ofSeconds(4), 0));
+
+    assertThat(prometheusText())
+        .contains("cassia_loop_busy_seconds_total{event=\"DeskCall\"} 2.0")
+        .contains("cassia_loop_busy_seconds_total{event=\"Tick\"} 2.0");
+  }
+
   private String prometheusText() {
     return new String(metrics.prometheusText(), StandardCharsets.UTF_8);
   }
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -65,10 +65,10 @@
 import org.cassiastack.queue.QueuedTaskId;
 import org.cassiastack.queue.Resources;
 import org.cassiastack.queue.StepSpec;
+import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.AskQueueConfiguration;
 import org.cassiastack.request.CancelJob;
-import org.cassiastack.request.DeskCode;
 import org.cassiastack.request.LeaderNotice;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.QueueAddress;
@@ -146,7 +146,7 @@
         new StoreConfiguration(4, queues(payload)),
         new AskQueueConfiguration(5),
         new SwitchDomain(6, new FailureDomain("north"), true),
-        new LeaderReply(7, RequestAnswer.phase(DeskCode.FOUND, JobPhase.RUNNING), 4),
+        new LeaderReply(7, RequestAnswer.phase(AnswerCode.FOUND, JobPhase.RUNNING), 4),
         new LeaderReply(8, RequestAnswer.document(payload), 5),
         new AgentReport(
             INCARNATION,
