Replicated log: an odd number of voters, and patience after short-lived leaders

After all members had lost power, four leaders followed each other between 12.1 s and 15.6 s, none of which kept a quorum: members that had just started on 0.4 of a core did not answer in 300 ms. Leases depend on the settings only, as before.

--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/JoinPolicy.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/JoinPolicy.java
@@ -9,9 +9,9 @@
  *     start of a system: at a later start, nodes that have lost their disks cannot be distinguished
  *     from new nodes
  * @param unlistedAllowed whether nodes that the settings do not list may join
- * @param minVoters unresponsive voters are removed while there are more voters than this. When
- *     there are exactly this many, an unresponsive voter is removed only if a learner can replace
- *     it
+ * @param minVoters number of voters, if unlisted nodes may join; further members stand by as
+ *     learners. An unresponsive voter is removed only if a learner can replace it, or while there
+ *     are more voters than this
  * @param voterTimeout time without a reply after which a voter counts as unresponsive
  * @since 0.2
  */
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Election.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Election.java
@@ -23,6 +23,7 @@
     if (state.isLeader() || !state.isVoter() || now.isBefore(state.electionDeadline)) {
       return;
     }
+    state.onLeaderLost(now);
     state.resetElectionDeadline(now);
     state.role = Role.PRE_CANDIDATE;
     state.clearLeader();
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Follower.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Follower.java
@@ -87,7 +87,9 @@
   }
 
   private void onLeaderContact(RaftMessage r, Instant now) {
+    boolean newLeader = r.term() > state.term() || !r.from().equals(state.leader());
     state.becomeFollower(r.term(), r.from(), now);
+    state.onLeaderHeard(newLeader, now);
     state.lastLeaderContact = now;
     state.resetElectionDeadline(now);
     if (matchTerm != r.term()) {
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Leadership.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Leadership.java
@@ -36,6 +36,7 @@
 
   void begin(Instant now) {
     state.becomeLeader();
+    state.onLeaderHeard(true, now);
     followers.clear();
     electedAt = now;
     leaseUntil = Instant.MIN;
@@ -47,7 +48,8 @@
     if (!state.isLeader()) {
       return;
     }
-    if (quorumAnsweredAt(now).plus(state.settings.electionTimeout()).isBefore(now)) {
+    if (quorumAnsweredAt(now).plus(state.patience()).isBefore(now)) {
+      state.onLeaderLost(now);
       state.becomeFollower(state.term(), null, now);
     } else if (!now.isBefore(nextHeartbeat)) {
       heartbeat(now);
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/MemberChanges.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/MemberChanges.java
@@ -32,9 +32,11 @@
  * another data folder, that voter is removed once the learner has caught up, and then the learner
  * is promoted to voter.
  *
- * <p>If unlisted nodes may join, a learner on a node without a voter replaces an unresponsive
- * voter, and unresponsive voters are also removed while enough other voters remain. A removed
- * member that becomes responsive again sends a greeting to the other members and is added again.
+ * <p>If unlisted nodes may join, there are as many voters as the policy asks for, and further
+ * members stand by as learners: an even number of voters would bear no more losses, and no half of
+ * it could go on alone. A learner on a node without a voter replaces an unresponsive voter, which
+ * is removed first. A removed member that becomes responsive again sends a greeting to the other
+ * members and is added again.
  */
 final class MemberChanges {
   private static final long MICROS_PER_SECOND = 1_000_000;
@@ -200,33 +202,23 @@
     }
   }
 
-  private boolean removeUnresponsiveVoter(MemberSet members, Duration timeout, Instant now) {
+  private void removeUnresponsiveVoter(MemberSet members, Duration timeout, Instant now) {
     for (MemberId v : members.voters()) {
       if (!v.equals(state.self) && leadership.isUnresponsive(v, timeout, now)) {
         leadership.changeMembers(members.withoutVoter(v), now);
-        return true;
+        return;
       }
     }
-    return false;
-  }
-
-  /**
-   * Removes an unresponsive voter so that a learner can replace it. Does nothing while there are
-   * fewer than {@code minVoters} voters, so that the quorum does not shrink further. Returns
-   * whether a voter was removed.
-   */
-  private boolean replaceUnresponsiveVoter(MemberSet members, Duration timeout, Instant now) {
-    return members.voters().size() >= state.settings.joinPolicy().minVoters()
-        && removeUnresponsiveVoter(members, timeout, now);
   }
 
   private void promote(MemberId learner, MemberSet members, Instant now) {
     MemberId replaced = members.voterOf(learner.node());
     if (replaced == null) {
-      Duration timeout = state.settings.joinPolicy().voterTimeout();
-      if (!state.settings.joinPolicy().unlistedAllowed()
-          || !replaceUnresponsiveVoter(members, timeout, now)) {
+      JoinPolicy policy = state.settings.joinPolicy();
+      if (!policy.unlistedAllowed() || members.voters().size() < policy.minVoters()) {
         leadership.changeMembers(members.withPromoted(learner), now);
+      } else {
+        removeUnresponsiveVoter(members, policy.voterTimeout(), now);
       }
     } else if (!replaced.equals(state.self)) {
       leadership.changeMembers(members.withoutVoter(replaced), now);
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
@@ -27,6 +27,11 @@
  * handled.
  */
 final class RaftState {
+  private static final int MAX_TIMEOUT_DOUBLINGS = 2;
+
+  /** Number of election timeouts after which a leader counts as stable. */
+  private static final int STABLE_ELECTION_TIMEOUTS = 8;
+
   final RaftSettings settings;
   final MemberId self;
   final RaftLog log;
@@ -36,6 +41,12 @@
   Instant lastLeaderContact = Instant.MIN;
   Instant electionDeadline = Instant.MAX;
 
+  /** When the present leader was first heard of; {@link Instant#MIN} while there is none. */
+  private Instant leaderSince = Instant.MIN;
+
+  /** Number of leaders in a row that were lost soon after their elections. */
+  private int shortLivedLeaders;
+
   private final RandomGenerator random;
   private List<Effect> effects = new ArrayList<>();
   private long term;
@@ -113,8 +124,40 @@
     return drained;
   }
 
+  /** Records that a leader has been heard of, or that this member has been elected. */
+  void onLeaderHeard(boolean newLeader, Instant now) {
+    leaderSince = newLeader || leaderSince.equals(Instant.MIN) ? now : leaderSince;
+    if (!isShortLived(now)) {
+      shortLivedLeaders = 0;
+    }
+  }
+
+  /** Records that this member has given up the leader, if there was one. */
+  void onLeaderLost(Instant now) {
+    if (!leaderSince.equals(Instant.MIN)) {
+      shortLivedLeaders = isShortLived(now) ? shortLivedLeaders + 1 : 0;
+      leaderSince = Instant.MIN;
+    }
+  }
+
+  private boolean isShortLived(Instant now) {
+    Duration stable = settings.electionTimeout().multipliedBy(STABLE_ELECTION_TIMEOUTS);
+    return now.isBefore(leaderSince.plus(stable));
+  }
+
+  /**
+   * Returns the time without contact after which this member gives a leader up. From the second
+   * leader in a row on that is lost soon after its election it doubles with each, up to a maximum:
+   * members that are too busy to answer in time, as after a start of all processes, would otherwise
+   * elect one leader after the other. The lease of a leader depends on the settings only.
+   */
+  Duration patience() {
+    int doublings = Math.min(MAX_TIMEOUT_DOUBLINGS, Math.max(0, shortLivedLeaders - 1));
+    return settings.electionTimeout().multipliedBy(1L << doublings);
+  }
+
   void resetElectionDeadline(Instant now) {
-    long nanos = settings.electionTimeout().toNanos();
+    long nanos = patience().toNanos();
     electionDeadline = now.plus(Duration.ofNanos(nanos + random.nextLong(nanos)));
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftControllerTest.java
@@ -79,6 +79,23 @@
     assertThat(messages(effects)).containsExactly(new VoteReply(SELF, SECOND, 2, false, false));
   }
 
+  @Test
+  void waits_longer_for_an_election_when_two_leaders_were_lost_soon_after_theirs() {
+    Duration timeout = SETTINGS.electionTimeout();
+    on(new Tick());
+    for (long term = 2; term <= 3; term++) {
+      sync(receive(new AppendRequest(SECOND, SELF, term, now, 1, 1, 1, List.of())));
+      advanceTime(timeout.multipliedBy(2));
+      on(new Tick());
+    }
+    sync(receive(new AppendRequest(THIRD, SELF, 4, now, 1, 1, 1, List.of())));
+    advanceTime(timeout.multipliedBy(2).minusMillis(1));
+
+    List<Effect> effects = on(new Tick());
+
+    assertThat(messages(effects)).noneMatch(VoteRequest.class::isInstance);
+  }
+
   @Test
   void refuses_a_candidate_whose_log_is_behind() {
     controller = recovered(3, FIRST, LogEntry.noOp(2, 3));
