ControllerLoop: the time is read for each event of a turn

A process that was paused in the middle of a turn would have handled the rest at the time before the pause, and so could have answered a read of the configuration under a lease that had run out. Found by reading. Change: the time is read before each event and before the end of the turn. Result: ControllerLoopTest, an_event_is_handled_at_the_present_time_even_after_a_pause_within_its_turn, passes; not run against the code before.

--- a/cassiastack-core/src/main/java/org/cassiastack/controller/ControllerLoop.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/ControllerLoop.java
@@ -184,12 +184,15 @@
   private void handleTurn(List<Event> events, Instant now, Duration waitTime, int takenEvents) {
     try {
       Queue<Event> raised = new ArrayDeque<>();
+      // The time is read for each event and for the end: the process may be paused in the middle of
+      // a turn, and leases may have expired when it goes on.
+      Instant at = now;
       for (Event e : events) {
         raised.add(e);
-        handleAll(raised, now);
+        handleAll(raised, at);
+        at = time.now();
       }
-      // Decisions at the end of the turn depend on leases, which may have expired meanwhile.
-      endTurn(raised, events.size() > 1 ? time.now() : now);
+      endTurn(raised, at);
       Duration handlingTime = Duration.between(now, time.now());
       int waiting = queuedEvents.get() - takenEvents;
       listener.onHandled(new LoopTurn(events, waitTime, handlingTime, waiting));
--- a/cassiastack-core/src/test/java/org/cassiastack/controller/ControllerLoopTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/controller/ControllerLoopTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -18,6 +19,7 @@
 
 @Timeout(30)
 class ControllerLoopTest {
+  private static final Instant START = Instant.parse("2026-12-05T08:00:00Z");
   private static final Duration INTERVAL = Duration.ofMillis(1);
 
   private final BlockingQueue<LoopTurn> turns = new LinkedBlockingQueue<>();
@@ -40,6 +42,28 @@
     }
   }
 
+  @Test
+  void an_event_is_handled_at_the_present_time_even_after_a_pause_within_its_turn()
+      throws InterruptedException {
+    AtomicReference<Instant> clock = new AtomicReference<>(START);
+    BlockedController controller = new BlockedController();
+    controller.afterEach = () -> clock.updateAndGet(t -> t.plusSeconds(5));
+    try (ControllerLoop loop =
+        ControllerLoop.start(
+            "test", List.of(controller), e -> {}, clock::get, e -> {}, turns::add)) {
+      loop.post(new Numbered(0));
+      started.await();
+      loop.post(new Numbered(1));
+      loop.post(new Numbered(2));
+      released.countDown();
+      turns.take();
+      turns.take();
+
+      assertThat(controller.times)
+          .containsExactly(START, START.plusSeconds(5), START.plusSeconds(10));
+    }
+  }
+
   @Test
   void a_turn_is_ended_once_for_all_its_events_and_again_for_what_that_raises()
       throws InterruptedException {
@@ -123,14 +147,19 @@
 
   /** Blocks in the first event until the test releases it. */
   private final class BlockedController implements Controller {
+    final List<Instant> times = new ArrayList<>();
+    Runnable afterEach = () -> {};
+
     @Override
     public List<Effect> on(Event event, Instant now) {
+      times.add(now);
       started.countDown();
       try {
         released.await();
       } catch (InterruptedException e) {
         Thread.currentThread().interrupt();
       }
+      afterEach.run();
       return List.of();
     }
   }
