Leases of others do not run out by a leap of one's own clock

The time source takes that for a suspension and leaps with it, which ends the leases early that a process holds itself, and that is safe. But the leader also took the leases of its agents for expired and started their tasks again while they ran; a voter could have granted a vote while the lease of the leader held; an agent could have taken its lists for complete, and its minion's runs for ended, too early. Change: the time source tells how far it has leaped, and the loop raises ClockLeaped before the first event after a leap. Leader, member and agent move by it the times at which permissions of others end; their own permissions end early, as before.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
+import org.cassiastack.controller.ClockLeaped;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
@@ -54,6 +55,7 @@
   private Instant leaseUntil = Instant.MIN;
   private Instant reportedAt = Instant.MIN;
   private boolean reportDue;
+  private Duration totalLeap = Duration.ZERO;
 
   private AgentController(AgentSettings settings) {
     this.settings = settings;
@@ -92,6 +94,9 @@
           new LeaderViewChanged(null, tracker.members(), LeaderViewChanged.Cause.CONNECTION_LOST));
     } else if (event instanceof PeerConnected p && p.peer().equals(tracker.leader())) {
       reportDue = true;
+    } else if (event instanceof ClockLeaped c) {
+      totalLeap = totalLeap.plus(c.by());
+      minion.onClockLeaped(c.by());
     } else if (event instanceof Tick) {
       reportDue |= minion.onTick(now) || !now.isBefore(reportedAt.plus(REPORT_INTERVAL));
     }
@@ -198,6 +203,6 @@
    */
   private boolean areListsComplete(Instant now) {
     Duration maxRemainingTime = settings.maxLease().plus(settings.stopGrace());
-    return !now.isBefore(settings.processStartedAt().plus(maxRemainingTime));
+    return !now.isBefore(settings.processStartedAt().plus(totalLeap).plus(maxRemainingTime));
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionClock.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionClock.java
@@ -29,6 +29,13 @@
     }
   }
 
+  /** Records that the agent's clock, but not the minion's, has leaped. */
+  void onLocalClockLeaped(Duration leap) {
+    if (isKnown()) {
+      sampledAt = sampledAt.plus(leap);
+    }
+  }
+
   boolean isKnown() {
     return !sampledAt.equals(Instant.MIN);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -276,6 +276,17 @@
     return announced != null && applyAnnouncement(announced);
   }
 
+  /**
+   * Moves the time at which the runs have certainly ended, and the last reading of the minion's
+   * clock, which has not leaped.
+   */
+  void onClockLeaped(Duration leap) {
+    clock.onLocalClockLeaped(leap);
+    if (!runsExpireAt.equals(Instant.MIN)) {
+      runsExpireAt = runsExpireAt.plus(leap);
+    }
+  }
+
   /** Advances time; returns whether all runs are now known to have expired. */
   boolean onTick(Instant now) {
     if (nextHold.equals(Instant.MAX)) {
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftMember.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftMember.java
@@ -24,6 +24,7 @@
 import org.cassiastack.consensus.StorageFailed;
 import org.cassiastack.consensus.VoteReply;
 import org.cassiastack.consensus.VoteRequest;
+import org.cassiastack.controller.ClockLeaped;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Raise;
@@ -127,6 +128,8 @@
       leadership.advanceCommitIndex(now);
     } else if (event instanceof ProposeCommand p) {
       propose(p, now);
+    } else if (event instanceof ClockLeaped c) {
+      state.onClockLeaped(c.by());
     } else if (event instanceof HandLeadershipOver) {
       leadership.transferLeadership(now);
     } else if (event instanceof SnapshotTaken s) {
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
@@ -124,6 +124,19 @@
     return drained;
   }
 
+  /**
+   * Moves the deadlines up to which this member takes a leader for alive: a leap of its clock does
+   * not prove that the lease of that leader has run out.
+   */
+  void onClockLeaped(Duration leap) {
+    if (!lastLeaderContact.equals(Instant.MIN)) {
+      lastLeaderContact = lastLeaderContact.plus(leap);
+    }
+    if (!electionDeadline.equals(Instant.MAX)) {
+      electionDeadline = electionDeadline.plus(leap);
+    }
+  }
+
   /** Records that a leader has been heard of, or that this member has been elected. */
   void onLeaderHeard(boolean newLeader, Instant now) {
     leaderSince = newLeader || leaderSince.equals(Instant.MIN) ? now : leaderSince;
--- a/cassiastack-core/src/main/java/org/cassiastack/controller/ControllerLoop.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/ControllerLoop.java
@@ -25,6 +25,7 @@
  *       end the turn.
  *   <li>Effects go to the handler, except {@link Raise}: its event is passed to the controllers
  *       within the same turn, before the next posted event.
+ *   <li>A {@link ClockLeaped} comes before the first event after a leap of the time source.
  *   <li>A {@link Tick} comes when a controller needs one, at most once in a tick interval.
  *   <li>Between turns the thread blocks in its scheduler; it does not busy-wait.
  * </ol>
@@ -57,6 +58,7 @@
   private Instant lastTickAt = Instant.MIN;
   private Instant nextTickAt = Instant.MAX;
   private @Nullable Disposable scheduledTick;
+  private Duration knownLeap;
 
   private ControllerLoop(
       String name,
@@ -72,6 +74,7 @@
     this.listener = listener;
     this.scheduler = Schedulers.newSingle(name, true);
     this.worker = scheduler.createWorker();
+    this.knownLeap = time.totalLeap();
   }
 
   /**
@@ -188,10 +191,12 @@
       // a turn, and leases may have expired when it goes on.
       Instant at = now;
       for (Event e : events) {
+        raiseLeap(raised);
         raised.add(e);
         handleAll(raised, at);
         at = time.now();
       }
+      raiseLeap(raised);
       endTurn(raised, at);
       Duration handlingTime = Duration.between(now, time.now());
       int waiting = queuedEvents.get() - takenEvents;
@@ -201,6 +206,15 @@
     }
   }
 
+  /** Raises an event if the clock has leaped before the last reading of the time. */
+  private void raiseLeap(Queue<Event> raised) {
+    Duration leap = time.totalLeap();
+    if (leap.compareTo(knownLeap) > 0) {
+      raised.add(new ClockLeaped(leap.minus(knownLeap)));
+      knownLeap = leap;
+    }
+  }
+
   private void handleAll(Queue<Event> events, Instant now) {
     for (Event event = events.poll(); event != null; event = events.poll()) {
       for (Controller c : controllers) {
--- a/cassiastack-core/src/main/java/org/cassiastack/controller/SuspendAwareTimeSource.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/SuspendAwareTimeSource.java
@@ -22,6 +22,7 @@
   private Instant now;
   private Instant lastWall;
   private long lastNanos;
+  private Duration totalLeap = Duration.ZERO;
 
   private SuspendAwareTimeSource(Supplier<Instant> wallClock, LongSupplier monotonicNanos) {
     this.wallClock = wallClock;
@@ -43,8 +44,16 @@
     Duration wallElapsed = Duration.between(lastWall, wallNow);
     boolean suspended = wallElapsed.minus(monotonicElapsed).compareTo(MIN_SUSPENSION) > 0;
     now = now.plus(suspended ? wallElapsed : monotonicElapsed);
+    if (suspended) {
+      totalLeap = totalLeap.plus(wallElapsed).minus(monotonicElapsed);
+    }
     lastNanos = nanos;
     lastWall = wallNow;
     return now;
   }
+
+  @Override
+  public synchronized Duration totalLeap() {
+    return totalLeap;
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
@@ -15,6 +15,7 @@
 import org.cassiastack.consensus.SnapshotRequested;
 import org.cassiastack.consensus.SnapshotRestored;
 import org.cassiastack.consensus.SnapshotTaken;
+import org.cassiastack.controller.ClockLeaped;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
@@ -138,6 +139,10 @@
       if (t != null) {
         t.onReport(r.from(), report, now);
       }
+    } else if (event instanceof ClockLeaped c) {
+      if (t != null) {
+        t.onClockLeaped(c.by());
+      }
     } else if (event instanceof LeaseExtended l) {
       lease = l;
       if (t != null) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -217,6 +217,14 @@
     updateMedianSpeeds(now);
   }
 
+  /** Moves the times from which the leases of the agents are counted. */
+  void onClockLeaped(Duration leap) {
+    for (WorkerState w : workers.values()) {
+      w.leasedAt = w.leasedAt.equals(Instant.MIN) ? Instant.MIN : w.leasedAt.plus(leap);
+      w.reportedAt = w.reportedAt.equals(Instant.MIN) ? Instant.MIN : w.reportedAt.plus(leap);
+    }
+  }
+
   /** Marks the runs of a job as unwanted; their stops are ordered at the next tick. */
   void markRunsUnwanted(LiveJob job) {
     for (WorkerState w : workers.values()) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -39,7 +39,7 @@
   private final long fence;
   private final JobLedger ledger;
   private final ScheduleSettings settings;
-  private final Instant startedAt;
+  private Instant startedAt;
   private final PendingCommits commits;
   private final LiveJobs liveJobs = new LiveJobs();
   private final RunEventHandler runEvents;
@@ -135,6 +135,15 @@
     leadershipUntil = until.isAfter(leadershipUntil) ? until : leadershipUntil;
   }
 
+  /**
+   * Moves the times from which the leases of agents are counted: a leap of this process's clock
+   * does not prove that they have run out. The leadership lease of this process is not moved.
+   */
+  public void onClockLeaped(Duration leap) {
+    startedAt = startedAt.plus(leap);
+    fleet.onClockLeaped(leap);
+  }
+
   /** Returns whether the leadership lease is valid, so that no other member can be leader. */
   public boolean holdsLeadership(Instant now) {
     return now.isBefore(leadershipUntil);
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
+import org.cassiastack.controller.ClockLeaped;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Tick;
@@ -126,6 +127,24 @@
     assertThat(order(5, 1, RESTARTED_MINION)).anyMatch(CallStart.class::isInstance);
   }
 
+  @Test
+  void its_lists_do_not_become_complete_by_a_leap_of_its_clock() {
+    AgentController restarted =
+        AgentController.create(
+            new AgentSettings(
+                new Incarnation(8), now, Duration.ofSeconds(1), Duration.ofMillis(50)));
+    restarted.on(new Received(LEADER, new LeaderNotice(1, LEADER, List.of(LEADER))), now);
+    Instant later = now.plusSeconds(3);
+    restarted.on(new ClockLeaped(Duration.ofSeconds(3)), later);
+    restarted.on(announced(MINION, 1, false), later);
+
+    List<Effect> effects = restarted.endTurn(later);
+
+    assertThat(effects)
+        .anyMatch(
+            e -> e instanceof Send s && s.message() instanceof AgentReport r && !r.listsComplete());
+  }
+
   @Test
   void ignores_an_incarnation_that_claims_to_have_started_in_the_far_future() {
     failHold();
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/RaftControllerTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.UUID;
+import org.cassiastack.controller.ClockLeaped;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Raise;
@@ -79,6 +80,20 @@
     assertThat(messages(effects)).containsExactly(new VoteReply(SELF, SECOND, 2, false, false));
   }
 
+  @Test
+  void grants_no_vote_after_a_leap_of_its_clock_while_the_leader_may_hold_its_lease() {
+    on(new Tick());
+    advanceTime(SETTINGS.electionTimeout());
+    sync(receive(new AppendRequest(THIRD, SELF, 2, now, 1, 1, 1, List.of())));
+    Duration leap = SETTINGS.electionTimeout().multipliedBy(3);
+    advanceTime(leap);
+    on(new ClockLeaped(leap));
+
+    List<Effect> effects = receive(new VoteRequest(SECOND, SELF, 3, 9, 2, false));
+
+    assertThat(messages(effects)).containsExactly(new VoteReply(SELF, SECOND, 2, false, false));
+  }
+
   @Test
   void waits_longer_for_an_election_when_two_leaders_were_lost_soon_after_theirs() {
     Duration timeout = SETTINGS.electionTimeout();
--- a/cassiastack-core/src/test/java/org/cassiastack/controller/SuspendAwareTimeSourceTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/controller/SuspendAwareTimeSourceTest.java
@@ -29,6 +29,16 @@
     assertThat(time.now()).isEqualTo(START.plusSeconds(6));
   }
 
+  @Test
+  void tells_how_far_it_has_leaped_ahead_of_the_monotonic_clock() {
+    advanceBothClocks(Duration.ofSeconds(1));
+    time.now();
+    wall = wall.plusSeconds(5);
+    time.now();
+
+    assertThat(time.totalLeap()).isEqualTo(Duration.ofSeconds(5));
+  }
+
   @Test
   void does_not_go_back_with_the_wall_clock() {
     time.now();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import org.cassiastack.consensus.LeaderChanged;
 import org.cassiastack.consensus.LeaseExtended;
+import org.cassiastack.controller.ClockLeaped;
 import org.cassiastack.controller.Tick;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.queue.JobPhase;
@@ -24,6 +25,22 @@
 
 /** Tests what a new leader does before and after all agents have reported. */
 class LeaderChangeTest extends LeaderScenario {
+  @Test
+  void starts_no_task_again_because_the_clock_of_the_leader_has_leaped() {
+    submit(1, false);
+    int startsBefore = started().size();
+    Duration leap = Duration.ofSeconds(3);
+    now = now.plus(leap);
+    on(new ClockLeaped(leap));
+    on(new LeaseExtended(fence, now.plusSeconds(10)));
+    on(new Tick());
+    report(lastStartAgent.equals(FIRST) ? SECOND : FIRST, List.of(), List.of());
+    on(new Tick());
+
+    assertThat(startsBefore).isEqualTo(1);
+    assertThat(started()).hasSize(1);
+  }
+
   @Test
   void a_new_leader_does_not_refuse_jobs_as_overloaded_before_the_agents_have_reported() {
     lead(6);
