--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
@@ -92,16 +92,16 @@
     do {
       for (Event e = events.poll(); e != null && up; e = events.poll()) {
         for (Controller c : controllers) {
-          perform(c.on(e, simulation.now()), events);
+          performAll(c.on(e, simulation.now()), events);
         }
       }
       for (Controller c : up ? controllers : List.<Controller>of()) {
-        perform(c.endTurn(simulation.now()), events);
+        performAll(c.endTurn(simulation.now()), events);
       }
     } while (!events.isEmpty() && up);
   }
 
-  private void perform(List<Effect> effects, Queue<Event> events) {
+  private void performAll(List<Effect> effects, Queue<Event> events) {
     for (Effect f : effects) {
       if (f instanceof Raise r) {
         events.add(r.event());
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -148,18 +148,7 @@
         new SwitchDomain(6, new FailureDomain("north"), true),
         new LeaderReply(7, RequestAnswer.phase(AnswerCode.FOUND, JobPhase.RUNNING), 4),
         new LeaderReply(8, RequestAnswer.document(payload), 5),
-        new AgentReport(
-            INCARNATION,
-            ISSUED,
-            5,
-            profile(),
-            true,
-            true,
-            9,
-            Duration.ofMillis(40),
-            List.of(new ActiveRun(RUN, 40)),
-            List.of(RUN),
-            List.of(new EndedRun(3, RUN, RunOutcome.DONE))),
+        agentReport(),
         new AgentLease(5, ISSUED, Duration.ofSeconds(1), MINION_INCARNATION, 3),
         new AgentLease(5, ISSUED, Duration.ofSeconds(1), null, 0),
         new RunOrders(
@@ -171,6 +160,21 @@
             List.of(RUN)));
   }
 
+  private static AgentReport agentReport() {
+    return new AgentReport(
+        INCARNATION,
+        ISSUED,
+        5,
+        profile(),
+        true,
+        true,
+        9,
+        Duration.ofMillis(40),
+        List.of(new ActiveRun(RUN, 40)),
+        List.of(RUN),
+        List.of(new EndedRun(3, RUN, RunOutcome.DONE)));
+  }
+
   private static QueuedJob queuedJob() {
     StepSpec step = new StepSpec(4, 3_100, 64, 1, Duration.ofMillis(86), List.of(0), "a", "r1", 2);
     return new QueuedJob(new QueuedJobId(-1), "spec", List.of(step), true);
