--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -45,12 +45,6 @@
    */
   private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(400);
 
-  /**
-   * How far the start time of a new incarnation may be ahead of the agent's clock. A time further
-   * ahead would make every later incarnation look outdated.
-   */
-  private static final Duration MAX_START_TIME_LEAD = Duration.ofMinutes(10);
-
   private final AgentSettings settings;
   private final MinionClock clock = new MinionClock();
   private final PendingStarts starts = new PendingStarts();
@@ -62,6 +56,9 @@
    */
   private @Nullable MinionAnnounced successor;
 
+  /** Whether the current incarnation has ever answered a hold call. */
+  private boolean hasAnswered;
+
   private long sequence;
   private List<ActiveRun> running = List.of();
   private List<EndedRun> ended = List.of();
@@ -135,13 +132,11 @@
    */
   boolean onAnnounced(MinionAnnounced a, Instant now) {
     MinionProfile previous = profile;
-    if (previous == null || previous.life().equals(a.profile().life())) {
-      return applyAnnouncement(a);
-    }
-    if (!isPlausibleSuccessor(a.profile().life(), previous.life(), now)) {
+    MinionIncarnation current = previous == null ? null : previous.life();
+    if (!AnnouncementCheck.isPlausible(a.profile().life(), current, hasAnswered, now)) {
       return false;
     }
-    if (!isVerified(now)) {
+    if (current == null || current.equals(a.profile().life()) || !isVerified(now)) {
       return applyAnnouncement(a);
     }
     successor = a;
@@ -149,13 +144,6 @@
     return false;
   }
 
-  private static boolean isPlausibleSuccessor(
-      MinionIncarnation announced, MinionIncarnation current, Instant now) {
-    long latestStartMillis = now.plus(MAX_START_TIME_LEAD).toEpochMilli();
-    return announced.startedAtMillis() >= current.startedAtMillis()
-        && announced.startedAtMillis() <= latestStartMillis;
-  }
-
   private boolean applyAnnouncement(MinionAnnounced a) {
     MinionProfile previous = profile;
     boolean sameIncarnation = previous != null && previous.life().equals(a.profile().life());
@@ -248,6 +236,7 @@
     }
     holdInFlight = false;
     verifiedAt = holdSentAt;
+    hasAnswered = true;
     successor = null;
     answeredAt = now;
     clock.addSample(h.clockMillis(), now);
@@ -383,6 +372,7 @@
     acknowledgedThrough = 0;
     acknowledgedWhenListed = 0;
     successor = null;
+    hasAnswered = false;
     verifyAgain();
     runsExpireAt = Instant.MIN;
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/JoinPolicy.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/JoinPolicy.java
@@ -26,8 +26,7 @@
    * Returns the policy under which any node may join and may replace an unresponsive voter.
    *
    * @param bootstrapAllowed whether the nodes listed in the settings may bootstrap the log
-   * @param minVoters number of voters above which unresponsive voters are removed without
-   *     replacement
+   * @param minVoters number of voters; further members stand by as learners
    * @param voterTimeout time without a reply after which a voter counts as unresponsive
    */
   public static JoinPolicy unlistedAllowed(
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
@@ -27,6 +27,7 @@
  * handled.
  */
 final class RaftState {
+  /** Maximum number of times that the election timeout is doubled; see {@link #patience}. */
   private static final int MAX_TIMEOUT_DOUBLINGS = 2;
 
   /** Number of election timeouts after which a leader counts as stable. */
--- a/cassiastack-core/src/main/java/org/cassiastack/controller/Controller.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/controller/Controller.java
@@ -11,8 +11,8 @@
  *       controller, so its state needs no locks.
  *   <li>Its decisions depend only on its state, the event and the time that is passed in. It reads
  *       no clock, uses no source of randomness that was not given to it, and does no I/O.
- *   <li>It returns the actions to carry out as effects, in order. What has to be decided only once
- *       for several events, it decides at the end of the turn:
+ *   <li>What has to be decided only once for several events is decided at the end of the turn.
+ *   <li>It returns the actions to carry out as effects, in order:
  * </ol>
  *
  * <pre>{@code
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
@@ -135,6 +135,8 @@
         return;
       }
       t.onRequest(r.from(), request, now);
+      // An answer depends on the leadership lease, so it does not wait for the end of the turn.
+      effects.addAll(t.takeEffects());
     } else if (event instanceof Received r && r.message() instanceof AgentReport report) {
       if (t != null) {
         t.onReport(r.from(), report, now);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/ScheduleSettings.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/ScheduleSettings.java
@@ -16,11 +16,13 @@
  */
 public record ScheduleSettings(
     Duration lease, Duration leaseExpiryMargin, Duration retention, double remoteFactor) {
-  private static final double DEFAULT_REMOTE_FACTOR = 1.5;
+  /** The remote factor where none is given. */
+  public static final double DEFAULT_REMOTE_FACTOR = 1.5;
 
-  /** Creates settings with a remote factor of 1.5. */
-  public ScheduleSettings(Duration lease, Duration leaseExpiryMargin, Duration retention) {
-    this(lease, leaseExpiryMargin, retention, DEFAULT_REMOTE_FACTOR);
+  /** Returns settings with the default remote factor. */
+  public static ScheduleSettings of(
+      Duration lease, Duration leaseExpiryMargin, Duration retention) {
+    return new ScheduleSettings(lease, leaseExpiryMargin, retention, DEFAULT_REMOTE_FACTOR);
   }
 
   /**
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
@@ -145,6 +145,21 @@
             e -> e instanceof Send s && s.message() instanceof AgentReport r && !r.listsComplete());
   }
 
+  @Test
+  void follows_its_minion_although_another_writer_announced_a_later_incarnation_first() {
+    AgentController started =
+        AgentController.create(
+            new AgentSettings(
+                new Incarnation(8), now, Duration.ofSeconds(1), Duration.ofMillis(50)));
+    started.on(announced(RESTARTED_MINION, 1, false), now);
+    started.endTurn(now);
+
+    started.on(announced(MINION, 1, false), now.plusMillis(1));
+
+    assertThat(started.endTurn(now.plusMillis(1)))
+        .anyMatch(e -> e instanceof CallHold h && h.minionIncarnation().equals(MINION));
+  }
+
   @Test
   void ignores_an_incarnation_that_claims_to_have_started_in_the_far_future() {
     failHold();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -4,13 +4,18 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Tick;
 import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.NodeId;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.QueuedJob;
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.request.AnswerCode;
+import org.cassiastack.request.AskQueueConfiguration;
+import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.request.SwitchDomain;
@@ -21,6 +26,14 @@
 import org.junit.jupiter.api.Test;
 
 class LeaderControllerTest extends LeaderScenario {
+  @Test
+  void answers_a_read_with_its_event_and_not_at_the_end_of_the_turn() {
+    List<Effect> effects =
+        leader.on(new Received(ENTRY, new AskQueueConfiguration(++lastRequestId)), now);
+
+    assertThat(effects).anyMatch(e -> e instanceof Send s && s.message() instanceof LeaderReply);
+  }
+
   @Test
   void accepts_and_starts_a_durable_job_once_it_is_committed() {
     submit(2, true);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
@@ -61,7 +61,7 @@
   static final QueuedJobId ID = new QueuedJobId(0xaaL);
   static final QueueAddress ADDRESS = new QueueAddress("h", "/q/" + ID);
   static final ScheduleSettings SETTINGS =
-      new ScheduleSettings(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
+      ScheduleSettings.of(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
 
   static final Duration REPORT_INTERVAL = Duration.ofMillis(30);
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadSimulation.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadSimulation.java
@@ -66,7 +66,7 @@
   private static final Duration TIMEOUT_MARGIN = Duration.ofMillis(1_500);
   private static final double STRETCH = 1.6;
   private static final ScheduleSettings SETTINGS =
-      new ScheduleSettings(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
+      ScheduleSettings.of(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
 
   private final VirtualScheduler scheduler =
       new VirtualScheduler(Instant.parse("2026-12-04T08:00:00Z"));
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
@@ -47,7 +47,7 @@
   private static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
   static final Duration LEASE = Duration.ofSeconds(1);
   static final ScheduleSettings SCHEDULE_SETTINGS =
-      new ScheduleSettings(LEASE, Duration.ofMillis(150), Duration.ofMinutes(5));
+      ScheduleSettings.of(LEASE, Duration.ofMillis(150), Duration.ofMinutes(5));
   private static final int DISCONNECT_MILLIS = 900;
   private static final String HOST = "ice.example";
   private static final String PREFIX = "/checks/";
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/ControlNodeTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/ControlNodeTest.java
@@ -22,7 +22,7 @@
 class ControlNodeTest {
   private static final int POLL_MILLIS = 10;
   private static final ScheduleSettings SCHEDULE_SETTINGS =
-      new ScheduleSettings(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
+      ScheduleSettings.of(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
   private static final List<NodeId> MEMBERS =
       List.of(new NodeId("127.0.0.1"), new NodeId("127.0.0.2"), new NodeId("127.0.0.3"));
 
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/OperatorNodeTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/OperatorNodeTest.java
@@ -22,7 +22,7 @@
 class OperatorNodeTest {
   private static final int POLL_MILLIS = 10;
   private static final ScheduleSettings SCHEDULE_SETTINGS =
-      new ScheduleSettings(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
+      ScheduleSettings.of(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
   private static final NodeId FIRST = new NodeId("127.0.0.1");
   private static final NodeId SECOND = new NodeId("127.0.0.2");
   private static final NodeId THIRD = new NodeId("127.0.0.3");
