Review, case 5: an odd heartbeat makes tasks run at two minions at a time

Cause: an agent that has just been paused or restarted takes any well-formed heartbeat for its new minion, and the leader takes the report of another incarnation as proof that the runs of the former one have ended.

It takes the place of the case on evacuations, whose trial stays in review/src/review/LateOrder.java.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -9,4 +9,4 @@
 fi
 exec java -Xmx256m -Dsun.net.httpserver.nodelay=true \
   -Djdk.httpclient.allowRestrictedHeaders=host \
-  -cp 'target/review:target/platform/*' review.LateOrder review/5
+  -cp 'target/review:target/platform/*' review.OddHeartbeat review/5
--- a/review/src/review/Deployment.java
+++ b/review/src/review/Deployment.java
@@ -117,6 +117,11 @@
     }
   }
 
+  /** Freezes the process of a side machine, or lets it go on. */
+  void freezeSide(int i, boolean frozen) throws IOException, InterruptedException {
+    nodes.get(2 * EDGES + i).signal(frozen ? "STOP" : "CONT");
+  }
+
   private List<Node> edge(int i) {
     return List.of(nodes.get(i), nodes.get(EDGES + i));
   }
