Jobs whose queue is unknown are not accepted, and cannot keep a leader from starting

Cause: a job is admitted by the configuration in force, and up to two proposals of the leader precede its acceptance in the log. The ledger retained a removed queue for one further change. When both changes preceded the acceptance, the ledger held a live job without a queue, and JobLedger.queueOf threw a NullPointerException in LeaderTerm.start at each leader. Change: the ledger accepts a job only if it knows the queue when it applies the acceptance; the caller then gets NO_SUCH_QUEUE, and the job never runs. A job that cannot be restored for another reason is logged (job_not_restored) and the others are led. Kin: a restored job counts its attempts by the limit of its acceptance, as the ledger does, not by the queue in force.

--- a/cassiastack-core/src/main/java/org/cassiastack/queue/JobLedger.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/JobLedger.java
@@ -25,6 +25,9 @@
  *   <li>{@link #apply} applies committed batches in order. Members that apply the same batches have
  *       equal ledgers.
  *   <li>A job is accepted once. A later acceptance under a known identity is ignored.
+ *   <li>A job is accepted only if the ledger knows its queue when the acceptance is applied,
+ *       because changes that follow the admission by the leader may precede the acceptance in the
+ *       log. The queue of every live job is therefore known.
  *   <li>Of an ended job, only the identity and the final phase are held, until the retention has
  *       passed.
  *   <li>Active runs are not part of the ledger. A new leader learns of them from the agents'
@@ -56,8 +59,8 @@
   private final Map<String, Queue> declaredQueues = new LinkedHashMap<>();
 
   /**
-   * Queues that the configuration in force no longer declares, but that live jobs use or that jobs
-   * later in the log may use.
+   * Queues that the configuration in force no longer declares, but that live jobs use or that the
+   * last change removed.
    */
   private final Map<String, Queue> retiredQueues = new LinkedHashMap<>();
 
@@ -94,7 +97,7 @@
     agents.addAll(batch.addedAgents());
     batch.removedAgents().forEach(agents::remove);
     for (LedgerBatch.Acceptance a : batch.acceptedJobs()) {
-      if (!contains(a.job().id())) {
+      if (!contains(a.job().id()) && isKnown(a.queue())) {
         liveJobs.put(a.job().id(), new LedgerJob(a));
       }
     }
@@ -116,7 +119,10 @@
         List.copyOf(endedJobs.values()));
   }
 
-  /** Replaces the complete state of this ledger by that of a snapshot. */
+  /**
+   * Replaces the complete state of this ledger by that of a snapshot. A live job whose queue the
+   * snapshot does not hold is dropped; earlier versions wrote such snapshots.
+   */
   public void restore(LedgerSnapshot s) {
     lastBatchAt = s.at();
     generation = s.generation();
@@ -128,7 +134,11 @@
     agents.clear();
     agents.addAll(s.agents());
     liveJobs.clear();
-    s.liveJobs().forEach(l -> liveJobs.put(l.acceptance().job().id(), LedgerJob.restore(l)));
+    for (LedgerSnapshot.LiveJob l : s.liveJobs()) {
+      if (isKnown(l.acceptance().queue())) {
+        liveJobs.put(l.acceptance().job().id(), LedgerJob.restore(l));
+      }
+    }
     endedJobs.clear();
     s.endedJobs().forEach(e -> endedJobs.put(e.id(), e));
   }
@@ -199,11 +209,15 @@
     return liveJobs.containsKey(id) || endedJobs.containsKey(id);
   }
 
+  private boolean isKnown(String queue) {
+    return declaredQueues.containsKey(queue) || retiredQueues.containsKey(queue);
+  }
+
   private void configure(QueueConfiguration next) {
     Set<String> used = new HashSet<>();
     liveJobs.values().forEach(j -> used.add(j.queue()));
-    // Queues that this change removes are retained without live jobs too: a job of such a queue may
-    // follow the change in the log.
+    // Queues that this change removes are retained without live jobs too, so that most jobs that
+    // were admitted before the change and follow it in the log are accepted.
     used.addAll(declaredQueues.keySet());
     retiredQueues.putAll(declaredQueues);
     declare(next);
--- a/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerBatch.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerBatch.java
@@ -18,7 +18,8 @@
  * @param domainSwitches failure domains to take out of service or return to service
  * @param addedAgents agents to which the leader may grant leases once the batch is committed
  * @param removedAgents agents to which the leader no longer grants leases
- * @param acceptedJobs jobs to accept; a job with a known identity is ignored
+ * @param acceptedJobs jobs to accept; a job with a known identity, or with a queue that the ledger
+ *     does not know, is ignored
  * @param taskEnds ends of runs that completed or failed
  * @param cancelledJobs identities of the jobs to cancel
  * @since 0.2
--- a/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerSnapshot.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerSnapshot.java
@@ -13,7 +13,7 @@
  * @param generation number of leader generations so far; each new leader begins a generation
  * @param configuration the configuration in force, or null before the first configuration
  * @param retiredQueues queues that the configuration in force no longer declares, but that live
- *     jobs use or that jobs later in the log may use
+ *     jobs use or that the last change removed
  * @param domainsOut failure domains that are out of service
  * @param agents agents to which a leader may grant leases
  * @param liveJobs jobs that have not ended
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -138,7 +138,8 @@
     boolean durable = s.job().durable();
     Instant requestedAt = now.minus(s.waitTime());
     Instant callerTimeoutAt = durable ? Instant.MAX : now.plus(s.timeout());
-    LiveJob job = liveJobs.newJob(s.job(), queue, requestedAt, callerTimeoutAt);
+    int maxAttempts = Math.max(1, queue.maxAttempts());
+    LiveJob job = liveJobs.newJob(s.job(), queue, maxAttempts, requestedAt, callerTimeoutAt);
     String inputs =
         "queue=" + queue.name() + " version=" + ledger.configurationVersion() + " delay=" + delay;
     if (!Admission.canEndUsefully(job, delay, now)) {
@@ -153,8 +154,7 @@
       activate(job, now);
       return;
     }
-    LedgerBatch.Acceptance a =
-        new LedgerBatch.Acceptance(s.job(), queue.name(), Math.max(1, queue.maxAttempts()));
+    LedgerBatch.Acceptance a = new LedgerBatch.Acceptance(s.job(), queue.name(), maxAttempts);
     commits.addJob(a, at -> onAccepted(job, at));
   }
 
@@ -173,13 +173,18 @@
 
   private void onAccepted(LiveJob job, Instant now) {
     QueuedJobId id = job.job.id();
+    Caller caller = callers.remove(id);
+    if (!ledger.contains(id)) {
+      addDecision("job_refused", id, "queue_removed", "queue=" + job.queue.name());
+      RequestAnswer refusal = RequestAnswer.of(AnswerCode.NO_SUCH_QUEUE);
+      recentAnswers.add(id, refusal, now);
+      answerIfWaiting(caller, refusal);
+      return;
+    }
     if (ledger.live(id) != null) {
       activate(job, now);
     }
-    Caller caller = callers.remove(id);
-    if (caller != null) {
-      answer(caller, AnswerCode.ACCEPTED);
-    }
+    answerIfWaiting(caller, RequestAnswer.of(AnswerCode.ACCEPTED));
   }
 
   private void activate(LiveJob job, Instant now) {
@@ -273,7 +278,7 @@
   /** Removes a job that was completed or failed by its runs, and answers its waiting caller. */
   void jobEnded(LiveJob job, JobPhase phase, Instant now) {
     boolean failed = phase == JobPhase.FAILED;
-    String inputs = failed ? "attempts=" + job.queue.maxAttempts() : "queue=" + job.queue.name();
+    String inputs = failed ? "attempts=" + job.maxAttempts : "queue=" + job.queue.name();
     addDecision("job_ended", job.job.id(), phase.name().toLowerCase(Locale.ROOT), inputs);
     liveJobs.remove(job);
     if (failed) {
@@ -289,10 +294,7 @@
     }
     RequestAnswer answer = RequestAnswer.phase(AnswerCode.ACCEPTED, phase);
     recentAnswers.add(id, answer, now);
-    Caller caller = callers.remove(id);
-    if (caller != null) {
-      answer(caller, answer);
-    }
+    answerIfWaiting(callers.remove(id), answer);
   }
 
   /**
@@ -320,6 +322,12 @@
     decisions.accept(Decision.of(event, subject, outcome, inputs));
   }
 
+  private void answerIfWaiting(@Nullable Caller caller, RequestAnswer answer) {
+    if (caller != null) {
+      answer(caller, answer);
+    }
+  }
+
   private void answer(Caller caller, AnswerCode code) {
     answer(caller, RequestAnswer.of(code));
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -119,12 +119,22 @@
     String inputs = "jobs=" + ledger.live().size() + " agents=" + ledger.agents().size();
     t.addDecision("leadership_began", fence, "waiting_for_agents", inputs);
     for (LedgerJob j : ledger.live()) {
-      t.liveJobs.restore(j, ledger.queueOf(j), now);
+      t.restore(j, now);
     }
     t.commits.addNewGeneration(at -> t.generationCommitted = true);
     return t;
   }
 
+  /** Restores a job. A job that cannot be restored stays in the ledger and is not run. */
+  private void restore(LedgerJob job, Instant now) {
+    try {
+      liveJobs.restore(job, ledger.queueOf(job), now);
+    } catch (RuntimeException e) {
+      // An error in one job must not keep this member from leading the others.
+      addDecision("job_not_restored", job.job().id(), "failed", "queue=" + job.queue() + " " + e);
+    }
+  }
+
   /** Returns the fence of this leader, which is higher than the fence of any earlier leader. */
   public long fence() {
     return fence;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
@@ -17,6 +17,9 @@
   final QueuedJob job;
   final Queue queue;
 
+  /** Number of failed runs of one task at which the job fails. */
+  final int maxAttempts;
+
   /** Order in which this leader created its jobs; breaks ties between equally urgent jobs. */
   final long sequence;
 
@@ -43,12 +46,14 @@
   LiveJob(
       QueuedJob job,
       Queue queue,
+      int maxAttempts,
       long sequence,
       RunTimeEstimates estimates,
       Instant requestedAt,
       Instant callerTimeoutAt) {
     this.job = job;
     this.queue = queue;
+    this.maxAttempts = maxAttempts;
     this.sequence = sequence;
     this.requestedAt = requestedAt;
     this.callerTimeoutAt = callerTimeoutAt;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJobs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJobs.java
@@ -38,9 +38,11 @@
   }
 
   /** Creates a job with its objective and estimates, without adding it. */
-  LiveJob newJob(QueuedJob spec, Queue queue, Instant requestedAt, Instant callerTimeoutAt) {
+  LiveJob newJob(
+      QueuedJob spec, Queue queue, int maxAttempts, Instant requestedAt, Instant callerTimeoutAt) {
     sequence++;
-    return new LiveJob(spec, queue, sequence, runTimeEstimates, requestedAt, callerTimeoutAt);
+    return new LiveJob(
+        spec, queue, maxAttempts, sequence, runTimeEstimates, requestedAt, callerTimeoutAt);
   }
 
   void add(LiveJob job, Instant now) {
@@ -54,8 +56,8 @@
 
   /** Adds a job that an earlier leader accepted, with its done tasks and failed runs. */
   void restore(LedgerJob ledgerJob, Queue queue, Instant now) {
-    LiveJob job = newJob(ledgerJob.job(), queue, now, Instant.MAX);
-    add(job, now);
+    LiveJob job = newJob(ledgerJob.job(), queue, ledgerJob.maxAttempts(), now, Instant.MAX);
+    boolean anyDone = false;
     for (LiveStep s : job.steps) {
       for (int i = 0; i < s.spec.taskCount(); i++) {
         for (long run : ledgerJob.failedRuns(s.task(i))) {
@@ -63,12 +65,14 @@
         }
         if (ledgerJob.isDone(s.task(i))) {
           s.complete(i);
-          markStarted(job);
+          anyDone = true;
         }
       }
-      ready.tasksRemoved(s);
     }
-    queueReadySteps(job);
+    add(job, now);
+    if (anyDone) {
+      markStarted(job);
+    }
   }
 
   void remove(LiveJob job) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
@@ -89,7 +89,7 @@
       if (isRunOfStep) {
         liveJobs.requeueTask(step, index);
       }
-      if (failures >= step.job.queue.maxAttempts() && !step.isDone(index)) {
+      if (failures >= step.job.maxAttempts && !step.isDone(index)) {
         jobEndListener.jobEnded(step.job, JobPhase.FAILED, now);
       }
     } else if (isRunOfStep) {
--- a/cassiastack-core/src/test/java/org/cassiastack/queue/JobLedgerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/queue/JobLedgerTest.java
@@ -10,6 +10,7 @@
 import org.cassiastack.model.Payload;
 import org.cassiastack.model.ServiceName;
 import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 class JobLedgerTest {
@@ -19,6 +20,11 @@
 
   private final JobLedger ledger = JobLedger.create(Duration.ofMinutes(2));
 
+  @BeforeEach
+  void declareTheQueue() {
+    apply(batch(NOW, configuration(0, "checks"), List.of(), List.of(), List.of()));
+  }
+
   @Test
   void a_job_is_completed_once_every_task_is_done() {
     accept(job(2));
@@ -118,6 +124,38 @@
     assertThat(ledger.queueOf(ledger.live(ID)).name()).isEqualTo("checks");
   }
 
+  /** Guards against a leader that cannot start because the ledger holds a job without a queue. */
+  @Test
+  void accepts_no_job_whose_queue_is_no_longer_known_when_the_acceptance_is_applied() {
+    apply(batch(NOW, configuration(2, "others"), List.of(), List.of(), List.of()));
+    apply(batch(NOW, configuration(3, "others"), List.of(), List.of(), List.of()));
+
+    accept(job(1));
+
+    assertThat(ledger.contains(ID)).isFalse();
+  }
+
+  /** Guards against snapshots of earlier versions, which can hold a job without a queue. */
+  @Test
+  void drops_a_job_of_a_snapshot_whose_queue_the_snapshot_does_not_hold() {
+    accept(job(1));
+    LedgerSnapshot s = ledger.snapshot();
+    JobLedger restored = JobLedger.create(Duration.ofMinutes(2));
+
+    restored.restore(
+        new LedgerSnapshot(
+            s.at(),
+            s.generation(),
+            configuration(3, "others"),
+            List.of(),
+            s.domainsOut(),
+            s.agents(),
+            s.liveJobs(),
+            s.endedJobs()));
+
+    assertThat(restored.live()).isEmpty();
+  }
+
   @Test
   void a_restored_ledger_changes_in_the_same_way_as_the_original() {
     apply(batch(NOW, configuration(1, "checks"), List.of(), List.of(), List.of()));
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
@@ -17,6 +17,7 @@
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Raise;
 import org.cassiastack.controller.Tick;
+import org.cassiastack.decision.Decision;
 import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.MinionId;
@@ -65,8 +66,8 @@
 
   static final Duration REPORT_INTERVAL = Duration.ofMillis(30);
 
-  final LeaderController leader =
-      LeaderController.create(SELF, SETTINGS, new InMemoryLedgerCodec(), UUID::randomUUID);
+  final InMemoryLedgerCodec codec = new InMemoryLedgerCodec();
+  final LeaderController leader = LeaderController.create(SELF, SETTINGS, codec, UUID::randomUUID);
 
   /** Start orders by agent. */
   final Map<NodeId, List<StartOrder>> starts = new HashMap<>();
@@ -75,11 +76,16 @@
   final Map<NodeId, Long> lastOrdersNumbers = new HashMap<>();
   final List<AgentLease> leases = new ArrayList<>();
   final List<RequestAnswer> answers = new ArrayList<>();
+  final List<Decision> decisions = new ArrayList<>();
   Instant now = Instant.parse("2026-12-04T08:00:00Z");
   long fence;
   long lastCommitIndex;
   long lastRequestId;
+
+  /** Whether proposals are kept back instead of being committed. */
   boolean holdCommits;
+
+  final List<ProposeCommand> heldProposals = new ArrayList<>();
   NodeId lastStartAgent = SELF;
 
   @BeforeEach
@@ -164,6 +170,15 @@
     }
   }
 
+  /** Commits the proposals that were kept back and those that follow them, in order. */
+  void commitHeldProposals() {
+    while (!heldProposals.isEmpty()) {
+      ProposeCommand p = heldProposals.remove(0);
+      on(new CommandCommitted(++lastCommitIndex, p.proposalId(), p.command()));
+    }
+    holdCommits = false;
+  }
+
   List<RunId> started() {
     return starts.values().stream().flatMap(List::stream).map(StartOrder::run).toList();
   }
@@ -175,8 +190,14 @@
     do {
       Event e = events.poll();
       for (Effect f : e == null ? leader.endTurn(now) : leader.on(e, now)) {
-        if (f instanceof Raise r && r.event() instanceof ProposeCommand p && !holdCommits) {
-          events.add(new CommandCommitted(++lastCommitIndex, p.proposalId(), p.command()));
+        if (f instanceof Raise r && r.event() instanceof ProposeCommand p) {
+          if (holdCommits) {
+            heldProposals.add(p);
+          } else {
+            events.add(new CommandCommitted(++lastCommitIndex, p.proposalId(), p.command()));
+          }
+        } else if (f instanceof Decision d) {
+          decisions.add(d);
         } else if (f instanceof Send s && s.message() instanceof RunOrders o) {
           lastOrdersNumbers.put(s.to(), o.number());
           starts.computeIfAbsent(s.to(), n -> new ArrayList<>()).addAll(o.starts());
@@ -193,8 +214,17 @@
   }
 
   static QueueConfiguration configuration() {
-    org.cassiastack.queue.Queue q =
-        new org.cassiastack.queue.Queue("q", "h", "/q/", SERVICE, 0, 2, 1.6, Duration.ofMillis(60));
-    return new QueueConfiguration(1, List.of(q), Payload.ofText("document"));
+    return configuration(1, queue("q", 2));
+  }
+
+  static QueueConfiguration configuration(long version, org.cassiastack.queue.Queue... queues) {
+    return new QueueConfiguration(version, List.of(queues), Payload.ofText("document"));
+  }
+
+  /** Returns a queue for the paths that begin with its name. */
+  static org.cassiastack.queue.Queue queue(String name, int maxAttempts) {
+    String prefix = "/" + name + "/";
+    return new org.cassiastack.queue.Queue(
+        name, "h", prefix, SERVICE, 0, maxAttempts, 1.6, Duration.ofMillis(60));
   }
 }
