--- a/cassiastack-bench/src/main/java/org/cassiastack/bench/spread/SpreadSystem.java
+++ b/cassiastack-bench/src/main/java/org/cassiastack/bench/spread/SpreadSystem.java
@@ -11,6 +11,7 @@
 import org.cassiastack.bench.minion.StandInMinion;
 import org.cassiastack.configuration.ApplyResult;
 import org.cassiastack.configuration.ChangeId;
+import org.cassiastack.consensus.RaftSettings;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.daemon.agent.Agent;
 import org.cassiastack.daemon.entry.Entry;
@@ -181,6 +182,15 @@
       NodeId name, Map<NodeId, InetSocketAddress> memberAddresses) {
     InetSocketAddress anyPort = Loopback.address(0);
     return new EntrySettings(
-        name, anyPort, anyPort, anyPort, null, RETENTION, AGENT_LEASE, memberAddresses, null);
+        name,
+        anyPort,
+        anyPort,
+        anyPort,
+        null,
+        RETENTION,
+        AGENT_LEASE,
+        memberAddresses,
+        null,
+        RaftSettings.DEFAULT_SNAPSHOT_THRESHOLD_BYTES);
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/RaftSettings.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/RaftSettings.java
@@ -14,6 +14,8 @@
  * @param maxBatchEntries maximum number of entries in one message
  * @param maxInFlight maximum number of unanswered messages with entries to one follower
  * @param snapshotThreshold number of committed entries after which a snapshot is requested
+ * @param snapshotThresholdBytes size in bytes of the committed commands after which a snapshot is
+ *     requested, if the number of entries has not led to one before
  * @param joinPolicy rules for bootstrapping the log and for joining it
  * @since 0.1
  */
@@ -24,7 +26,14 @@
     int maxBatchEntries,
     int maxInFlight,
     long snapshotThreshold,
+    long snapshotThresholdBytes,
     JoinPolicy joinPolicy) {
+  /**
+   * Default of {@link #snapshotThresholdBytes}: a twelfth of the heap of a control process, which
+   * holds the commands since the last snapshot in memory.
+   */
+  public static final long DEFAULT_SNAPSHOT_THRESHOLD_BYTES = 8L << 20;
+
   private static final int LEASE_NUMERATOR = 3;
   private static final int LEASE_DENOMINATOR = 4;
 
@@ -48,13 +57,34 @@
         maxBatchEntries,
         maxInFlight,
         snapshotThreshold,
+        DEFAULT_SNAPSHOT_THRESHOLD_BYTES,
         JoinPolicy.listedNodes());
   }
 
   /** Returns these settings with another join policy. */
   public RaftSettings withJoinPolicy(JoinPolicy policy) {
     return new RaftSettings(
-        nodes, heartbeat, electionTimeout, maxBatchEntries, maxInFlight, snapshotThreshold, policy);
+        nodes,
+        heartbeat,
+        electionTimeout,
+        maxBatchEntries,
+        maxInFlight,
+        snapshotThreshold,
+        snapshotThresholdBytes,
+        policy);
+  }
+
+  /** Returns these settings with another size of the log at which a snapshot is requested. */
+  public RaftSettings withSnapshotThresholdBytes(long bytes) {
+    return new RaftSettings(
+        nodes,
+        heartbeat,
+        electionTimeout,
+        maxBatchEntries,
+        maxInFlight,
+        snapshotThreshold,
+        bytes,
+        joinPolicy);
   }
 
   /** Returns default settings for members that are all in one region. */
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Follower.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/Follower.java
@@ -127,7 +127,7 @@
     }
     state.log.compact(s);
     state.emit(state.persistence.persistSnapshot(s, reset));
-    state.commitIndex = s.index();
+    state.onSnapshotInstalled(s.index());
     state.raise(new SnapshotRestored(s.index(), s.state()));
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftLog.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftLog.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.cassiastack.consensus.LogEntry;
+import org.cassiastack.consensus.LogStats;
 import org.cassiastack.consensus.MemberSet;
 import org.cassiastack.consensus.RecoveredLog;
 import org.cassiastack.consensus.Snapshot;
@@ -20,9 +21,13 @@
   private MemberSet members = MemberSet.EMPTY;
   private long membersIndex;
 
+  /** Size of the commands of all entries. */
+  private long bytes;
+
   private RaftLog(@Nullable Snapshot snapshot, List<LogEntry> entries) {
     this.snapshot = snapshot;
     this.entries = new ArrayList<>(entries);
+    this.bytes = bytesOf(entries);
     refreshMembers();
   }
 
@@ -46,6 +51,10 @@
     return baseIndex() + entries.size();
   }
 
+  LogStats stats() {
+    return new LogStats(entries.size(), bytes, snapshot == null ? 0 : snapshot.state().size());
+  }
+
   long lastTerm() {
     return termAt(lastIndex());
   }
@@ -87,6 +96,7 @@
           "log entry does not directly follow the last entry: index " + entry.index());
     }
     entries.add(entry);
+    bytes += entry.command().size();
     if (entry.kind() == LogEntry.Kind.MEMBERS) {
       members = entry.members();
       membersIndex = entry.index();
@@ -94,7 +104,7 @@
   }
 
   void truncateFrom(long index) {
-    entries.subList(Math.toIntExact(index - baseIndex() - 1), entries.size()).clear();
+    drop(entries.subList(Math.toIntExact(index - baseIndex() - 1), entries.size()));
     refreshMembers();
   }
 
@@ -104,9 +114,9 @@
    */
   void compact(Snapshot next) {
     if (termAt(next.index()) == next.term()) {
-      entries.subList(0, Math.toIntExact(next.index() - baseIndex())).clear();
+      drop(entries.subList(0, Math.toIntExact(next.index() - baseIndex())));
     } else {
-      entries.clear();
+      drop(entries);
     }
     snapshot = next;
     refreshMembers();
@@ -143,6 +153,15 @@
     return i;
   }
 
+  private void drop(List<LogEntry> dropped) {
+    bytes -= bytesOf(dropped);
+    dropped.clear();
+  }
+
+  private static long bytesOf(List<LogEntry> entries) {
+    return entries.stream().mapToLong(e -> e.command().size()).sum();
+  }
+
   private void refreshMembers() {
     members = snapshot == null ? MemberSet.EMPTY : snapshot.members();
     membersIndex = baseIndex();
--- a/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/consensus/internal/RaftState.java
@@ -54,6 +54,10 @@
   private @Nullable MemberId vote;
   private @Nullable MemberId leader;
   private long snapshotRequestedIndex;
+
+  /** Size of the commands committed since a snapshot was last requested or installed. */
+  private long bytesSinceSnapshot;
+
   private List<NodeId> publishedMembers = List.of();
   private LeaderChanged publishedLeader = new LeaderChanged(0, null, false);
 
@@ -219,12 +223,29 @@
       LogEntry e = log.entry(i);
       if (e.kind() == LogEntry.Kind.COMMAND) {
         raise(new CommandCommitted(i, e.proposalId(), e.command()));
+        bytesSinceSnapshot += e.command().size();
       }
     }
-    commitIndex = Math.max(commitIndex, index);
-    if (commitIndex - Math.max(log.baseIndex(), snapshotRequestedIndex)
-        >= settings.snapshotThreshold()) {
+    if (index > commitIndex) {
+      commitIndex = index;
+      emit(log.stats());
+      requestSnapshotIfDue();
+    }
+  }
+
+  /** Records that the log begins with a snapshot of another member. */
+  void onSnapshotInstalled(long index) {
+    commitIndex = index;
+    bytesSinceSnapshot = 0;
+  }
+
+  /** Requests a snapshot if the log has grown enough, in entries or in bytes. */
+  private void requestSnapshotIfDue() {
+    long entries = commitIndex - Math.max(log.baseIndex(), snapshotRequestedIndex);
+    if (entries >= settings.snapshotThreshold()
+        || bytesSinceSnapshot >= settings.snapshotThresholdBytes()) {
       snapshotRequestedIndex = commitIndex;
+      bytesSinceSnapshot = 0;
       raise(new SnapshotRequested(commitIndex));
     }
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeCluster.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/consensus/FakeCluster.java
@@ -23,6 +23,10 @@
  */
 final class FakeCluster {
   static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
+
+  /** Bounds the log in bytes; the commands of most tests are far smaller. */
+  static final long MAX_LOG_BYTES = 2_000;
+
   private static final Duration TIME_STEP = Duration.ofMillis(10);
 
   private final Random random;
@@ -43,7 +47,14 @@
     }
     settings =
         new RaftSettings(
-            nodes, Duration.ofMillis(100), Duration.ofMillis(500), 3, 2, 10, joinPolicy);
+            nodes,
+            Duration.ofMillis(100),
+            Duration.ofMillis(500),
+            3,
+            2,
+            10,
+            MAX_LOG_BYTES,
+            joinPolicy);
     for (int i = 0; i < nodes.size(); i++) {
       Random memberRandom = new Random(random.nextLong());
       members.add(new FakeMember(this, nodes.get(i), memberRandom, clockRates.get(i)));
@@ -126,6 +137,12 @@
     return proposal;
   }
 
+  UUID propose(FakeMember at, Payload command) {
+    UUID proposal = new UUID(random.nextLong(), random.nextLong());
+    at.on(new ProposeCommand(proposal, command));
+    return proposal;
+  }
+
   void after(Duration delay, Runnable action) {
     scheduler.runAfter(delay, action);
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedMember.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedMember.java
@@ -44,6 +44,7 @@
             64,
             8,
             ENTRIES_PER_SNAPSHOT,
+            RaftSettings.DEFAULT_SNAPSHOT_THRESHOLD_BYTES,
             joinPolicy);
     Random memberRandom = new Random(simulation.random().nextLong());
     return List.of(
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/entry/ControlPlane.java
@@ -208,7 +208,8 @@
   }
 
   private static RaftSettings raftSettings(EntrySettings settings) {
-    return RaftSettings.of(List.copyOf(settings.memberNames()));
+    return RaftSettings.of(List.copyOf(settings.memberNames()))
+        .withSnapshotThresholdBytes(settings.maxLogBytes());
   }
 
   private Mono<ApplyResult> submit(ChangeId changeId, Revision base, Configuration content) {
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
@@ -53,10 +53,7 @@
   private static final int MAX_BATCH_ENTRIES = 256;
   private static final int MAX_IN_FLIGHT_MESSAGES = 8;
 
-  /**
-   * Number of log entries between snapshots. At one kilobyte per entry, the log takes less than a
-   * tenth of the disk.
-   */
+  /** Maximum number of log entries between snapshots; the settings bound their size in bytes. */
   private static final long SNAPSHOT_THRESHOLD = 4_096;
 
   /** Maximum wait of a planned stop for a successor. An election among live members takes 50 ms. */
@@ -160,6 +157,7 @@
         MAX_BATCH_ENTRIES,
         MAX_IN_FLIGHT_MESSAGES,
         SNAPSHOT_THRESHOLD,
+        settings.maxLogBytes(),
         joinPolicy);
   }
 
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNodeSettings.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNodeSettings.java
@@ -15,6 +15,7 @@
  * @param firstStart whether the whole system is started for the first time
  * @param toleratedLosses number of members whose simultaneous loss the system tolerates
  * @param schedule lease of the agents, margin of the lease expiry, and retention of ended jobs
+ * @param maxLogBytes size in bytes at which the replicated log is replaced by a snapshot
  * @since 0.2
  */
 public record ControlNodeSettings(
@@ -24,7 +25,8 @@
     Path dataFolder,
     boolean firstStart,
     int toleratedLosses,
-    ScheduleSettings schedule) {
+    ScheduleSettings schedule,
+    long maxLogBytes) {
   /** Creates settings; the list is copied. */
   public ControlNodeSettings {
     seeds = List.copyOf(seeds);
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/NodeRuntime.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/NodeRuntime.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.cassiastack.consensus.LogStats;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.ControllerLoop;
 import org.cassiastack.controller.Effect;
@@ -150,6 +151,8 @@
       decisions.write(d);
     } else if (effect instanceof PlacementStats p) {
       metrics.recordPlacement(p);
+    } else if (effect instanceof LogStats l) {
+      metrics.recordLog(l);
     } else {
       if (effect instanceof LeaderViewChanged l) {
         network.dial(l.members());
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
@@ -10,6 +10,7 @@
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.Map;
+import org.cassiastack.consensus.LogStats;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.LoopTurn;
 import org.cassiastack.protocol.Received;
@@ -99,6 +100,22 @@
           .help("Workers that the leader looked at to place tasks.")
           .register(registry);
 
+  private final Gauge logEntries =
+      Gauge.builder()
+          .name("cassia_log_entries")
+          .help("Entries of the replicated log after the last snapshot.")
+          .register(registry);
+  private final Gauge logBytes =
+      Gauge.builder()
+          .name("cassia_log_bytes")
+          .help("Size of the entries of the replicated log after the last snapshot.")
+          .register(registry);
+  private final Gauge snapshotBytes =
+      Gauge.builder()
+          .name("cassia_snapshot_bytes")
+          .help("Size of the last snapshot of the replicated log.")
+          .register(registry);
+
   private QueueMetrics() {}
 
   /** Creates metrics in a registry of their own, with all counters at zero. */
@@ -143,6 +160,13 @@
     candidatesExamined.inc(stats.candidatesExamined());
   }
 
+  /** Records the size of the replicated log of a control member. */
+  void recordLog(LogStats stats) {
+    logEntries.set((double) stats.entries());
+    logBytes.set((double) stats.bytes());
+    snapshotBytes.set((double) stats.snapshotBytes());
+  }
+
   /**
    * Returns the simple name of the type of an event; for {@link Received}, that of the type of the
    * message.
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/EntrySettings.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/settings/EntrySettings.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
+import org.cassiastack.consensus.RaftSettings;
 import org.cassiastack.model.CassiaException;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.ResultCode;
@@ -27,6 +28,7 @@
  *     order of the settings file; empty if this entry is the only control member
  * @param dataFolder folder of the replicated log of a control member, or null to hold the log in
  *     memory, which is allowed only for a single control member
+ * @param maxLogBytes size in bytes at which the replicated log is replaced by a snapshot
  * @since 0.1
  */
 public record EntrySettings(
@@ -38,9 +40,14 @@
     Duration retention,
     Duration agentLease,
     Map<NodeId, InetSocketAddress> memberAddresses,
-    @Nullable Path dataFolder) {
+    @Nullable Path dataFolder,
+    long maxLogBytes) {
   private static final Duration DEFAULT_RETENTION = Duration.ofMinutes(10);
   private static final Duration DEFAULT_AGENT_LEASE = Duration.ofSeconds(3);
+  private static final long BYTES_PER_KILOBYTE = 1_024;
+  private static final int DEFAULT_LOG_KILOBYTES =
+      (int) (RaftSettings.DEFAULT_SNAPSHOT_THRESHOLD_BYTES / BYTES_PER_KILOBYTE);
+  private static final int MAX_LOG_KILOBYTES = 1 << 20;
 
   /** Creates settings; the members are copied and remain in order. */
   public EntrySettings {
@@ -64,7 +71,9 @@
             f.duration("jobs", "retention", DEFAULT_RETENTION),
             f.duration("agents", "lease", DEFAULT_AGENT_LEASE),
             f.nodes("control", "members"),
-            f.has("control", "folder") ? Path.of(f.text("control", "folder")) : null);
+            f.has("control", "folder") ? Path.of(f.text("control", "folder")) : null,
+            f.number("control", "log-kilobytes", DEFAULT_LOG_KILOBYTES, 1, MAX_LOG_KILOBYTES)
+                * BYTES_PER_KILOBYTE);
     settings.refuseMembersWithoutDataFolder(f);
     f.refuseUnknownKeys();
     return settings;
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/command/OperatorCommandsTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/command/OperatorCommandsTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
+import org.cassiastack.consensus.RaftSettings;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.daemon.entry.Entry;
 import org.cassiastack.daemon.settings.EntrySettings;
@@ -38,7 +39,16 @@
     Duration minute = Duration.ofMinutes(1);
     EntrySettings settings =
         new EntrySettings(
-            new NodeId("entry-1"), anyPort, anyPort, anyPort, null, minute, minute, Map.of(), null);
+            new NodeId("entry-1"),
+            anyPort,
+            anyPort,
+            anyPort,
+            null,
+            minute,
+            minute,
+            Map.of(),
+            null,
+            RaftSettings.DEFAULT_SNAPSHOT_THRESHOLD_BYTES);
     entry = Entry.start(settings, TimeSource.system());
     Files.writeString(folder.resolve("all.ini"), FILES);
   }
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/ControlNodeTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/ControlNodeTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import org.cassiastack.consensus.RaftSettings;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.schedule.ScheduleSettings;
@@ -53,7 +54,15 @@
     for (NodeId n : MEMBERS) {
       Path dataFolder = folder.resolve(n.name());
       ControlNodeSettings settings =
-          new ControlNodeSettings(n, MEMBERS, port, dataFolder, true, 1, SCHEDULE_SETTINGS);
+          new ControlNodeSettings(
+              n,
+              MEMBERS,
+              port,
+              dataFolder,
+              true,
+              1,
+              SCHEDULE_SETTINGS,
+              RaftSettings.DEFAULT_SNAPSHOT_THRESHOLD_BYTES);
       nodes.add(ControlNode.start(settings, TimeSource.system(), () -> {}));
     }
   }
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/OperatorNodeTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/OperatorNodeTest.java
@@ -10,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
+import org.cassiastack.consensus.RaftSettings;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.schedule.ScheduleSettings;
@@ -74,7 +75,14 @@
   private ControlNode startMember(NodeId node, List<NodeId> seeds) throws IOException {
     ControlNodeSettings settings =
         new ControlNodeSettings(
-            node, seeds, port, folder.resolve(node.name()), true, 1, SCHEDULE_SETTINGS);
+            node,
+            seeds,
+            port,
+            folder.resolve(node.name()),
+            true,
+            1,
+            SCHEDULE_SETTINGS,
+            RaftSettings.DEFAULT_SNAPSHOT_THRESHOLD_BYTES);
     ControlNode started = ControlNode.start(settings, TimeSource.system(), () -> {});
     nodes.add(started);
     return started;
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/storage/LogStorage.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/storage/LogStorage.java
@@ -78,13 +78,14 @@
     return new LogStorage(SegmentedLog.open(folder, node, syncer, segmentBytes), maxBatchSize);
   }
 
-  /** Returns the content of the folder when it was opened. */
+  /** Returns the content of the folder when it was opened; only before {@link #start}. */
   public RecoveredLog recovered() {
     return log.recovered();
   }
 
-  /** Starts the writer thread, which reports to a listener. */
+  /** Starts the writer thread, which reports to a listener, and releases the recovered content. */
   public void start(StorageListener storageListener) {
+    log.releaseRecovered();
     listener = storageListener;
     writer.start();
   }
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/storage/Recovery.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/storage/Recovery.java
@@ -13,31 +13,34 @@
   private final @Nullable Snapshot snapshot;
   private final StorageCodec codec;
   private final List<LogEntry> log = new ArrayList<>();
+  private Path segment = Path.of("");
+  private long highestIndexOfSegment;
 
   Recovery(@Nullable Snapshot snapshot, StorageCodec codec) {
     this.snapshot = snapshot;
     this.codec = codec;
   }
 
-  /**
-   * Replays a segment. Called for all segments, in the order of their numbers.
-   *
-   * @param file the segment file
-   * @param segment the records of the segment
-   * @return the highest index of the entries in the segment, or 0 if the segment has no entries
-   */
-  long replay(Path file, List<byte[]> segment) throws IOException {
-    long highest = 0;
-    for (byte[] record : segment) {
-      if (StorageCodec.isReset(record)) {
-        log.clear();
-      } else {
-        LogEntry e = codec.decodeEntry(record);
-        add(file, e);
-        highest = Math.max(highest, e.index());
-      }
+  /** Begins a segment. Called for all segments, in the order of their numbers. */
+  void beginSegment(Path file) {
+    segment = file;
+    highestIndexOfSegment = 0;
+  }
+
+  /** Replays a record of the segment. */
+  void replay(byte[] record) throws IOException {
+    if (StorageCodec.isReset(record)) {
+      log.clear();
+    } else {
+      LogEntry e = codec.decodeEntry(record);
+      add(e);
+      highestIndexOfSegment = Math.max(highestIndexOfSegment, e.index());
     }
-    return highest;
+  }
+
+  /** Returns the highest index of the entries in the segment, or 0 if it has no entries. */
+  long highestIndexOfSegment() {
+    return highestIndexOfSegment;
   }
 
   /**
@@ -58,19 +61,21 @@
         : log.stream().filter(e -> e.index() > snapshotIndex).toList();
   }
 
-  private void add(Path file, LogEntry e) throws StorageException {
+  /**
+   * Adds an entry in place of the entries with the same or a higher index. Entries before the
+   * snapshot are not retained.
+   */
+  private void add(LogEntry e) throws StorageException {
     while (!log.isEmpty() && lastIndex() >= e.index()) {
       log.remove(log.size() - 1);
     }
     long snapshotIndex = snapshot == null ? 0 : snapshot.index();
-    if (!log.isEmpty() && lastIndex() + 1 != e.index()) {
-      if (lastIndex() >= snapshotIndex) {
-        throw StorageException.corrupt(file, "missing log entry " + (lastIndex() + 1));
-      }
-      log.clear();
+    if (e.index() < snapshotIndex) {
+      return;
     }
-    if (log.isEmpty() && e.index() > snapshotIndex + 1) {
-      throw StorageException.corrupt(file, "missing log entry " + (snapshotIndex + 1));
+    long previousIndex = log.isEmpty() ? snapshotIndex : lastIndex();
+    if (e.index() > previousIndex + 1) {
+      throw StorageException.corrupt(segment, "missing log entry " + (previousIndex + 1));
     }
     log.add(e);
   }
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/storage/SegmentedLog.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/storage/SegmentedLog.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import org.cassiastack.consensus.HardState;
 import org.cassiastack.consensus.LogEntry;
@@ -22,7 +23,7 @@
   private final long segmentBytes;
   private final StorageCodec codec = new StorageCodec();
   private final TreeMap<Long, Long> highestIndexBySegment = new TreeMap<>();
-  private final RecoveredLog recovered;
+  private @Nullable RecoveredLog recovered;
   private @Nullable Segment active;
 
   private SegmentedLog(DataFolder folder, NodeId node, Syncer syncer, long segmentBytes)
@@ -44,8 +45,14 @@
     }
   }
 
+  /** Returns the recovered content, until it is released. */
   RecoveredLog recovered() {
-    return recovered;
+    return Objects.requireNonNull(recovered, "the recovered log has been released");
+  }
+
+  /** Releases the recovered content, whose entries would otherwise stay in memory. */
+  void releaseRecovered() {
+    recovered = null;
   }
 
   /** Writes a batch; one sync of the segment covers all entries of the batch. */
@@ -163,15 +170,15 @@
     for (int i = 0; i < files.size(); i++) {
       Path file = files.get(i);
       boolean last = i == files.size() - 1;
-      SegmentReader.Content content = SegmentReader.read(file, last);
-      if (content.validBytes() == 0) {
+      recovery.beginSegment(file);
+      long validBytes = SegmentReader.read(file, last, recovery::replay);
+      if (validBytes == 0) {
         Files.delete(file);
         return;
       }
-      highestIndexBySegment.put(
-          DataFolder.segmentNumber(file), recovery.replay(file, content.records()));
+      highestIndexBySegment.put(DataFolder.segmentNumber(file), recovery.highestIndexOfSegment());
       if (last) {
-        active = Segment.reopen(file, content.validBytes(), syncer);
+        active = Segment.reopen(file, validBytes, syncer);
       }
     }
   }
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/storage/LogStorageTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/storage/LogStorageTest.java
@@ -249,8 +249,9 @@
 
   private static RecoveredLog reopen(Path path) throws IOException {
     try (LogStorage storage = LogStorage.open(path, NODE)) {
+      RecoveredLog recovered = storage.recovered();
       storage.start(new RecordingStorageListener(0));
-      return storage.recovered();
+      return recovered;
     }
   }
 
