Placing: steps that no worker can take no longer hide the steps behind them

Cause: a round examined the first 48 ready steps only. Steps that no worker may run stayed among them. Change: ready steps are held by demand (queue, resources, label, rack). A round passes over all demands in the order of their steps, and leaves a demand out once no worker can take it, so its cost follows the demands and not the backlog. Admission no longer counts tasks that no worker can take as a backlog.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Backlog.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Backlog.java
@@ -3,11 +3,12 @@
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.cassiastack.model.ServiceName;
 
 /**
- * Estimated processor time of all waiting tasks, as sums by service, priority and lateness. The
- * sums are updated whenever a step changes, so that a query need not iterate over the steps.
+ * Estimated processor time of all waiting tasks, as sums by demand, priority and lateness. The sums
+ * are updated whenever a step changes, so that a query need not iterate over the steps.
  */
 final class Backlog {
   private static final long NANOS_PER_MICRO = 1_000;
@@ -31,7 +32,9 @@
   void remove(LiveStep step) {
     Share former = shares.remove(step);
     if (former != null) {
-      milliCpuMicrosByGroup.merge(former.group, -former.milliCpuMicros, Long::sum);
+      milliCpuMicrosByGroup.computeIfPresent(
+          former.group,
+          (g, sum) -> sum == former.milliCpuMicros ? null : sum - former.milliCpuMicros);
     }
   }
 
@@ -39,20 +42,24 @@
    * Returns the processor time of the waiting tasks that start before those of a new job of the
    * given priority, in thousandths of a core times nanoseconds. Steps that are too late to be
    * useful do not count, because the new job starts before them.
+   *
+   * @param canServe returns whether any worker can take tasks of a demand; other tasks take no
+   *     capacity from the new job
    */
-  double cpuTimeAhead(ServiceName service, int priority) {
+  double cpuTimeAhead(ServiceName service, int priority, Predicate<Demand> canServe) {
     long sum = 0;
     for (Map.Entry<Group, Long> e : milliCpuMicrosByGroup.entrySet()) {
       Group g = e.getKey();
       boolean ahead = g.priority <= priority && g.lateness != Lateness.USELESS;
-      sum += ahead && g.service.equals(service) ? e.getValue() : 0;
+      boolean counts = ahead && e.getValue() != 0 && g.demand.service().equals(service);
+      sum += counts && canServe.test(g.demand) ? e.getValue() : 0;
     }
     return (double) sum * NANOS_PER_MICRO;
   }
 
-  private record Group(ServiceName service, int priority, Lateness lateness) {
+  private record Group(Demand demand, int priority, Lateness lateness) {
     static Group of(LiveStep s) {
-      return new Group(s.job.queue.service(), s.job.queue.priority(), s.lateness);
+      return new Group(s.demand, s.job.queue.priority(), s.lateness);
     }
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Candidates.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Candidates.java
@@ -2,8 +2,13 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 import org.cassiastack.queue.Resources;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The workers of one service that accept tasks, during one placement round: one pass over the steps
@@ -19,7 +24,13 @@
   private final List<Candidate> all = new ArrayList<>();
   private final List<Candidate> withFreeCapacity = new ArrayList<>();
   private Resources maxFree = Resources.NONE;
-  private double maxSpeed = Candidate.UNKNOWN_SPEED;
+
+  /** Results for each demand, until the free capacity changes. */
+  private final Map<Demand, Fit> fits = new HashMap<>();
+
+  /** Highest speeds for each demand, until a worker is removed. */
+  private final Map<Demand, Double> maxSpeeds = new HashMap<>();
+
   private long examinedCount;
 
   private Candidates(Resources minNeed) {
@@ -43,7 +54,7 @@
   void remove(WorkerState worker) {
     all.removeIf(c -> c.worker == worker);
     withFreeCapacity.removeIf(c -> c.worker == worker);
-    maxSpeed = Candidate.UNKNOWN_SPEED;
+    maxSpeeds.clear();
     refresh();
   }
 
@@ -55,6 +66,7 @@
       free = free.max(c.worker.free());
     }
     maxFree = free;
+    fits.clear();
   }
 
   /**
@@ -77,12 +89,14 @@
     return all;
   }
 
-  /** Returns the highest speed of all workers; 0 when there are none. */
-  double maxSpeed(Instant now) {
-    if (maxSpeed == Candidate.UNKNOWN_SPEED) {
-      maxSpeed = all().stream().mapToDouble(c -> c.speed(now)).max().orElse(0);
-    }
-    return maxSpeed;
+  /** Returns the best worker for a demand; searches only if the free capacity has changed. */
+  Fit fit(Demand demand, Supplier<Fit> search) {
+    return fits.computeIfAbsent(demand, d -> search.get());
+  }
+
+  /** Returns the highest speed of all workers for a demand; searches once for each demand. */
+  double maxSpeed(Demand demand, DoubleSupplier search) {
+    return maxSpeeds.computeIfAbsent(demand, d -> search.getAsDouble());
   }
 
   /** Returns the number of workers examined; a worker counts once per examination. */
@@ -90,6 +104,15 @@
     return examinedCount;
   }
 
+  /**
+   * The best of the workers with free capacity for a task.
+   *
+   * @param best the best worker, or null if none may run the task
+   * @param speed speed of that worker
+   * @param demandMet whether any worker has free capacity and every label that the task demands
+   */
+  record Fit(@Nullable WorkerState best, double speed, boolean demandMet) {}
+
   /** A worker with its speed in this round. */
   static final class Candidate {
     private static final double UNKNOWN_SPEED = -1;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.cassiastack.controller.Effect;
@@ -30,9 +31,6 @@
    */
   private static final long RUNS_PER_GENERATION = 1_000;
 
-  /** Maximum number of steps examined in one round; the steps behind them have to wait anyway. */
-  private static final int MAX_STEPS_PER_ROUND = 48;
-
   /** Maximum number of concurrent runs on a minion that is probed after an ejection. */
   private static final int MAX_PROBE_RUNS = 1;
 
@@ -91,23 +89,28 @@
     }
     lastPlacedChanges = changes;
     long firstRun = (generation - 1) * RUNS_PER_GENERATION + 1;
-    Map<ServiceName, Candidates> workers = new HashMap<>();
-    List<LiveStep> firstSteps = liveJobs.ready.first(MAX_STEPS_PER_ROUND);
-    Resources minNeed = minNeed(firstSteps);
-    for (LiveStep s : firstSteps) {
-      ServiceName service = ledger.serviceOf(s.job.queue);
-      placeStep(
-          s, workers.computeIfAbsent(service, x -> usableWorkers(x, minNeed, now)), firstRun, now);
+    Map<ServiceName, Candidates> workers = usableWorkersOfReadySteps(now);
+    ReadySteps steps = liveJobs.ready.inOrder(s -> workersFor(s, workers).mayFit(s.spec.need()));
+    for (LiveStep s = steps.next(); s != null; s = steps.next()) {
+      if (!placeStep(s, workersFor(s, workers), firstRun, now)) {
+        steps.skipDemand();
+      }
     }
     workers.values().forEach(c -> candidatesExamined += c.examinedCount());
   }
 
-  private static Resources minNeed(List<LiveStep> steps) {
-    Resources min = steps.get(0).spec.need();
-    for (LiveStep s : steps) {
-      min = min.min(s.spec.need());
+  private Map<ServiceName, Candidates> usableWorkersOfReadySteps(Instant now) {
+    Map<ServiceName, Resources> minNeeds = new HashMap<>();
+    for (LiveStep s : liveJobs.ready.oneOfEachDemand()) {
+      minNeeds.merge(ledger.serviceOf(s.job.queue), s.spec.need(), Resources::min);
     }
-    return min;
+    Map<ServiceName, Candidates> workers = new HashMap<>();
+    minNeeds.forEach((service, need) -> workers.put(service, usableWorkers(service, need, now)));
+    return workers;
+  }
+
+  private Candidates workersFor(LiveStep step, Map<ServiceName, Candidates> workers) {
+    return Objects.requireNonNull(workers.get(ledger.serviceOf(step.job.queue)));
   }
 
   /** Makes the next call of {@link #place} run a round even without new steps or capacity. */
@@ -142,7 +145,7 @@
 
   private void moveIfPossible(Run run, LiveStep step, WorkerState from, Instant now) {
     Candidates others = usableWorkers(ledger.serviceOf(step.job.queue), step.spec.need(), now);
-    if (placer.choose(step, others, Set.of(from.agent), now) == null) {
+    if (placer.choose(step, others, Set.of(from.agent), now).worker() == null) {
       return;
     }
     run.isMoving = true;
@@ -182,10 +185,18 @@
     return !w.health.isProbed() || w.runs.size() < MAX_PROBE_RUNS;
   }
 
-  private void placeStep(LiveStep step, Candidates workers, long firstRun, Instant now) {
+  /**
+   * Starts the waiting tasks of a step that workers have free capacity for.
+   *
+   * @return whether other steps of an equal demand may start
+   */
+  private boolean placeStep(LiveStep step, Candidates workers, long firstRun, Instant now) {
+    boolean demandMet = true;
     while (!step.waiting.isEmpty()) {
-      WorkerState w = choose(step, workers, now);
+      Placement p = choose(step, workers, now);
+      WorkerState w = p.worker();
       if (w == null) {
+        demandMet = p.demandMet();
         break;
       }
       startTask(step, w, firstRun, now);
@@ -196,6 +207,7 @@
       }
     }
     liveJobs.ready.tasksRemoved(step);
+    return demandMet;
   }
 
   /**
@@ -203,11 +215,11 @@
    * chosen only when no other worker has free capacity, because a broken minion may fail every
    * task.
    */
-  private @Nullable WorkerState choose(LiveStep step, Candidates workers, Instant now) {
+  private Placement choose(LiveStep step, Candidates workers, Instant now) {
     Set<NodeId> avoided = step.avoidedAgents(step.waiting.getFirst());
-    WorkerState worker = placer.choose(step, workers, avoided, now);
-    boolean tryAvoided = worker == null && !avoided.isEmpty();
-    return tryAvoided ? placer.choose(step, workers, Set.of(), now) : worker;
+    Placement p = placer.choose(step, workers, avoided, now);
+    boolean tryAvoided = p.worker() == null && !avoided.isEmpty();
+    return tryAvoided ? placer.choose(step, workers, Set.of(), now) : p;
   }
 
   private void startTask(LiveStep step, WorkerState w, long firstRun, Instant now) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FastestFit.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FastestFit.java
@@ -3,11 +3,10 @@
 import java.time.Instant;
 import java.util.Set;
 import org.cassiastack.model.NodeId;
-import org.cassiastack.queue.StepSpec;
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.schedule.ScheduleSettings;
 import org.cassiastack.schedule.internal.Candidates.Candidate;
-import org.jspecify.annotations.Nullable;
+import org.cassiastack.schedule.internal.Candidates.Fit;
 
 /**
  * Chooses the worker where the task would end first, and among equally fast workers the one with
@@ -33,15 +32,36 @@
   }
 
   @Override
-  public @Nullable WorkerState choose(
-      LiveStep step, Candidates workers, Set<NodeId> avoided, Instant now) {
+  public Placement choose(LiveStep step, Candidates workers, Set<NodeId> avoided, Instant now) {
     if (!workers.mayFit(step.spec.need())) {
-      return null;
+      return Placement.DEMAND_NOT_MET;
     }
+    Fit fit =
+        hasOwnLimits(step, avoided)
+            ? find(step, workers, avoided, now)
+            : workers.fit(step.demand, () -> find(step, workers, avoided, now));
+    WorkerState best = fit.best();
+    if (best == null) {
+      return fit.demandMet() ? Placement.WAIT : Placement.DEMAND_NOT_MET;
+    }
+    Instant latestEnd = step.job.latestUsefulEnd(step.job.lateness(step, now));
+    boolean tooSlow = step.estimatedEnd(now, fit.speed()).isAfter(latestEnd);
+    return tooSlow && isWorthWaiting(step, workers, avoided, latestEnd, now)
+        ? Placement.WAIT
+        : Placement.on(best);
+  }
+
+  /** Finds the best worker with free capacity for the next task of a step. */
+  private Fit find(LiveStep step, Candidates workers, Set<NodeId> avoided, Instant now) {
     Candidate best = null;
     double bestSpeed = 0;
+    boolean demandMet = false;
     for (Candidate c : workers.withFreeCapacity()) {
-      if (!c.worker.free().covers(step.spec.need()) || !mayRun(step, c.worker, avoided)) {
+      if (!c.worker.free().covers(step.spec.need()) || !hasRequiredLabel(step, c.worker)) {
+        continue;
+      }
+      demandMet = true;
+      if (!isAllowed(step, c.worker, avoided)) {
         continue;
       }
       double speed = speed(step, c, now);
@@ -51,12 +71,7 @@
         bestSpeed = speed;
       }
     }
-    if (best == null) {
-      return null;
-    }
-    Instant latestEnd = step.job.latestUsefulEnd(step.job.lateness(step, now));
-    boolean tooSlow = step.estimatedEnd(now, bestSpeed).isAfter(latestEnd);
-    return tooSlow && isWorthWaiting(step, workers, avoided, latestEnd, now) ? null : best.worker;
+    return new Fit(best == null ? null : best.worker, bestSpeed, demandMet);
   }
 
   private static boolean hasMoreFreeCpu(Candidate candidate, Candidate other) {
@@ -66,22 +81,26 @@
   /** Returns whether any worker would end the task in time if it had free capacity now. */
   private boolean isWorthWaiting(
       LiveStep step, Candidates workers, Set<NodeId> avoided, Instant latestEnd, Instant now) {
+    double maxSpeed =
+        hasOwnLimits(step, avoided)
+            ? maxSpeed(step, workers, avoided, now)
+            : workers.maxSpeed(step.demand, () -> maxSpeed(step, workers, avoided, now));
+    return !step.estimatedEnd(now, maxSpeed).isAfter(latestEnd);
+  }
+
+  private double maxSpeed(LiveStep step, Candidates workers, Set<NodeId> avoided, Instant now) {
     double maxSpeed = 0;
-    if (isUnconstrained(step) && avoided.isEmpty()) {
-      maxSpeed = workers.maxSpeed(now);
-    } else {
-      for (Candidate c : workers.all()) {
-        if (mayRun(step, c.worker, avoided)) {
-          maxSpeed = Math.max(maxSpeed, speed(step, c, now));
-        }
+    for (Candidate c : workers.all()) {
+      if (hasRequiredLabel(step, c.worker) && isAllowed(step, c.worker, avoided)) {
+        maxSpeed = Math.max(maxSpeed, speed(step, c, now));
       }
     }
-    return !step.estimatedEnd(now, maxSpeed).isAfter(latestEnd);
+    return maxSpeed;
   }
 
-  private static boolean isUnconstrained(LiveStep step) {
-    StepSpec s = step.spec;
-    return s.dataRack().isEmpty() && s.requiredLabel().isEmpty() && s.maxPerMinion() == 0;
+  /** Returns whether the choice for a step depends on more than its demand. */
+  private static boolean hasOwnLimits(LiveStep step, Set<NodeId> avoided) {
+    return !avoided.isEmpty() || step.spec.maxPerMinion() != 0;
   }
 
   private double speed(LiveStep step, Candidate c, Instant now) {
@@ -92,15 +111,14 @@
     return remote ? speed / remoteFactor : speed;
   }
 
-  private static boolean mayRun(LiveStep step, WorkerState w, Set<NodeId> avoided) {
+  private static boolean hasRequiredLabel(LiveStep step, WorkerState w) {
     MinionProfile m = w.minion;
-    String label = step.spec.requiredLabel();
-    if (m == null
-        || avoided.contains(w.agent)
-        || (!label.isEmpty() && !m.labels().contains(label))) {
-      return false;
-    }
+    return m != null && step.demand.isLabelMetBy(m);
+  }
+
+  private static boolean isAllowed(LiveStep step, WorkerState w, Set<NodeId> avoided) {
     int maxRuns = step.spec.maxPerMinion();
-    return maxRuns == 0 || w.runs.values().stream().filter(r -> r.step == step).count() < maxRuns;
+    return !avoided.contains(w.agent)
+        && (maxRuns == 0 || w.runs.values().stream().filter(r -> r.step == step).count() < maxRuns);
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
+import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.queue.QueuedTaskId;
@@ -126,6 +128,21 @@
     return !any;
   }
 
+  /** Returns whether any worker can take tasks of a demand once it has enough free capacity. */
+  boolean canServe(Demand demand, Predicate<FailureDomain> isOutOfService) {
+    for (WorkerState w : workers.values()) {
+      MinionProfile m = w.minion;
+      if (m != null
+          && m.service().equals(demand.service())
+          && m.capacity().covers(demand.need())
+          && demand.isLabelMetBy(m)
+          && !isOutOfService.test(m.domain())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Applies a report and returns the worker, or null when the report is outdated. */
   @Nullable WorkerState applyReport(NodeId agent, AgentReport r, long fence, Instant now) {
     WorkerState w = workers.computeIfAbsent(agent, WorkerState::new);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -167,10 +167,14 @@
       return Duration.ZERO;
     }
     return Admission.queueingDelay(
-        liveJobs.cpuTimeAhead(queue.service(), queue.priority()),
+        liveJobs.cpuTimeAhead(queue.service(), queue.priority(), this::canServe),
         fleet.capacityMilliCpu(queue.service(), now));
   }
 
+  private boolean canServe(Demand demand) {
+    return fleet.canServe(demand, ledger::isOutOfService);
+  }
+
   private void onAccepted(LiveJob job, Instant now) {
     QueuedJobId id = job.job.id();
     Caller caller = callers.remove(id);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJobs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJobs.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.queue.LedgerJob;
 import org.cassiastack.queue.Queue;
@@ -117,10 +118,11 @@
 
   /**
    * Returns the processor time of the waiting tasks that start before those of a new job of the
-   * given priority, in thousandths of a core times nanoseconds.
+   * given priority, in thousandths of a core times nanoseconds. Tasks that no worker can take do
+   * not count.
    */
-  double cpuTimeAhead(ServiceName service, int priority) {
-    return ready.backlog().cpuTimeAhead(service, priority);
+  double cpuTimeAhead(ServiceName service, int priority, Predicate<Demand> canServe) {
+    return ready.backlog().cpuTimeAhead(service, priority, canServe);
   }
 
   /**
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveStep.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveStep.java
@@ -17,6 +17,7 @@
   final LiveJob job;
   final int number;
   final StepSpec spec;
+  final Demand demand;
 
   /** Run time of one task at a worker of speed 1, as estimated when the job was created. */
   final Duration estimatedRunTime;
@@ -41,6 +42,7 @@
     this.job = job;
     this.number = number;
     this.spec = spec;
+    this.demand = Demand.of(job.queue, spec);
     this.estimatedRunTime = estimatedRunTime;
     this.done = new boolean[spec.taskCount()];
     this.assigned = new boolean[spec.taskCount()];
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Placer.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Placer.java
@@ -3,7 +3,6 @@
 import java.time.Instant;
 import java.util.Set;
 import org.cassiastack.model.NodeId;
-import org.jspecify.annotations.Nullable;
 
 /** Policy that chooses the worker for the next task of a step. */
 @FunctionalInterface
@@ -15,7 +14,7 @@
    * @param workers workers that accept tasks of the step's service
    * @param avoided agents whose workers must not be chosen
    * @param now the current time
-   * @return a worker with free capacity for the task, or null when the task has to wait
+   * @return a worker with free capacity for the task, or why the task has to wait
    */
-  @Nullable WorkerState choose(LiveStep step, Candidates workers, Set<NodeId> avoided, Instant now);
+  Placement choose(LiveStep step, Candidates workers, Set<NodeId> avoided, Instant now);
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/ReadyQueue.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/ReadyQueue.java
@@ -4,8 +4,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Predicate;
 
 /**
  * Steps with waiting tasks that may start, in the order in which they start: by lateness, then by
@@ -22,32 +27,44 @@
           .thenComparingLong(s -> s.job.sequence)
           .thenComparingInt(s -> s.number);
 
-  private final TreeSet<LiveStep> steps = new TreeSet<>(ORDER);
+  private final Map<Demand, NavigableSet<LiveStep>> stepsByDemand = new LinkedHashMap<>();
   private final Backlog backlog = new Backlog();
   private long additions;
 
   void add(LiveStep step) {
     if (!step.waiting.isEmpty()) {
-      steps.add(step);
+      insert(step);
       backlog.update(step);
       additions++;
     }
   }
 
   void remove(LiveStep step) {
-    steps.remove(step);
+    NavigableSet<LiveStep> steps = stepsByDemand.get(step.demand);
+    if (steps != null && steps.remove(step) && steps.isEmpty()) {
+      stepsByDemand.remove(step.demand);
+    }
     backlog.remove(step);
   }
 
+  private void insert(LiveStep step) {
+    stepsByDemand.computeIfAbsent(step.demand, d -> new TreeSet<>(ORDER)).add(step);
+  }
+
   /** Updates a step after some of its tasks have stopped waiting. */
   void tasksRemoved(LiveStep step) {
     if (step.waiting.isEmpty()) {
       remove(step);
-    } else if (steps.contains(step)) {
+    } else if (contains(step)) {
       backlog.update(step);
     }
   }
 
+  private boolean contains(LiveStep step) {
+    NavigableSet<LiveStep> steps = stepsByDemand.get(step.demand);
+    return steps != null && steps.contains(step);
+  }
+
   /** Returns how often a step was added, or added again with more waiting tasks. */
   long additions() {
     return additions;
@@ -59,6 +76,12 @@
 
   /** Updates the lateness of all steps, and the order of those whose lateness has changed. */
   void updateLateness(Instant now) {
+    for (NavigableSet<LiveStep> steps : stepsByDemand.values()) {
+      updateLateness(steps, now);
+    }
+  }
+
+  private void updateLateness(Set<LiveStep> steps, Instant now) {
     List<LiveStep> changed = new ArrayList<>();
     for (Iterator<LiveStep> i = steps.iterator(); i.hasNext(); ) {
       LiveStep s = i.next();
@@ -74,21 +97,32 @@
     }
   }
 
-  /** Returns a copy of the first steps in order, at most the given number. */
-  List<LiveStep> first(int max) {
-    List<LiveStep> first = new ArrayList<>(Math.min(max, steps.size()));
-    for (Iterator<LiveStep> i = steps.iterator(); i.hasNext() && first.size() < max; ) {
-      first.add(i.next());
+  /**
+   * Returns a pass over the steps in order.
+   *
+   * @param mayStart decides from one step of a demand whether the steps of the demand take part
+   */
+  ReadySteps inOrder(Predicate<LiveStep> mayStart) {
+    ReadySteps pass = new ReadySteps();
+    for (NavigableSet<LiveStep> steps : stepsByDemand.values()) {
+      if (mayStart.test(steps.first())) {
+        pass.add(steps, ORDER);
+      }
     }
-    return first;
+    return pass;
+  }
+
+  /** Returns one step of each demand. */
+  List<LiveStep> oneOfEachDemand() {
+    return stepsByDemand.values().stream().map(NavigableSet::first).toList();
   }
 
-  /** Returns a live view of all steps in order. */
-  Iterable<LiveStep> all() {
-    return steps;
+  /** Returns all steps; the steps of each demand are in order. */
+  List<LiveStep> all() {
+    return stepsByDemand.values().stream().flatMap(Set::stream).toList();
   }
 
   boolean isEmpty() {
-    return steps.isEmpty();
+    return stepsByDemand.isEmpty();
   }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
@@ -82,6 +82,12 @@
   long lastCommitIndex;
   long lastRequestId;
 
+  /** Labels, failure domain and service of the minions that differ from the default. */
+  final Map<NodeId, List<String>> labels = new HashMap<>();
+
+  final Map<NodeId, FailureDomain> domains = new HashMap<>();
+  final Map<NodeId, ServiceName> services = new HashMap<>();
+
   /** Whether proposals are kept back instead of being committed. */
   boolean holdCommits;
 
@@ -143,10 +149,10 @@
     MinionProfile minion =
         new MinionProfile(
             new MinionIncarnation(new MinionId("minion of " + agent), 1),
-            SERVICE,
-            new FailureDomain("a"),
+            services.getOrDefault(agent, SERVICE),
+            domains.getOrDefault(agent, new FailureDomain("a")),
             new Resources(8_000, 8_000, 0),
-            List.of(),
+            labels.getOrDefault(agent, List.of()),
             draining);
     on(
         new Received(
@@ -237,8 +243,12 @@
 
   /** Returns a queue for the paths that begin with its name. */
   static org.cassiastack.queue.Queue queue(String name, int maxAttempts) {
+    return queue(name, SERVICE, maxAttempts);
+  }
+
+  static org.cassiastack.queue.Queue queue(String name, ServiceName service, int maxAttempts) {
     String prefix = "/" + name + "/";
     return new org.cassiastack.queue.Queue(
-        name, "h", prefix, SERVICE, 0, maxAttempts, 1.6, Duration.ofMillis(60));
+        name, "h", prefix, service, 0, maxAttempts, 1.6, Duration.ofMillis(60));
   }
 }
