Placing: a round looks up workers once for each queue, and ends when no room is left

Change: workers are looked up by the declaration of the queue, the smallest need once for a round, and the round ends once no worker has room for it. The order of steps is compared without boxing.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Candidates.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Candidates.java
@@ -69,6 +69,11 @@
     fits.clear();
   }
 
+  /** Returns whether any worker has free capacity for the smallest need. */
+  boolean hasFreeCapacity() {
+    return !withFreeCapacity.isEmpty();
+  }
+
   /**
    * Returns whether a worker may have free capacity for a need. False is definite; true is not,
    * because the maxima of the resources may belong to different workers.
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -3,10 +3,10 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.cassiastack.controller.Effect;
@@ -15,6 +15,7 @@
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
+import org.cassiastack.queue.Queue;
 import org.cassiastack.queue.Resources;
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.runs.RunId;
@@ -89,28 +90,17 @@
     }
     lastPlacedChanges = changes;
     long firstRun = (generation - 1) * RUNS_PER_GENERATION + 1;
-    Map<ServiceName, Candidates> workers = usableWorkersOfReadySteps(now);
-    ReadySteps steps = liveJobs.ready.inOrder(s -> workersFor(s, workers).mayFit(s.spec.need()));
+    RoundWorkers workers = new RoundWorkers(liveJobs.ready.minNeed(), now);
+    ReadySteps steps = liveJobs.ready.inOrder(s -> workers.of(s).mayFit(s.spec.need()));
     for (LiveStep s = steps.next(); s != null; s = steps.next()) {
-      if (!placeStep(s, workersFor(s, workers), firstRun, now)) {
+      if (!placeStep(s, workers.of(s), firstRun, now)) {
         steps.skipDemand();
       }
+      if (!workers.haveFreeCapacity()) {
+        break;
+      }
     }
-    workers.values().forEach(c -> candidatesExamined += c.examinedCount());
-  }
-
-  private Map<ServiceName, Candidates> usableWorkersOfReadySteps(Instant now) {
-    Map<ServiceName, Resources> minNeeds = new HashMap<>();
-    for (LiveStep s : liveJobs.ready.oneOfEachDemand()) {
-      minNeeds.merge(ledger.serviceOf(s.job.queue), s.spec.need(), Resources::min);
-    }
-    Map<ServiceName, Candidates> workers = new HashMap<>();
-    minNeeds.forEach((service, need) -> workers.put(service, usableWorkers(service, need, now)));
-    return workers;
-  }
-
-  private Candidates workersFor(LiveStep step, Map<ServiceName, Candidates> workers) {
-    return Objects.requireNonNull(workers.get(ledger.serviceOf(step.job.queue)));
+    workers.byService.values().forEach(c -> candidatesExamined += c.examinedCount());
   }
 
   /** Makes the next call of {@link #place} run a round even without new steps or capacity. */
@@ -233,4 +223,43 @@
     decisions.accept(
         Decision.of("run_ordered", id, step.lateness.name().toLowerCase(Locale.ROOT), inputs));
   }
+
+  /** The workers that may take tasks during one round, looked up by the queue of a step. */
+  private final class RoundWorkers {
+    final Map<ServiceName, Candidates> byService = new HashMap<>();
+
+    /**
+     * Jobs share the declarations of their queues, so that identity suffices for a fast look-up.
+     */
+    private final IdentityHashMap<Queue, Candidates> byQueue = new IdentityHashMap<>();
+
+    private final Resources minNeed;
+    private final Instant now;
+
+    RoundWorkers(Resources minNeed, Instant now) {
+      this.minNeed = minNeed;
+      this.now = now;
+    }
+
+    Candidates of(LiveStep step) {
+      Candidates known = byQueue.get(step.job.queue);
+      if (known != null) {
+        return known;
+      }
+      Candidates c =
+          byService.computeIfAbsent(
+              ledger.serviceOf(step.job.queue), s -> usableWorkers(s, minNeed, now));
+      byQueue.put(step.job.queue, c);
+      return c;
+    }
+
+    boolean haveFreeCapacity() {
+      for (Candidates c : byService.values()) {
+        if (c.hasFreeCapacity()) {
+          return true;
+        }
+      }
+      return false;
+    }
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/ReadyQueue.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/ReadyQueue.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Predicate;
+import org.cassiastack.queue.Resources;
 
 /**
  * Steps with waiting tasks that may start, in the order in which they start: by lateness, then by
@@ -20,12 +21,7 @@
  * that can still be on time overtake jobs that are late anyway.
  */
 final class ReadyQueue {
-  private static final Comparator<LiveStep> ORDER =
-      Comparator.comparing((LiveStep s) -> s.lateness)
-          .thenComparingInt(s -> s.job.queue.priority())
-          .thenComparing(s -> s.job.dueAt)
-          .thenComparingLong(s -> s.job.sequence)
-          .thenComparingInt(s -> s.number);
+  private static final Comparator<LiveStep> ORDER = ReadyQueue::compare;
 
   private final Map<Demand, NavigableSet<LiveStep>> stepsByDemand = new LinkedHashMap<>();
   private final Backlog backlog = new Backlog();
@@ -112,9 +108,13 @@
     return pass;
   }
 
-  /** Returns one step of each demand. */
-  List<LiveStep> oneOfEachDemand() {
-    return stepsByDemand.values().stream().map(NavigableSet::first).toList();
+  /** Returns the smaller of the needs of all steps, for each resource. */
+  Resources minNeed() {
+    Resources min = null;
+    for (Demand d : stepsByDemand.keySet()) {
+      min = min == null ? d.need() : min.min(d.need());
+    }
+    return min == null ? Resources.NONE : min;
   }
 
   /** Returns all steps; the steps of each demand are in order. */
@@ -125,4 +125,12 @@
   boolean isEmpty() {
     return stepsByDemand.isEmpty();
   }
+
+  private static int compare(LiveStep a, LiveStep b) {
+    int c = a.lateness.compareTo(b.lateness);
+    c = c != 0 ? c : Integer.compare(a.job.queue.priority(), b.job.queue.priority());
+    c = c != 0 ? c : a.job.dueAt.compareTo(b.job.dueAt);
+    c = c != 0 ? c : Long.compare(a.job.sequence, b.job.sequence);
+    return c != 0 ? c : Integer.compare(a.number, b.number);
+  }
 }
