--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -293,6 +293,7 @@
     return mayHaveRuns() && expiry.isBefore(at) ? expiry : at;
   }
 
+  /** Returns whether the minion may have runs, as far as its lists and the pending starts tell. */
   private boolean mayHaveRuns() {
     return lists.mayHaveRuns() || !starts.isEmpty();
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -131,7 +131,8 @@
       liveJobs.restore(job, ledger.queueOf(job), now);
     } catch (RuntimeException e) {
       // An error in one job must not keep this member from leading the others.
-      addDecision("job_not_restored", job.job().id(), "failed", "queue=" + job.queue() + " " + e);
+      String inputs = "queue=" + job.queue() + " error=" + e.getClass().getSimpleName();
+      addDecision("job_not_restored", job.job().id(), "failed", inputs);
     }
   }
 
