Orders for failure domains: an old order no longer undoes a newer one

Cause: the deadline of an order counts from its reading, and an order does not say what it replaces.

Change: a node asks the leader for the number of the last order after it has read an order, and the leader takes the order only if no other one for the domain was taken since.

The network of the queue simulation becomes a class of its own, with slow links added.

--- a/cassiastack-core/src/main/java/org/cassiastack/request/AnswerCode.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/AnswerCode.java
@@ -36,6 +36,17 @@
   UNSUPPORTED(614),
   /** The caller's timeout left no time for an answer; the request had no effect. */
   TOO_LATE(615),
+  /**
+   * The leader has taken another order for the failure domain since the revision that the order is
+   * based on, or another leader has; the order had no effect.
+   */
+  SUPERSEDED(616),
+  /**
+   * The order for a failure domain may be so old that its operator no longer waits for the answer;
+   * it had no effect. The answer's document is the revision with which a waiting operator confirms
+   * the order.
+   */
+  CONFIRMATION_NEEDED(617),
   /**
    * The process that received the request is not the leader; the request had no effect in that
    * process.
--- a/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
@@ -33,6 +33,10 @@
  *       refuses a repeated request as it refused the first.
  *   <li>A request that was sent and has no answer at its deadline gets {@link
  *       AnswerCode#UNANSWERED}: it is not known whether the request had an effect.
+ *   <li>For a {@link DomainOrder}, the leader is first asked for a {@link DomainRevision}. If the
+ *       operator still waits when the revision arrives, the order is sent with it; otherwise the
+ *       operator has to confirm the order with this revision. An order that lies somewhere for
+ *       seconds therefore never takes effect after a newer one.
  * </ol>
  *
  * @since 0.2
@@ -78,9 +82,11 @@
       leaderlessSince = now;
     }
     if (event instanceof RequestPosted c) {
-      onCall(c, now, effects);
+      onCall(new PendingRequest(c.request(), null, now, c.deadline()), now, effects);
+    } else if (event instanceof DomainOrder o) {
+      onCall(new PendingRequest(firstRequest(o), o, now, o.deadline()), now, effects);
     } else if (event instanceof Received r && r.message() instanceof LeaderReply a) {
-      onReply(a, effects);
+      onReply(a, now, effects);
     } else if (event instanceof Received r && r.message() instanceof LeaderNotice n) {
       if (tracker.onNotice(r.from(), n)) {
         onLeaderChanged(LeaderViewChanged.Cause.NOTICE, now, effects);
@@ -101,16 +107,24 @@
     return pendingRequests.isEmpty() ? Instant.MAX : now;
   }
 
-  private void onCall(RequestPosted c, Instant now, List<Effect> effects) {
-    PendingRequest pending = new PendingRequest(c.request(), now, c.deadline());
+  private void onCall(PendingRequest pending, Instant now, List<Effect> effects) {
     if (isElectionOverdue(now)) {
       effects.add(noLeader(pending));
       return;
     }
-    pendingRequests.put(c.request().requestId(), pending);
+    pendingRequests.put(pending.request.requestId(), pending);
     send(pending, "first", now, effects);
   }
 
+  private static LeaderRequest firstRequest(DomainOrder o) {
+    DomainRevision r = o.basedOn();
+    return r == null ? new AskQueueConfiguration(o.requestId()) : switchSince(o, r);
+  }
+
+  private static LeaderRequest switchSince(DomainOrder o, DomainRevision basedOn) {
+    return new SwitchDomainSince(o.requestId(), o.domain(), o.out(), basedOn);
+  }
+
   private boolean isElectionOverdue(Instant now) {
     return leaderlessSince != null && !now.isBefore(leaderlessSince.plus(TYPICAL_ELECTION_TIME));
   }
@@ -124,7 +138,7 @@
         pending.request.requestId(), RequestAnswer.of(AnswerCode.UNANSWERED));
   }
 
-  private void onReply(LeaderReply reply, List<Effect> effects) {
+  private void onReply(LeaderReply reply, Instant now, List<Effect> effects) {
     PendingRequest pending = pendingRequests.get(reply.requestId());
     if (pending == null) {
       return;
@@ -134,6 +148,15 @@
       pending.onNotLeader();
       return;
     }
+    DomainOrder order = pending.order;
+    if (order != null && isRevision(reply.answer())) {
+      if (pending.request instanceof AskQueueConfiguration) {
+        pendingRequests.remove(reply.requestId());
+        onRevision(order, new DomainRevision(reply.term(), reply.answer().count()), now, effects);
+      }
+      // Otherwise the leader has answered a repeated request for the revision again.
+      return;
+    }
     pendingRequests.remove(reply.requestId());
     RequestAnswer answer =
         pending.isRefusalUncertain(reply)
@@ -142,6 +165,25 @@
     effects.add(new RequestAnswered(reply.requestId(), answer));
   }
 
+  /** Returns whether an answer states a revision: every answer to a request for one does. */
+  private static boolean isRevision(RequestAnswer answer) {
+    return answer.code() == AnswerCode.FOUND || answer.code() == AnswerCode.NOT_CONFIGURED;
+  }
+
+  private void onRevision(DomainOrder o, DomainRevision r, Instant now, List<Effect> effects) {
+    if (r.number() == 0) {
+      // The leader has an earlier version, which carries every order out.
+      LeaderRequest request = new SwitchDomain(o.requestId(), o.domain(), o.out());
+      onCall(new PendingRequest(request, o, now, o.deadline()), now, effects);
+    } else if (!now.isAfter(o.awaitedUntil())) {
+      onCall(new PendingRequest(switchSince(o, r), o, now, o.deadline()), now, effects);
+    } else {
+      String inputs = "out=" + o.out() + " revision=" + r + " awaited_until=" + o.awaitedUntil();
+      effects.add(Decision.of("domain_order_refused", o.domain(), "confirmation_needed", inputs));
+      effects.add(new RequestAnswered(o.requestId(), RequestAnswer.confirmationNeeded(r)));
+    }
+  }
+
   private void onLeaderChanged(LeaderViewChanged.Cause cause, Instant now, List<Effect> effects) {
     leaderlessSince = tracker.leader() == null ? now : null;
     effects.add(new LeaderViewChanged(tracker.leader(), tracker.members(), cause));
@@ -180,6 +222,10 @@
 
   private static final class PendingRequest {
     final LeaderRequest request;
+
+    /** The order that the request is a step of; null for a request that is no such step. */
+    final @Nullable DomainOrder order;
+
     final Instant receivedAt;
     final Instant deadline;
     Instant resendAt = Instant.MIN;
@@ -201,8 +247,10 @@
      */
     private int leaderCount;
 
-    PendingRequest(LeaderRequest request, Instant receivedAt, Instant deadline) {
+    PendingRequest(
+        LeaderRequest request, @Nullable DomainOrder order, Instant receivedAt, Instant deadline) {
       this.request = request;
+      this.order = order;
       this.receivedAt = receivedAt;
       this.deadline = deadline;
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/request/RequestAnswer.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/RequestAnswer.java
@@ -10,13 +10,16 @@
  *
  * @param code outcome of the request
  * @param phase phase of the job; null if the answer does not state one
- * @param pending number of jobs that have not started, if requested; otherwise 0
+ * @param count number of jobs that have not started, if requested; with the configuration, number
+ *     of the {@link DomainRevision} of the answer's term; otherwise 0. Leaders of earlier versions
+ *     number no orders and state 0 with the configuration
  * @param retryAfter time after which a retry may succeed; zero if that is not known
- * @param document document of the configuration, if requested; otherwise empty
+ * @param document document of the configuration, if requested; text of the revision for {@link
+ *     AnswerCode#CONFIRMATION_NEEDED}; otherwise empty
  * @since 0.2
  */
 public record RequestAnswer(
-    AnswerCode code, @Nullable JobPhase phase, int pending, Duration retryAfter, Payload document) {
+    AnswerCode code, @Nullable JobPhase phase, int count, Duration retryAfter, Payload document) {
   /** Creates an answer that consists of a code alone. */
   public static RequestAnswer of(AnswerCode code) {
     return new RequestAnswer(code, null, 0, Duration.ZERO, Payload.EMPTY);
@@ -32,9 +35,22 @@
     return new RequestAnswer(AnswerCode.FOUND, null, pending, Duration.ZERO, Payload.EMPTY);
   }
 
-  /** Creates an answer with the document of a configuration. */
-  public static RequestAnswer document(Payload document) {
-    return new RequestAnswer(AnswerCode.FOUND, null, 0, Duration.ZERO, document);
+  /**
+   * Creates an answer with the configuration in force.
+   *
+   * @param document document of the configuration; null before the first configuration
+   * @param domainOrders number of the last order that the leader has taken for a failure domain
+   */
+  public static RequestAnswer configuration(@Nullable Payload document, int domainOrders) {
+    AnswerCode code = document == null ? AnswerCode.NOT_CONFIGURED : AnswerCode.FOUND;
+    Payload content = document == null ? Payload.EMPTY : document;
+    return new RequestAnswer(code, null, domainOrders, Duration.ZERO, content);
+  }
+
+  /** Creates a refusal of an order that its operator has to confirm with a revision. */
+  public static RequestAnswer confirmationNeeded(DomainRevision revision) {
+    Payload text = Payload.ofText(revision.toString());
+    return new RequestAnswer(AnswerCode.CONFIRMATION_NEEDED, null, 0, Duration.ZERO, text);
   }
 
   /**
--- a/cassiastack-core/src/main/java/org/cassiastack/request/SwitchDomain.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/SwitchDomain.java
@@ -3,7 +3,8 @@
 import org.cassiastack.model.FailureDomain;
 
 /**
- * An operator takes a failure domain out of service or returns it to service.
+ * Takes a failure domain out of service or returns it to service, whatever orders were taken
+ * before. Sent by and to nodes of versions without {@link SwitchDomainSince}.
  *
  * @param requestId identity of the request
  * @param domain failure domain to switch
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -8,7 +8,9 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cassiastack.decision.Decision;
+import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
 import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.LedgerBatch;
@@ -27,6 +29,7 @@
 import org.cassiastack.request.StoreConfiguration;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.request.SwitchDomain;
+import org.cassiastack.request.SwitchDomainSince;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -48,6 +51,11 @@
 
   private final RecentAnswers recentAnswers = new RecentAnswers();
 
+  private final DomainOrders domainOrders;
+
+  /** Sender of the last order for each failure domain, whose repetition is acknowledged again. */
+  private final Map<FailureDomain, Caller> lastOrderCallers = new HashMap<>();
+
   LeaderRequestHandler(
       long fence,
       JobLedger ledger,
@@ -65,6 +73,7 @@
     this.decisions = decisions;
     this.replies = replies;
     this.agentsSynced = agentsSynced;
+    this.domainOrders = new DomainOrders(fence);
   }
 
   /**
@@ -83,19 +92,40 @@
     } else if (request instanceof StoreConfiguration s) {
       commits.addConfiguration(s.configuration(), at -> answer(caller, AnswerCode.ACCEPTED));
     } else if (request instanceof SwitchDomain d) {
-      commits.addDomainSwitch(
-          new LedgerBatch.DomainSwitch(d.domain(), d.out()),
-          at -> answer(caller, AnswerCode.ACCEPTED));
+      switchDomain(caller, d.domain(), d.out());
+    } else if (request instanceof SwitchDomainSince d) {
+      switchDomain(caller, d);
     } else if (request instanceof AskQueueConfiguration) {
       QueueConfiguration c = ledger.configuration();
-      answer(
-          caller,
-          c == null
-              ? RequestAnswer.of(AnswerCode.NOT_CONFIGURED)
-              : RequestAnswer.document(c.document()));
+      Payload document = c == null ? null : c.document();
+      answer(caller, RequestAnswer.configuration(document, domainOrders.number()));
+    }
+  }
+
+  private void switchDomain(Caller caller, SwitchDomainSince d) {
+    boolean repeated = caller.equals(lastOrderCallers.get(d.domain()));
+    if (repeated) {
+      proposeSwitch(caller, d.domain(), d.out());
+    } else if (domainOrders.isUnchangedSince(d.domain(), d.basedOn())) {
+      switchDomain(caller, d.domain(), d.out());
+    } else {
+      String inputs = "out=" + d.out() + " based_on=" + d.basedOn();
+      addDecision("domain_order_refused", d.domain(), "superseded", inputs);
+      answer(caller, AnswerCode.SUPERSEDED);
     }
   }
 
+  private void switchDomain(Caller caller, FailureDomain domain, boolean out) {
+    domainOrders.add(domain);
+    lastOrderCallers.put(domain, caller);
+    proposeSwitch(caller, domain, out);
+  }
+
+  private void proposeSwitch(Caller caller, FailureDomain domain, boolean out) {
+    commits.addDomainSwitch(
+        new LedgerBatch.DomainSwitch(domain, out), at -> answer(caller, AnswerCode.ACCEPTED));
+  }
+
   private void submit(Caller caller, SubmitJob s, Instant now) {
     QueuedJobId id = s.job().id();
     RequestAnswer recentAnswer = recentAnswers.findAndRefresh(id, now);
--- a/cassiastack-core/src/test/java/org/cassiastack/request/LeaderRequestControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/request/LeaderRequestControllerTest.java
@@ -10,7 +10,9 @@
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Tick;
 import org.cassiastack.decision.Decision;
+import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.NodeId;
+import org.cassiastack.model.Payload;
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
@@ -23,6 +25,7 @@
   private static final Instant NOW = Instant.parse("2026-12-04T08:00:00Z");
   private static final NodeId FIRST = new NodeId("10.0.0.1");
   private static final NodeId SECOND = new NodeId("10.0.0.2");
+  private static final FailureDomain DOMAIN = new FailureDomain("a");
   private static final AskJob REQUEST = new AskJob(1, new QueueAddress("h", "/p/1"));
 
   private final LeaderRequestController controller = LeaderRequestController.create();
@@ -219,6 +222,75 @@
             new Send(FIRST, REQUEST));
   }
 
+  @Test
+  void sends_an_order_with_the_revision_that_the_leader_states_while_the_operator_waits() {
+    on(notice(FIRST, 1, FIRST), 0);
+
+    List<Effect> asked = on(order(900), 0);
+    List<Effect> sent = on(revision(3), 5);
+    List<Effect> answered = on(reply(FIRST, AnswerCode.ACCEPTED), 10);
+
+    assertThat(asked).containsExactly(new Send(FIRST, new AskQueueConfiguration(1)));
+    assertThat(sent)
+        .containsExactly(
+            new Send(FIRST, new SwitchDomainSince(1, DOMAIN, true, new DomainRevision(1, 3))));
+    assertThat(answered)
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.ACCEPTED)));
+  }
+
+  @Test
+  void asks_for_confirmation_of_an_order_whose_operator_may_have_stopped_waiting() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(order(900), 0);
+
+    List<Effect> effects = on(revision(3), 901);
+
+    assertThat(effects)
+        .contains(
+            new RequestAnswered(1, RequestAnswer.confirmationNeeded(new DomainRevision(1, 3))))
+        .noneMatch(Send.class::isInstance);
+  }
+
+  @Test
+  void sends_a_confirmed_order_with_the_revision_of_the_confirmation() {
+    DomainRevision confirmed = new DomainRevision(1, 2);
+    on(notice(FIRST, 1, FIRST), 0);
+
+    List<Effect> effects =
+        on(new DomainOrder(1, DOMAIN, false, NOW, confirmed, NOW.plusSeconds(1)), 500);
+
+    assertThat(effects)
+        .containsExactly(new Send(FIRST, new SwitchDomainSince(1, DOMAIN, false, confirmed)));
+  }
+
+  @Test
+  void a_repeated_statement_of_the_revision_does_not_acknowledge_an_order() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(order(900), 0);
+    on(revision(3), 5);
+
+    assertThat(on(revision(3), 6)).isEmpty();
+  }
+
+  @Test
+  void sends_an_order_as_it_is_to_a_leader_of_a_version_that_numbers_no_orders() {
+    on(notice(FIRST, 1, FIRST), 0);
+    on(order(900), 0);
+
+    List<Effect> effects = on(revision(0), 5);
+
+    assertThat(effects).containsExactly(new Send(FIRST, new SwitchDomain(1, DOMAIN, true)));
+  }
+
+  private static DomainOrder order(long waitMillis) {
+    return new DomainOrder(1, DOMAIN, true, NOW.plusMillis(waitMillis), null, NOW.plusSeconds(1));
+  }
+
+  private static Received revision(int number) {
+    RequestAnswer answer = RequestAnswer.configuration(Payload.ofText("document"), number);
+    return new Received(FIRST, new LeaderReply(1, answer, 1));
+  }
+
   private List<Effect> on(Event event, long millis) {
     return controller.on(event, NOW.plusMillis(millis));
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -15,10 +15,12 @@
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.AskQueueConfiguration;
+import org.cassiastack.request.DomainRevision;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.request.SwitchDomain;
+import org.cassiastack.request.SwitchDomainSince;
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.EndedRun;
 import org.cassiastack.runs.RunId;
@@ -26,6 +28,8 @@
 import org.junit.jupiter.api.Test;
 
 class LeaderControllerTest extends LeaderScenario {
+  private static final FailureDomain DOMAIN = new FailureDomain("a");
+
   @Test
   void answers_a_read_with_its_event_and_not_at_the_end_of_the_turn() {
     List<Effect> effects =
@@ -94,6 +98,72 @@
     assertThat(started()).isEmpty();
   }
 
+  @Test
+  void refuses_an_order_if_another_order_for_the_domain_was_taken_since_its_revision() {
+    DomainRevision read = revision();
+    request(new SwitchDomainSince(++lastRequestId, DOMAIN, true, read));
+    answers.clear();
+
+    request(new SwitchDomainSince(++lastRequestId, DOMAIN, false, read));
+    submit(2, true);
+
+    assertThat(answers)
+        .extracting(RequestAnswer::code)
+        .containsExactly(AnswerCode.SUPERSEDED, AnswerCode.ACCEPTED);
+    assertThat(started()).isEmpty();
+  }
+
+  @Test
+  void refuses_an_order_with_a_revision_from_before_an_order_that_changed_nothing() {
+    DomainRevision read = revision();
+    request(new SwitchDomainSince(++lastRequestId, DOMAIN, false, read));
+    answers.clear();
+
+    request(new SwitchDomainSince(++lastRequestId, DOMAIN, true, read));
+
+    assertThat(answers).containsExactly(RequestAnswer.of(AnswerCode.SUPERSEDED));
+  }
+
+  @Test
+  void takes_an_order_although_an_order_for_another_domain_was_taken_since_its_revision() {
+    DomainRevision read = revision();
+    request(new SwitchDomainSince(++lastRequestId, new FailureDomain("b"), true, read));
+    answers.clear();
+
+    request(new SwitchDomainSince(++lastRequestId, DOMAIN, true, read));
+
+    assertThat(answers).containsExactly(RequestAnswer.of(AnswerCode.ACCEPTED));
+  }
+
+  @Test
+  void acknowledges_an_order_again_that_arrives_twice() {
+    SwitchDomainSince order = new SwitchDomainSince(++lastRequestId, DOMAIN, true, revision());
+    answers.clear();
+
+    request(order);
+    request(order);
+
+    assertThat(answers).containsOnly(RequestAnswer.of(AnswerCode.ACCEPTED)).hasSize(2);
+  }
+
+  @Test
+  void refuses_an_order_with_the_revision_of_an_earlier_leader() {
+    DomainRevision read = revision();
+    lead(6);
+    answers.clear();
+
+    request(new SwitchDomainSince(++lastRequestId, DOMAIN, true, read));
+
+    assertThat(answers).containsExactly(RequestAnswer.of(AnswerCode.SUPERSEDED));
+  }
+
+  private DomainRevision revision() {
+    request(new AskQueueConfiguration(++lastRequestId));
+    int number = answers.get(answers.size() - 1).count();
+    answers.clear();
+    return new DomainRevision(fence, number);
+  }
+
   @Test
   void refuses_a_job_with_a_task_that_exceeds_the_capacity_of_every_minion() {
     request(
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
@@ -3,23 +3,20 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.Set;
 import org.cassiastack.controller.Effect;
-import org.cassiastack.controller.Event;
 import org.cassiastack.controller.VirtualScheduler;
+import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Payload;
-import org.cassiastack.protocol.PeerConnected;
-import org.cassiastack.protocol.PeerDisconnected;
-import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.InMemoryLedgerCodec;
+import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.Queue;
 import org.cassiastack.queue.QueueConfiguration;
@@ -29,6 +26,8 @@
 import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.CancelJob;
+import org.cassiastack.request.DomainOrder;
+import org.cassiastack.request.DomainRevision;
 import org.cassiastack.request.QueueAddress;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.RequestAnswered;
@@ -37,6 +36,7 @@
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.runs.RunId;
 import org.cassiastack.schedule.ScheduleSettings;
+import org.jspecify.annotations.Nullable;
 
 /** Simulates control members, agents with minions, and an entry on a faulty network. */
 final class QueueSimulation {
@@ -48,7 +48,6 @@
   static final Duration LEASE = Duration.ofSeconds(1);
   static final ScheduleSettings SCHEDULE_SETTINGS =
       ScheduleSettings.of(LEASE, Duration.ofMillis(150), Duration.ofMinutes(5));
-  private static final int DISCONNECT_MILLIS = 900;
   private static final String HOST = "ice.example";
   private static final String PREFIX = "/checks/";
 
@@ -61,9 +60,7 @@
   private final VirtualScheduler scheduler = new VirtualScheduler(START);
   private final InMemoryLedgerCodec codec = new InMemoryLedgerCodec();
   private final Map<NodeId, SimulatedNode> nodes = new LinkedHashMap<>();
-  private final Set<Link> cutLinks = new HashSet<>();
-  private final Set<Link> connectedLinks = new HashSet<>();
-  private final Map<Link, Long> lastDelivery = new HashMap<>();
+  private final SimulatedNetwork network = new SimulatedNetwork(this, nodes);
   private final Map<Long, RequestAnswer> answers = new HashMap<>();
   private final RunChecker runChecker = new RunChecker(this);
   private final Map<QueuedJobId, Long> submissions = new LinkedHashMap<>();
@@ -193,6 +190,44 @@
     entry().on(new RequestPosted(s, now().plus(timeout)));
   }
 
+  /**
+   * Passes an order for a failure domain to a member after the time that the order is under way.
+   *
+   * @return the id of the request
+   */
+  long order(
+      SimulatedNode member,
+      FailureDomain domain,
+      boolean out,
+      Duration operatorTimeout,
+      @Nullable DomainRevision basedOn,
+      long transitMillis) {
+    lastRequestId++;
+    long requestId = lastRequestId;
+    Instant awaitedUntil = now().plus(operatorTimeout);
+    runAfter(
+        transitMillis,
+        () -> {
+          Instant deadline = now().plus(operatorTimeout);
+          member.on(new DomainOrder(requestId, domain, out, awaitedUntil, basedOn, deadline));
+        });
+    return requestId;
+  }
+
+  /** Returns the answer to a request, or null while there is none. */
+  @Nullable RequestAnswer answer(long requestId) {
+    return answers.get(requestId);
+  }
+
+  /** Returns the ledger of the member that has applied most entries. */
+  JobLedger ledger() {
+    return members().stream()
+        .map(m -> ((SimulatedMember) m).observer())
+        .max(Comparator.comparingLong(LedgerObserver::lastIndex))
+        .orElseThrow()
+        .ledger();
+  }
+
   void cancel(QueuedJobId id) {
     lastRequestId++;
     cancellations.put(id, lastRequestId);
@@ -262,21 +297,6 @@
     member.kill();
   }
 
-  /** Drops messages of one direction of a link; both ends detect the loss after a delay. */
-  void cutLink(SimulatedNode from, SimulatedNode to) {
-    cutLinks.add(new Link(from.node, to.node));
-    runAfter(DISCONNECT_MILLIS, () -> disconnectIfCut(from, to));
-  }
-
-  void reconnectAll() {
-    cutLinks.clear();
-    for (SimulatedNode a : nodes.values()) {
-      for (SimulatedNode b : nodes.values()) {
-        connect(a, b);
-      }
-    }
-  }
-
   long runMillisOf(RunId run) {
     return 40L + Math.floorMod(run.hashCode(), 120);
   }
@@ -285,19 +305,21 @@
     return Math.floorMod(run.hashCode() / 7, 100) < failingPercent;
   }
 
-  void connectToAll(SimulatedNode node) {
-    nodes.values().forEach(other -> connect(node, other));
+  SimulatedNetwork network() {
+    return network;
   }
 
-  void disconnectFromAll(SimulatedNode node) {
-    for (SimulatedNode other : nodes.values()) {
-      disconnect(node, other);
-    }
+  void reconnectAll() {
+    network.reconnectAll();
+  }
+
+  void cutLink(SimulatedNode from, SimulatedNode to) {
+    network.cutLink(from, to);
   }
 
   void perform(SimulatedNode from, Effect effect) {
     if (effect instanceof Send s) {
-      deliver(from, s);
+      network.deliver(from, s);
     } else if (effect instanceof RequestAnswered a) {
       answers.put(a.requestId(), a.answer());
     } else {
@@ -305,64 +327,6 @@
     }
   }
 
-  private void deliver(SimulatedNode from, Send s) {
-    SimulatedNode to = nodes.get(s.to());
-    if (to == from) {
-      runAfter(0, () -> to.on(new Received(from.node, s.message())));
-      return;
-    }
-    Link link = new Link(from.node, s.to());
-    if (to == null || !connectedLinks.contains(link)) {
-      return;
-    }
-    int incarnation = to.incarnation();
-    long at = Math.max(millis() + 1 + random.nextInt(3), lastDelivery.getOrDefault(link, 0L));
-    lastDelivery.put(link, at);
-    runAfter(
-        at - millis(),
-        () -> {
-          if (!cutLinks.contains(link) && connectedLinks.contains(link)) {
-            to.on(new Received(from.node, s.message()), incarnation);
-          }
-        });
-  }
-
-  private void connect(SimulatedNode a, SimulatedNode b) {
-    boolean disconnected = a == b || !a.isUp() || !b.isUp();
-    Link forward = new Link(a.node, b.node);
-    Link backward = new Link(b.node, a.node);
-    boolean hasMember = a instanceof SimulatedMember || b instanceof SimulatedMember;
-    if (disconnected
-        || !hasMember
-        || cutLinks.contains(forward)
-        || cutLinks.contains(backward)
-        || !connectedLinks.add(forward)) {
-      return;
-    }
-    connectedLinks.add(backward);
-    post(a, new PeerConnected(b.node));
-    post(b, new PeerConnected(a.node));
-  }
-
-  private void disconnectIfCut(SimulatedNode a, SimulatedNode b) {
-    if (cutLinks.contains(new Link(a.node, b.node))) {
-      disconnect(a, b);
-    }
-  }
-
-  private void disconnect(SimulatedNode a, SimulatedNode b) {
-    if (connectedLinks.remove(new Link(a.node, b.node))) {
-      connectedLinks.remove(new Link(b.node, a.node));
-      post(a, new PeerDisconnected(b.node));
-      post(b, new PeerDisconnected(a.node));
-    }
-  }
-
-  private void post(SimulatedNode node, Event event) {
-    int incarnation = node.incarnation();
-    runAfter(0, () -> node.on(event, incarnation));
-  }
-
   private void add(SimulatedNode node) {
     nodes.put(node.node, node);
   }
@@ -370,6 +334,4 @@
   private static QueueAddress address(QueuedJobId id) {
     return new QueueAddress(HOST, PREFIX + id);
   }
-
-  private record Link(NodeId from, NodeId to) {}
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedMember.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedMember.java
@@ -24,10 +24,17 @@
   private FakeDisk disk;
   private boolean syncing;
   private boolean firstStart = true;
+  private LedgerObserver observer;
 
   SimulatedMember(QueueSimulation simulation, String name) {
     super(simulation, name);
     disk = newDisk();
+    observer = new LedgerObserver(simulation.codec());
+  }
+
+  /** Returns the observer of the member's ledger in its last incarnation. */
+  LedgerObserver observer() {
+    return observer;
   }
 
   @Override
@@ -46,9 +53,11 @@
             ENTRIES_PER_SNAPSHOT,
             RaftSettings.DEFAULT_SNAPSHOT_THRESHOLD_BYTES,
             joinPolicy);
+    observer = new LedgerObserver(simulation.codec());
     Random memberRandom = new Random(simulation.random().nextLong());
     return List.of(
         RaftController.create(settings, disk.recover(), memberRandom),
+        observer,
         LeaderController.create(
             node, QueueSimulation.SCHEDULE_SETTINGS, simulation.codec(), () -> uuid(memberRandom)),
         LeaderRequestController.create());
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNetwork.java
@@ -0,0 +1,120 @@
+package org.cassiastack.schedule.faults;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.cassiastack.controller.Event;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.protocol.PeerConnected;
+import org.cassiastack.protocol.PeerDisconnected;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+
+/** The connections between simulated processes. A link can be cut or slow in one direction. */
+final class SimulatedNetwork {
+  private static final int DISCONNECT_MILLIS = 900;
+
+  private final QueueSimulation simulation;
+  private final Map<NodeId, SimulatedNode> nodes;
+  private final Set<Link> cutLinks = new HashSet<>();
+  private final Set<Link> connectedLinks = new HashSet<>();
+  private final Map<Link, Integer> linkDelays = new HashMap<>();
+  private final Map<Link, Long> lastDelivery = new HashMap<>();
+
+  SimulatedNetwork(QueueSimulation simulation, Map<NodeId, SimulatedNode> nodes) {
+    this.simulation = simulation;
+    this.nodes = nodes;
+  }
+
+  /** Drops messages of one direction of a link; both ends detect the loss after a delay. */
+  void cutLink(SimulatedNode from, SimulatedNode to) {
+    cutLinks.add(new Link(from.node, to.node));
+    simulation.runAfter(DISCONNECT_MILLIS, () -> disconnectIfCut(from, to));
+  }
+
+  /** Delays the messages of one direction of a link from now on; 0 removes the delay. */
+  void slowLink(SimulatedNode from, SimulatedNode to, int millis) {
+    linkDelays.put(new Link(from.node, to.node), millis);
+  }
+
+  void reconnectAll() {
+    cutLinks.clear();
+    for (SimulatedNode a : nodes.values()) {
+      for (SimulatedNode b : nodes.values()) {
+        connect(a, b);
+      }
+    }
+  }
+
+  void connectToAll(SimulatedNode node) {
+    nodes.values().forEach(other -> connect(node, other));
+  }
+
+  void disconnectFromAll(SimulatedNode node) {
+    for (SimulatedNode other : nodes.values()) {
+      disconnect(node, other);
+    }
+  }
+
+  void deliver(SimulatedNode from, Send s) {
+    SimulatedNode to = nodes.get(s.to());
+    if (to == from) {
+      simulation.runAfter(0, () -> to.on(new Received(from.node, s.message())));
+      return;
+    }
+    Link link = new Link(from.node, s.to());
+    if (to == null || !connectedLinks.contains(link)) {
+      return;
+    }
+    int incarnation = to.incarnation();
+    long transit = 1L + simulation.random().nextInt(3) + linkDelays.getOrDefault(link, 0);
+    long at = Math.max(simulation.millis() + transit, lastDelivery.getOrDefault(link, 0L));
+    lastDelivery.put(link, at);
+    simulation.runAfter(
+        at - simulation.millis(),
+        () -> {
+          if (!cutLinks.contains(link) && connectedLinks.contains(link)) {
+            to.on(new Received(from.node, s.message()), incarnation);
+          }
+        });
+  }
+
+  private void connect(SimulatedNode a, SimulatedNode b) {
+    boolean disconnected = a == b || !a.isUp() || !b.isUp();
+    Link forward = new Link(a.node, b.node);
+    Link backward = new Link(b.node, a.node);
+    boolean hasMember = a instanceof SimulatedMember || b instanceof SimulatedMember;
+    if (disconnected
+        || !hasMember
+        || cutLinks.contains(forward)
+        || cutLinks.contains(backward)
+        || !connectedLinks.add(forward)) {
+      return;
+    }
+    connectedLinks.add(backward);
+    post(a, new PeerConnected(b.node));
+    post(b, new PeerConnected(a.node));
+  }
+
+  private void disconnectIfCut(SimulatedNode a, SimulatedNode b) {
+    if (cutLinks.contains(new Link(a.node, b.node))) {
+      disconnect(a, b);
+    }
+  }
+
+  private void disconnect(SimulatedNode a, SimulatedNode b) {
+    if (connectedLinks.remove(new Link(a.node, b.node))) {
+      connectedLinks.remove(new Link(b.node, a.node));
+      post(a, new PeerDisconnected(b.node));
+      post(b, new PeerDisconnected(a.node));
+    }
+  }
+
+  private void post(SimulatedNode node, Event event) {
+    int incarnation = node.incarnation();
+    simulation.runAfter(0, () -> node.on(event, incarnation));
+  }
+
+  private record Link(NodeId from, NodeId to) {}
+}
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
@@ -45,13 +45,13 @@
     missedEvents.clear();
     controllers = createControllers();
     scheduleTick(incarnation);
-    simulation.connectToAll(this);
+    simulation.network().connectToAll(this);
   }
 
   final void kill() {
     up = false;
     controllers = List.of();
-    simulation.disconnectFromAll(this);
+    simulation.network().disconnectFromAll(this);
   }
 
   final boolean isUp() {
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/LeaderClient.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/LeaderClient.java
@@ -1,6 +1,7 @@
 package org.cassiastack.daemon.queue;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -11,13 +12,17 @@
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.filter.FilterChain;
 import org.cassiastack.filter.RequestFilter;
+import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.CallerRequest;
+import org.cassiastack.request.DomainOrder;
+import org.cassiastack.request.DomainRevision;
 import org.cassiastack.request.LeaderRequest;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.RequestAnswered;
 import org.cassiastack.request.RequestPosted;
+import org.jspecify.annotations.Nullable;
 import reactor.core.publisher.Mono;
 import reactor.core.publisher.MonoSink;
 
@@ -53,12 +58,37 @@
    * @return the answer, which arrives exactly once
    */
   public Mono<RequestAnswer> request(LongFunction<LeaderRequest> requestFactory, Duration timeout) {
+    return post(id -> new RequestPosted(requestFactory.apply(id), time.now().plus(timeout)));
+  }
+
+  /**
+   * Orders that a failure domain is taken out of service or returned to service, when the returned
+   * {@code Mono} is subscribed to.
+   *
+   * @param domain failure domain to switch
+   * @param out true to take the domain out of service; false to return it to service
+   * @param awaitedUntil time until which the operator certainly waits for the answer
+   * @param basedOn revision that the operator has confirmed the order with, or null
+   * @param timeout time within which an answer is useful
+   * @return the answer, which arrives exactly once; {@link AnswerCode#CONFIRMATION_NEEDED} if the
+   *     operator may have stopped waiting before the order was compared with newer ones
+   */
+  public Mono<RequestAnswer> switchDomain(
+      FailureDomain domain,
+      boolean out,
+      Instant awaitedUntil,
+      @Nullable DomainRevision basedOn,
+      Duration timeout) {
+    return post(
+        id -> new DomainOrder(id, domain, out, awaitedUntil, basedOn, time.now().plus(timeout)));
+  }
+
+  private Mono<RequestAnswer> post(LongFunction<Event> eventFactory) {
     return Mono.create(
         sink -> {
           long requestId = lastRequestId.incrementAndGet();
           pendingRequests.put(requestId, sink);
-          events.accept(
-              new RequestPosted(requestFactory.apply(requestId), time.now().plus(timeout)));
+          events.accept(eventFactory.apply(requestId));
         });
   }
 
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
@@ -33,6 +33,7 @@
 import org.cassiastack.request.StoreConfiguration;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.request.SwitchDomain;
+import org.cassiastack.request.SwitchDomainSince;
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.RunOrders;
@@ -116,6 +117,11 @@
    * Answer to a request to the leader; a control member that is not the leader refuses the request.
    */
   LEADER_REPLY(87, LeaderReply.class),
+  /**
+   * Process that serves operators to leader: a failure domain to take out of service or to return
+   * to service, unless the leader has taken another order for the domain since.
+   */
+  SWITCH_DOMAIN_SINCE(88, SwitchDomainSince.class),
   /** Agent to leader: the state of the agent's minion and of the minion's runs. */
   AGENT_REPORT(90, AgentReport.class),
   /** Leader to agent: the lease that permits runs, in answer to a report. */
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -69,6 +69,7 @@
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.AskQueueConfiguration;
 import org.cassiastack.request.CancelJob;
+import org.cassiastack.request.DomainRevision;
 import org.cassiastack.request.LeaderNotice;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.QueueAddress;
@@ -76,6 +77,7 @@
 import org.cassiastack.request.StoreConfiguration;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.request.SwitchDomain;
+import org.cassiastack.request.SwitchDomainSince;
 import org.cassiastack.runs.ActiveRun;
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
@@ -146,8 +148,9 @@
         new StoreConfiguration(4, queues(payload)),
         new AskQueueConfiguration(5),
         new SwitchDomain(6, new FailureDomain("north"), true),
+        new SwitchDomainSince(9, new FailureDomain("north"), false, new DomainRevision(5, 2)),
         new LeaderReply(7, RequestAnswer.phase(AnswerCode.FOUND, JobPhase.RUNNING), 4),
-        new LeaderReply(8, RequestAnswer.document(payload), 5),
+        new LeaderReply(8, RequestAnswer.configuration(payload, 3), 5),
         agentReport(),
         new AgentLease(5, ISSUED, Duration.ofSeconds(1), MINION_INCARNATION, 3),
         new AgentLease(5, ISSUED, Duration.ofSeconds(1), null, 0),
