Refused jobs: a copy of the submission that is read late no longer runs them

A job that was refused never runs, by the protocol.

Cause: an entry took the time that the client waits from the reading of the request; the leader kept a refusal for 4 s only, on the guess that no repeat comes later; a new leader knew no refusals.

Change: an entry subtracts its pauses from the time that the client waits, answers a submission that waited too long with 504, and sends no request after its deadline. The refusal of a durable job is committed before it is answered, as a cancellation of an unknown job, after which the ledger ignores an acceptance for 30 s; refusals of other jobs are kept for 30 s by the leader. Both keep 20,000 at most.

One test of LeaderRequestControllerTest posted its request a second after the request's own deadline, which is answered at once now. Its request has a later deadline; what it checks is unchanged.

--- a/cassiastack-core/src/main/java/org/cassiastack/queue/JobLedger.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/JobLedger.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -28,6 +29,8 @@
  *   <li>A job is accepted only if the ledger knows its queue when the acceptance is applied,
  *       because changes that follow the admission by the leader may precede the acceptance in the
  *       log. The queue of every live job is therefore known.
+ *   <li>A job that was cancelled before it was accepted is refused: for {@link #REFUSAL_RETENTION}
+ *       a later acceptance is ignored.
  *   <li>Of an ended job, only the identity and the final phase are held, until the retention has
  *       passed.
  *   <li>Active runs are not part of the ledger. A new leader learns of them from the agents'
@@ -43,9 +46,28 @@
  * @since 0.2
  */
 public final class JobLedger {
+  /**
+   * How long a refused job is known. A copy of its submission may lie in a paused entry, or on the
+   * way behind lost packets, for as long.
+   */
+  public static final Duration REFUSAL_RETENTION = Duration.ofSeconds(30);
+
+  /** Maximum number of refused jobs that are known; the oldest ones are forgotten first. */
+  public static final int MAX_REFUSED_JOBS = 20_000;
+
+  /**
+   * Phase of a refused job in a snapshot. Ended jobs have a final phase, and earlier versions can
+   * read it.
+   */
+  private static final JobPhase REFUSED = JobPhase.QUEUED;
+
   private final Duration retention;
   private final Map<QueuedJobId, LedgerJob> liveJobs = new LinkedHashMap<>();
   private final Map<QueuedJobId, LedgerSnapshot.EndedJob> endedJobs = new LinkedHashMap<>();
+
+  /** When each refused job was refused, in this order. */
+  private final Map<QueuedJobId, Instant> refusedJobs = new LinkedHashMap<>();
+
   private final Set<FailureDomain> domainsOut = new LinkedHashSet<>();
   private final Set<NodeId> agents = new LinkedHashSet<>();
   private Instant lastBatchAt = Instant.EPOCH;
@@ -97,12 +119,12 @@
     agents.addAll(batch.addedAgents());
     batch.removedAgents().forEach(agents::remove);
     for (LedgerBatch.Acceptance a : batch.acceptedJobs()) {
-      if (!contains(a.job().id()) && isKnown(a.queue())) {
+      if (!contains(a.job().id()) && !isRefused(a.job().id()) && isKnown(a.queue())) {
         liveJobs.put(a.job().id(), new LedgerJob(a));
       }
     }
     batch.taskEnds().forEach(this::recordTaskEnd);
-    batch.cancelledJobs().forEach(id -> endJob(id, JobPhase.CANCELLED));
+    batch.cancelledJobs().forEach(this::cancel);
     evictExpired();
   }
 
@@ -116,7 +138,7 @@
         List.copyOf(domainsOut),
         List.copyOf(agents),
         liveJobs.values().stream().map(LedgerJob::snapshot).toList(),
-        List.copyOf(endedJobs.values()));
+        endedAndRefusedJobs());
   }
 
   /**
@@ -140,7 +162,20 @@
       }
     }
     endedJobs.clear();
-    s.endedJobs().forEach(e -> endedJobs.put(e.id(), e));
+    refusedJobs.clear();
+    for (LedgerSnapshot.EndedJob e : s.endedJobs()) {
+      if (e.phase().isFinal()) {
+        endedJobs.put(e.id(), e);
+      } else {
+        refusedJobs.put(e.id(), e.at());
+      }
+    }
+  }
+
+  private List<LedgerSnapshot.EndedJob> endedAndRefusedJobs() {
+    List<LedgerSnapshot.EndedJob> jobs = new ArrayList<>(endedJobs.values());
+    refusedJobs.forEach((id, at) -> jobs.add(new LedgerSnapshot.EndedJob(id, REFUSED, at)));
+    return jobs;
   }
 
   /** Returns the number of leader generations so far; each new leader begins a generation. */
@@ -209,6 +244,11 @@
     return liveJobs.containsKey(id) || endedJobs.containsKey(id);
   }
 
+  /** Returns whether a job was refused a short time ago and will not be accepted. */
+  public boolean isRefused(QueuedJobId id) {
+    return refusedJobs.containsKey(id);
+  }
+
   private boolean isKnown(String queue) {
     return declaredQueues.containsKey(queue) || retiredQueues.containsKey(queue);
   }
@@ -244,6 +284,14 @@
     }
   }
 
+  private void cancel(QueuedJobId id) {
+    if (contains(id)) {
+      endJob(id, JobPhase.CANCELLED);
+    } else {
+      refusedJobs.putIfAbsent(id, lastBatchAt);
+    }
+  }
+
   private void endJob(QueuedJobId id, JobPhase phase) {
     if (liveJobs.remove(id) != null) {
       endedJobs.put(id, new LedgerSnapshot.EndedJob(id, phase, lastBatchAt));
@@ -261,5 +309,18 @@
       expired.add(e.id());
     }
     expired.forEach(endedJobs::remove);
+    evictExpiredRefusals();
+  }
+
+  private void evictExpiredRefusals() {
+    Instant cutoff = lastBatchAt.minus(REFUSAL_RETENTION);
+    Iterator<Instant> refusals = refusedJobs.values().iterator();
+    while (refusals.hasNext()) {
+      boolean expired = refusals.next().isBefore(cutoff);
+      if (!expired && refusedJobs.size() <= MAX_REFUSED_JOBS) {
+        break;
+      }
+      refusals.remove();
+    }
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerBatch.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerBatch.java
@@ -21,7 +21,8 @@
  * @param acceptedJobs jobs to accept; a job with a known identity, or with a queue that the ledger
  *     does not know, is ignored
  * @param taskEnds ends of runs that completed or failed
- * @param cancelledJobs identities of the jobs to cancel
+ * @param cancelledJobs identities of the jobs to cancel. A job that the ledger does not know is
+ *     never accepted after its cancellation: this is how the refusal of a job is recorded
  * @since 0.2
  */
 public record LedgerBatch(
--- a/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerSnapshot.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/LedgerSnapshot.java
@@ -17,7 +17,8 @@
  * @param domainsOut failure domains that are out of service
  * @param agents agents to which a leader may grant leases
  * @param liveJobs jobs that have not ended
- * @param endedJobs jobs that have ended and have not been evicted
+ * @param endedJobs jobs that have ended and have not been evicted, and jobs that were refused,
+ *     whose phase is not final
  * @since 0.2
  */
 public record LedgerSnapshot(
--- a/cassiastack-core/src/main/java/org/cassiastack/request/CallerRequest.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/CallerRequest.java
@@ -9,12 +9,18 @@
  * @param kind what the caller requests
  * @param address address that determines the queue; its path also names the job, unless the number
  *     of jobs is requested
- * @param timeout how long the caller waits for the answer
+ * @param timeout how long the caller still waits for the answer
+ * @param delayed whether the request may have waited unread while the process was paused. Its
+ *     caller may have sent it to another node meanwhile
  * @param requestFactory creates the request to the leader; its argument is the {@code requestId}
  * @since 0.2
  */
 public record CallerRequest(
-    Kind kind, QueueAddress address, Duration timeout, LongFunction<LeaderRequest> requestFactory) {
+    Kind kind,
+    QueueAddress address,
+    Duration timeout,
+    boolean delayed,
+    LongFunction<LeaderRequest> requestFactory) {
   /** Kind of a caller's request. */
   public enum Kind {
     /** Run a job. */
--- a/cassiastack-core/src/main/java/org/cassiastack/request/CallerRequestFilters.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/CallerRequestFilters.java
@@ -23,11 +23,20 @@
             : next.proceed(request, now);
   }
 
-  /** Refuses each request whose timeout is zero or negative with {@link AnswerCode#TOO_LATE}. */
+  /**
+   * Refuses each request whose timeout is zero or negative with {@link AnswerCode#TOO_LATE}. A
+   * submission that was delayed gets {@link AnswerCode#UNANSWERED} instead, because another node
+   * may have accepted the job meanwhile.
+   */
   public static RequestFilter<CallerRequest, RequestAnswer> refuseExpired() {
     return (request, now, next) ->
         request.timeout().isNegative() || request.timeout().isZero()
-            ? Mono.just(RequestAnswer.of(AnswerCode.TOO_LATE))
+            ? Mono.just(RequestAnswer.of(expired(request)))
             : next.proceed(request, now);
   }
+
+  private static AnswerCode expired(CallerRequest request) {
+    boolean delayedJob = request.delayed() && request.kind() == CallerRequest.Kind.SUBMIT;
+    return delayedJob ? AnswerCode.UNANSWERED : AnswerCode.TOO_LATE;
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
@@ -108,6 +108,11 @@
   }
 
   private void onCall(PendingRequest pending, Instant now, List<Effect> effects) {
+    if (!now.isBefore(pending.deadline)) {
+      // The process was paused after it read the request; the caller may have sent it elsewhere.
+      effects.add(unanswered(pending));
+      return;
+    }
     if (isElectionOverdue(now)) {
       effects.add(noLeader(pending));
       return;
@@ -209,7 +214,7 @@
 
   private void send(PendingRequest pending, String reason, Instant now, List<Effect> effects) {
     NodeId leader = tracker.leader();
-    if (leader != null) {
+    if (leader != null && now.isBefore(pending.deadline)) {
       if (pending.sendCount > 0) {
         String inputs =
             "leader=" + leader + " sends=" + pending.sendCount + " since=" + pending.receivedAt;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -8,7 +8,6 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cassiastack.decision.Decision;
-import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Payload;
 import org.cassiastack.queue.JobLedger;
@@ -16,6 +15,7 @@
 import org.cassiastack.queue.LedgerBatch;
 import org.cassiastack.queue.Queue;
 import org.cassiastack.queue.QueueConfiguration;
+import org.cassiastack.queue.QueuedJob;
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.queue.StepSpec;
 import org.cassiastack.request.AnswerCode;
@@ -49,12 +49,15 @@
   /** Callers that wait for a job to be accepted or, if the job is not durable, to end. */
   private final Map<QueuedJobId, Caller> callers = new HashMap<>();
 
-  private final RecentAnswers recentAnswers = new RecentAnswers();
+  private final RecentAnswers recentAnswers = RecentAnswers.ofEnds();
 
-  private final DomainOrders domainOrders;
+  /**
+   * Refusals, whose jobs never run. The ledger holds those of durable jobs too, so that later
+   * leaders know them.
+   */
+  private final RecentAnswers refusals = RecentAnswers.ofRefusals();
 
-  /** Sender of the last order for each failure domain, whose repetition is acknowledged again. */
-  private final Map<FailureDomain, Caller> lastOrderCallers = new HashMap<>();
+  private final DomainOrders domainOrders;
 
   LeaderRequestHandler(
       long fence,
@@ -73,7 +76,7 @@
     this.decisions = decisions;
     this.replies = replies;
     this.agentsSynced = agentsSynced;
-    this.domainOrders = new DomainOrders(fence);
+    this.domainOrders = new DomainOrders(fence, commits, decisions, this::answer);
   }
 
   /**
@@ -92,9 +95,9 @@
     } else if (request instanceof StoreConfiguration s) {
       commits.addConfiguration(s.configuration(), at -> answer(caller, AnswerCode.ACCEPTED));
     } else if (request instanceof SwitchDomain d) {
-      switchDomain(caller, d.domain(), d.out());
+      domainOrders.take(caller, d);
     } else if (request instanceof SwitchDomainSince d) {
-      switchDomain(caller, d);
+      domainOrders.take(caller, d);
     } else if (request instanceof AskQueueConfiguration) {
       QueueConfiguration c = ledger.configuration();
       Payload document = c == null ? null : c.document();
@@ -102,30 +105,6 @@
     }
   }
 
-  private void switchDomain(Caller caller, SwitchDomainSince d) {
-    boolean repeated = caller.equals(lastOrderCallers.get(d.domain()));
-    if (repeated) {
-      proposeSwitch(caller, d.domain(), d.out());
-    } else if (domainOrders.isUnchangedSince(d.domain(), d.basedOn())) {
-      switchDomain(caller, d.domain(), d.out());
-    } else {
-      String inputs = "out=" + d.out() + " based_on=" + d.basedOn();
-      addDecision("domain_order_refused", d.domain(), "superseded", inputs);
-      answer(caller, AnswerCode.SUPERSEDED);
-    }
-  }
-
-  private void switchDomain(Caller caller, FailureDomain domain, boolean out) {
-    domainOrders.add(domain);
-    lastOrderCallers.put(domain, caller);
-    proposeSwitch(caller, domain, out);
-  }
-
-  private void proposeSwitch(Caller caller, FailureDomain domain, boolean out) {
-    commits.addDomainSwitch(
-        new LedgerBatch.DomainSwitch(domain, out), at -> answer(caller, AnswerCode.ACCEPTED));
-  }
-
   private void submit(Caller caller, SubmitJob s, Instant now) {
     QueuedJobId id = s.job().id();
     RequestAnswer recentAnswer = recentAnswers.findAndRefresh(id, now);
@@ -133,11 +112,20 @@
       answer(caller, recentAnswer);
       return;
     }
+    RequestAnswer refusal = refusals.findAndRefresh(id, now);
+    if (refusal != null) {
+      answer(caller, refusal);
+      return;
+    }
+    if (ledger.isRefused(id)) {
+      answer(caller, refusalOfEarlierLeader());
+      return;
+    }
     if (ledger.contains(id)) {
       answer(caller, AnswerCode.ACCEPTED);
       return;
     }
-    if (liveJobs.find(id) != null || commits.isAccepting(id)) {
+    if (liveJobs.find(id) != null || commits.isAccepting(id) || commits.isRefusing(id)) {
       // Replaces an earlier caller: only the last one is answered when the job is committed or,
       // if it is not durable, has ended.
       callers.put(id, caller);
@@ -145,7 +133,7 @@
     }
     QueueConfiguration c = ledger.configuration();
     if (c == null) {
-      answer(caller, AnswerCode.NOT_CONFIGURED);
+      refuse(caller, s.job(), RequestAnswer.of(AnswerCode.NOT_CONFIGURED), now);
       return;
     }
     Queue queue = c.find(s.address().host(), s.address().path());
@@ -160,7 +148,7 @@
     for (StepSpec step : s.job().steps()) {
       if (!fleet.canEverFit(queue.service(), step.need())) {
         addDecision("job_refused", s.job().id(), "unsupported", "need=" + step.need());
-        refuse(caller, s.job().id(), RequestAnswer.of(AnswerCode.UNSUPPORTED), now);
+        refuse(caller, s.job(), RequestAnswer.of(AnswerCode.UNSUPPORTED), now);
         return;
       }
     }
@@ -174,7 +162,7 @@
         "queue=" + queue.name() + " version=" + ledger.configurationVersion() + " delay=" + delay;
     if (!Admission.canEndUsefully(job, delay, now)) {
       addDecision("job_refused", s.job().id(), "overloaded", inputs);
-      refuse(caller, s.job().id(), RequestAnswer.overloaded(Admission.retryAfter(delay)), now);
+      refuse(caller, s.job(), RequestAnswer.overloaded(Admission.retryAfter(delay)), now);
       return;
     }
     String objective = " objective=" + Duration.between(job.requestedAt, job.dueAt);
@@ -209,9 +197,12 @@
     QueuedJobId id = job.job.id();
     Caller caller = callers.remove(id);
     if (!ledger.contains(id)) {
-      addDecision("job_refused", id, "queue_removed", "queue=" + job.queue.name());
-      RequestAnswer refusal = RequestAnswer.of(AnswerCode.NO_SUCH_QUEUE);
-      recentAnswers.add(id, refusal, now);
+      boolean refusedBefore = ledger.isRefused(id);
+      String reason = refusedBefore ? "refused_before" : "queue_removed";
+      addDecision("job_refused", id, reason, "queue=" + job.queue.name());
+      RequestAnswer refusal =
+          refusedBefore ? refusalOfEarlierLeader() : RequestAnswer.of(AnswerCode.NO_SUCH_QUEUE);
+      refusals.add(id, refusal, now);
       answerIfWaiting(caller, refusal);
       return;
     }
@@ -281,20 +272,42 @@
     }
   }
 
-  /** Refuses a job and stores the answer, so that a repeated request does not start the job. */
-  private void refuse(Caller caller, QueuedJobId id, RequestAnswer refusal, Instant now) {
-    recentAnswers.add(id, refusal, now);
-    answer(caller, refusal);
+  /**
+   * Refuses a job, so that no copy of the request starts it. The refusal of a durable job is
+   * answered when it is committed, because another leader may get a copy; a job that is not durable
+   * is not worth a commit.
+   */
+  private void refuse(Caller caller, QueuedJob job, RequestAnswer refusal, Instant now) {
+    QueuedJobId id = job.id();
+    if (!job.durable()) {
+      refusals.add(id, refusal, now);
+      answer(caller, refusal);
+      return;
+    }
+    callers.put(id, caller);
+    commits.addRefusal(
+        id,
+        at -> {
+          refusals.add(id, refusal, at);
+          answerIfWaiting(callers.remove(id), refusal);
+        });
+  }
+
+  /**
+   * Returns the answer for a job that an earlier leader has refused for a reason not known here.
+   */
+  private static RequestAnswer refusalOfEarlierLeader() {
+    return RequestAnswer.overloaded(Admission.retryAfter(Duration.ZERO));
   }
 
-  private void refuse(LiveJob job, Instant now) {
+  private void refuseOvertaken(LiveJob job, Instant now) {
     Duration delay = queueingDelay(job.queue, now);
     String inputs = "waited=" + Duration.between(job.requestedAt, now) + " delay=" + delay;
     addDecision("job_refused", job.job.id(), "overtaken", inputs);
     removeJob(job.job.id());
     Caller caller = callers.remove(job.job.id());
     if (caller != null) {
-      refuse(caller, job.job.id(), RequestAnswer.overloaded(Admission.retryAfter(delay)), now);
+      refuse(caller, job.job, RequestAnswer.overloaded(Admission.retryAfter(delay)), now);
     }
   }
 
@@ -337,8 +350,9 @@
    */
   void tick(Instant now) {
     recentAnswers.evictExpired(now);
+    refusals.evictExpired(now);
     for (LiveJob job : liveJobs.tooLateToStart(now)) {
-      refuse(job, now);
+      refuseOvertaken(job, now);
     }
     for (LiveJob job : liveJobs.callerTimedOut(now)) {
       QueuedJobId id = job.job.id();
@@ -369,6 +383,4 @@
   private void answer(Caller caller, RequestAnswer answer) {
     replies.send(caller.node(), new LeaderReply(caller.requestId(), answer, fence));
   }
-
-  private record Caller(NodeId node, long requestId) {}
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/PendingCommits.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/PendingCommits.java
@@ -36,6 +36,7 @@
   private final Supplier<UUID> proposalIds;
   private final Map<UUID, List<Consumer<Instant>>> inFlight = new HashMap<>();
   private final Set<QueuedJobId> jobsBeingAccepted = new HashSet<>();
+  private final Set<QueuedJobId> jobsBeingRefused = new HashSet<>();
   private List<Consumer<Instant>> completions = new ArrayList<>();
   private List<LedgerBatch.DomainSwitch> domainSwitches = new ArrayList<>();
   private List<NodeId> addedAgents = new ArrayList<>();
@@ -94,6 +95,22 @@
         });
   }
 
+  /** Returns whether the refusal of a job is pending. */
+  boolean isRefusing(QueuedJobId id) {
+    return jobsBeingRefused.contains(id);
+  }
+
+  /** Records that a job that is not in the ledger must not be accepted later. */
+  void addRefusal(QueuedJobId id, Consumer<Instant> completion) {
+    jobsBeingRefused.add(id);
+    cancelledJobs.add(id);
+    completions.add(
+        now -> {
+          jobsBeingRefused.remove(id);
+          completion.accept(now);
+        });
+  }
+
   void addTaskEnd(LedgerBatch.TaskEnd end, Consumer<Instant> completion) {
     taskEnds.add(end);
     completions.add(completion);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RecentAnswers.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RecentAnswers.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.request.RequestAnswer;
 import org.jspecify.annotations.Nullable;
@@ -15,12 +16,34 @@
  * were refused. A repeated request gets the same answer.
  */
 final class RecentAnswers {
-  /** Exceeds the delay of repeats: front ends repeat within 1.6 s, callers within 2 s. */
-  private static final Duration RETENTION = Duration.ofSeconds(4);
+  /**
+   * How long the end of a job that is not durable is known. Front ends repeat a request within 1.6
+   * s, and callers that got no answer within 2 s; a copy that comes later may run the job again.
+   */
+  private static final Duration END_RETENTION = Duration.ofSeconds(4);
 
+  private static final int MAX_ENDS = 100_000;
+
+  private final Duration retention;
+  private final int maxEntries;
   private final Map<QueuedJobId, Entry> answers = new HashMap<>();
   private final Deque<Entry> entries = new ArrayDeque<>();
 
+  private RecentAnswers(Duration retention, int maxEntries) {
+    this.retention = retention;
+    this.maxEntries = maxEntries;
+  }
+
+  /** Creates a store of the answers to jobs that have ended, or were given up. */
+  static RecentAnswers ofEnds() {
+    return new RecentAnswers(END_RETENTION, MAX_ENDS);
+  }
+
+  /** Creates a store of refusals, which are known as long as those in the ledger. */
+  static RecentAnswers ofRefusals() {
+    return new RecentAnswers(JobLedger.REFUSAL_RETENTION, JobLedger.MAX_REFUSED_JOBS);
+  }
+
   void add(QueuedJobId id, RequestAnswer answer, Instant now) {
     Entry e = new Entry(id, answer, now);
     answers.put(id, e);
@@ -39,7 +62,7 @@
 
   void evictExpired(Instant now) {
     for (Entry e = entries.peek();
-        e != null && e.at.plus(RETENTION).isBefore(now);
+        e != null && (e.at.plus(retention).isBefore(now) || entries.size() > maxEntries);
         e = entries.peek()) {
       entries.remove();
       answers.remove(e.id, e);
--- a/cassiastack-core/src/test/java/org/cassiastack/queue/JobLedgerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/queue/JobLedgerTest.java
@@ -74,13 +74,46 @@
   @Test
   void a_cancelled_job_ignores_later_task_ends() {
     accept(job(1));
-    apply(batch(NOW, null, List.of(), List.of(), List.of(ID)));
+    cancel();
 
     end(task(0), 1, true);
 
     assertThat(ledger.finalPhase(ID)).isEqualTo(JobPhase.CANCELLED);
   }
 
+  /** Guards against refused jobs that run because a copy of their submission comes late. */
+  @Test
+  void a_job_that_was_cancelled_before_its_acceptance_is_never_accepted() {
+    cancel();
+
+    accept(job(1));
+
+    assertThat(ledger.contains(ID)).isFalse();
+    assertThat(ledger.isRefused(ID)).isTrue();
+    assertThat(ledger.finalPhase(ID)).isNull();
+  }
+
+  @Test
+  void a_refused_job_is_forgotten_when_no_copy_of_it_can_come_any_more() {
+    cancel();
+
+    Instant later = NOW.plus(JobLedger.REFUSAL_RETENTION).plusSeconds(1);
+    apply(batch(later, null, List.of(), List.of(), List.of()));
+
+    assertThat(ledger.isRefused(ID)).isFalse();
+  }
+
+  @Test
+  void a_restored_ledger_knows_the_refused_jobs_of_the_original() {
+    cancel();
+    JobLedger restored = JobLedger.create(Duration.ofMinutes(2));
+
+    restored.restore(ledger.snapshot());
+
+    assertThat(restored.isRefused(ID)).isTrue();
+    assertThat(restored.contains(ID)).isFalse();
+  }
+
   @Test
   void an_ended_job_is_evicted_after_the_retention() {
     accept(job(1));
@@ -191,6 +224,10 @@
     apply(batch(NOW, null, List.of(a), List.of(), List.of()));
   }
 
+  private void cancel() {
+    apply(batch(NOW, null, List.of(), List.of(), List.of(ID)));
+  }
+
   private void end(QueuedTaskId task, long run, boolean succeeded) {
     LedgerBatch.TaskEnd e = new LedgerBatch.TaskEnd(task, run, succeeded);
     apply(batch(NOW, null, List.of(), List.of(e), List.of()));
--- a/cassiastack-core/src/test/java/org/cassiastack/request/CallerRequestFiltersTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/request/CallerRequestFiltersTest.java
@@ -31,6 +31,24 @@
     assertThat(code(chain, Duration.ofMillis(-5))).isEqualTo(AnswerCode.TOO_LATE);
   }
 
+  @Test
+  void does_not_refuse_a_submission_that_was_delayed_until_its_caller_had_no_time_left() {
+    FilterChain<CallerRequest, RequestAnswer> chain =
+        FilterChain.of(List.of(CallerRequestFilters.refuseExpired()), LEADER);
+    QueueAddress address = new QueueAddress("h", "/p/1");
+    CallerRequest submission =
+        new CallerRequest(
+            CallerRequest.Kind.SUBMIT,
+            address,
+            Duration.ZERO,
+            true,
+            requestId -> new AskJob(requestId, address));
+
+    AnswerCode code = chain.proceed(submission, NOW).block().code();
+
+    assertThat(code).isEqualTo(AnswerCode.UNANSWERED);
+  }
+
   @Test
   void passes_other_requests_on_to_the_leader() {
     FilterChain<CallerRequest, RequestAnswer> chain =
@@ -48,7 +66,11 @@
     QueueAddress address = new QueueAddress("h", "/p/1");
     CallerRequest request =
         new CallerRequest(
-            CallerRequest.Kind.ASK, address, timeout, requestId -> new AskJob(requestId, address));
+            CallerRequest.Kind.ASK,
+            address,
+            timeout,
+            false,
+            requestId -> new AskJob(requestId, address));
     return chain.proceed(request, NOW).block().code();
   }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/request/LeaderRequestControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/request/LeaderRequestControllerTest.java
@@ -89,7 +89,7 @@
     on(notice(FIRST, 1, FIRST), 2_000);
     on(new PeerDisconnected(FIRST), 2_010);
 
-    assertThat(on(requestPosted(), 2_020)).isEmpty();
+    assertThat(on(new RequestPosted(REQUEST, NOW.plusSeconds(3)), 2_020)).isEmpty();
   }
 
   @Test
@@ -222,6 +222,16 @@
             new Send(FIRST, REQUEST));
   }
 
+  @Test
+  void sends_no_request_whose_deadline_passed_while_the_process_was_paused() {
+    on(notice(FIRST, 1, FIRST), 0);
+
+    List<Effect> effects = on(new RequestPosted(submission(), NOW.plusSeconds(1)), 5_000);
+
+    assertThat(effects)
+        .containsExactly(new RequestAnswered(1, RequestAnswer.of(AnswerCode.UNANSWERED)));
+  }
+
   @Test
   void sends_an_order_with_the_revision_that_the_leader_states_while_the_operator_waits() {
     on(notice(FIRST, 1, FIRST), 0);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
@@ -56,6 +56,21 @@
     assertThat(answers).extracting(RequestAnswer::code).doesNotContain(AnswerCode.OVERLOADED);
   }
 
+  @Test
+  void a_new_leader_refuses_a_copy_of_a_durable_job_that_its_predecessor_refused() {
+    QueuedJob refused = new QueuedJob(ID, "spec", List.of(step(1, 9_000)), true);
+    request(SubmitJob.of(++lastRequestId, ADDRESS, refused, Duration.ofSeconds(1)));
+    lead(6);
+    report(FIRST, List.of(), List.of());
+    report(SECOND, List.of(), List.of());
+    answers.clear();
+
+    submit(1, true);
+
+    assertThat(answers).extracting(RequestAnswer::code).containsExactly(AnswerCode.OVERLOADED);
+    assertThat(started()).isEmpty();
+  }
+
   @Test
   void a_new_leader_starts_no_task_until_every_agent_has_reported() {
     lead(6);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderControllerTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import org.cassiastack.consensus.LeaseExtended;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.Tick;
 import org.cassiastack.model.FailureDomain;
@@ -262,6 +263,43 @@
     assertThat(started()).isEmpty();
   }
 
+  @Test
+  void refuses_a_copy_of_a_refused_job_that_comes_many_seconds_later() {
+    for (boolean durable : List.of(true, false)) {
+      QueuedJobId id = new QueuedJobId(durable ? 1 : 2);
+      submitCopy(id, 9_000, durable);
+      now = now.plusSeconds(20);
+      on(new LeaseExtended(fence, now.plusSeconds(10)));
+      report(FIRST, List.of(), List.of());
+      report(SECOND, List.of(), List.of());
+      on(new Tick());
+      answers.clear();
+
+      submitCopy(id, 1_000, durable);
+
+      assertThat(answers).extracting(RequestAnswer::code).doesNotContain(AnswerCode.ACCEPTED);
+      assertThat(answers).hasSize(1);
+    }
+  }
+
+  @Test
+  void answers_the_refusal_of_a_durable_job_once_it_is_committed() {
+    holdCommits = true;
+    submitCopy(ID, 9_000, true);
+    submitCopy(ID, 9_000, true);
+    List<RequestAnswer> early = List.copyOf(answers);
+
+    commitHeldProposals();
+
+    assertThat(early).isEmpty();
+    assertThat(answers).containsExactly(RequestAnswer.of(AnswerCode.UNSUPPORTED));
+  }
+
+  private void submitCopy(QueuedJobId id, long milliCpu, boolean durable) {
+    QueuedJob job = new QueuedJob(id, "spec", List.of(step(1, milliCpu)), durable);
+    request(SubmitJob.of(++lastRequestId, ADDRESS, job, Duration.ofSeconds(1)));
+  }
+
   @Test
   void refuses_a_job_that_is_too_late_because_its_caller_had_to_wait_for_a_leader() {
     SubmitJob late =
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
@@ -144,16 +144,12 @@
   }
 
   void configure(long version) {
+    configure(version, Duration.ofSeconds(20));
+  }
+
+  void configure(long version, Duration targetLatency) {
     Queue q =
-        new Queue(
-            "checks",
-            HOST,
-            PREFIX,
-            FakeMinion.SERVICE,
-            0,
-            MAX_ATTEMPTS,
-            1.6,
-            Duration.ofSeconds(20));
+        new Queue("checks", HOST, PREFIX, FakeMinion.SERVICE, 0, MAX_ATTEMPTS, 1.6, targetLatency);
     lastRequestId++;
     QueueConfiguration c = new QueueConfiguration(version, List.of(q), Payload.ofText("v"));
     entry().on(new RequestPosted(new StoreConfiguration(lastRequestId, c), now().plusSeconds(5)));
@@ -183,11 +179,30 @@
 
   private void submit(QueuedJob job) {
     runChecker.submitted(job.id(), job.durable());
+    submissions.put(job.id(), submitCopy(job));
+  }
+
+  /**
+   * Submits a durable job, and a second copy of the submission that comes after a delay.
+   *
+   * @return the ids of both requests
+   */
+  List<Long> submitWithLateCopy(QueuedJobId id, int tasks, long delayMillis) {
+    List<StepSpec> steps =
+        List.of(StepSpec.plain(tasks, TASK_MILLI_CPU, 64, Duration.ofMillis(80)));
+    QueuedJob job = new QueuedJob(id, "spec", steps, true);
+    runChecker.submitted(id, true);
+    List<Long> requestIds = new ArrayList<>(List.of(submitCopy(job)));
+    runAfter(delayMillis, () -> requestIds.add(submitCopy(job)));
+    return requestIds;
+  }
+
+  private long submitCopy(QueuedJob job) {
     lastRequestId++;
-    submissions.put(job.id(), lastRequestId);
     Duration timeout = Duration.ofMillis(1_500);
     SubmitJob s = SubmitJob.of(lastRequestId, address(job.id()), job, timeout);
     entry().on(new RequestPosted(s, now().plus(timeout)));
+    return lastRequestId;
   }
 
   /**
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RunChecker.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RunChecker.java
@@ -49,6 +49,11 @@
     cancelledAt.putIfAbsent(id, simulation.millis());
   }
 
+  /** Returns whether a task of a job was started. */
+  boolean hasStarted(QueuedJobId id) {
+    return startsByTask.keySet().stream().anyMatch(t -> t.job().equals(id));
+  }
+
   int starts() {
     return starts;
   }
