Agents: a departure that is read late does not end the runs of a restarted minion

Cause, by reading: DELETE /instances/ID names no incarnation. An agent that was paused may read the call of a former incarnation after the first announcement of the next one. It dropped the lists of the current incarnation and reported its runs as gone, so that the leader would start their tasks a second time.

Change: the call ends an incarnation only if it has announced that it drains, as minions do before they leave. Otherwise the minion is asked for its lists at once.

Evidence: the new test of AgentControllerTest failed before. Not seen with real processes.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -159,12 +159,21 @@
     nextHold = Instant.MIN;
   }
 
-  /** Handles the end of the minion and all its runs; returns whether the profile changes. */
+  /**
+   * Handles the end of the minion and all its runs; returns whether the profile changes. A minion
+   * announces that it drains before it leaves. Otherwise the call may be one of a former
+   * incarnation that was read late, and the minion is asked for its lists at once: if it has ended,
+   * it does not answer.
+   */
   boolean onLeft(MinionId id) {
     MinionProfile p = profile;
     if (p == null || !p.life().id().equals(id)) {
       return false;
     }
+    if (!p.draining()) {
+      verifyAgain();
+      return false;
+    }
     lists = RunLists.EMPTY;
     starts.clear();
     profile = new MinionProfile(p.life(), p.service(), p.domain(), p.capacity(), p.labels(), true);
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
@@ -15,6 +15,7 @@
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.request.LeaderNotice;
+import org.cassiastack.runs.ActiveRun;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.MinionIncarnation;
 import org.junit.jupiter.api.Test;
@@ -191,6 +192,31 @@
     assertThat(lastReport().unresolved()).containsExactly(RUN);
   }
 
+  /**
+   * Guards against runs that are taken for gone because the call of a former minion is read late.
+   */
+  @Test
+  void a_departure_that_is_read_late_does_not_end_the_runs_of_a_restarted_minion() {
+    List<ActiveRun> running = List.of(new ActiveRun(RUN, 40));
+    on(new HoldAnswered(lastHoldNumber, minionClockMillis(), running, List.of(), true));
+
+    on(new MinionLeft(MINION.id()));
+    advance(200);
+
+    assertThat(lastReport().running()).isEqualTo(running);
+  }
+
+  @Test
+  void a_minion_that_drained_has_no_runs_after_its_departure() {
+    List<ActiveRun> running = List.of(new ActiveRun(RUN, 40));
+    on(announced(MINION, 2, true));
+    on(new HoldAnswered(lastHoldNumber, minionClockMillis(), running, List.of(), true));
+
+    on(new MinionLeft(MINION.id()));
+
+    assertThat(lastReport().running()).isEmpty();
+  }
+
   @Test
   void acknowledges_nothing_to_a_minion_that_may_have_restarted() {
     lease(5, 9);
