Entries: only the length of a pause is taken from the time that clients wait

Cause: for a second after a pause, an entry subtracted the time since the beginning of the pause from each request. After a pause of half a second, requests that had just come were answered with 504 at the end of that second, although their clients waited.

Change: the length of the pause is subtracted.

--- a/cassiastack-core/src/main/java/org/cassiastack/request/ReadLag.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/ReadLag.java
@@ -34,6 +34,9 @@
   /** Last tick before the pause that was noticed last; null before the first pause. */
   private @Nullable Instant pausedSince;
 
+  /** Tick that noticed this pause. */
+  private Instant pausedUntil = Instant.MIN;
+
   private Instant caughtUpAt = Instant.MIN;
 
   private ReadLag(Instant now) {
@@ -50,6 +53,7 @@
   public synchronized void onTick(Instant now) {
     if (isPaused(now)) {
       pausedSince = startOfPause();
+      pausedUntil = now;
       caughtUpAt = now.plus(CATCH_UP_TIME);
     }
     previousTick = lastTick;
@@ -69,12 +73,16 @@
   }
 
   /**
-   * Returns how long a request that is read now may have waited because of a pause; zero if there
-   * was no pause shortly before.
+   * Returns the length of the pause during which a request that is read now may have arrived; zero
+   * if there was no pause shortly before.
    */
   public synchronized Duration pauseBefore(Instant now) {
-    return isPaused(now) || now.isBefore(caughtUpAt)
-        ? Duration.between(arrivedSince(now), now)
+    if (isPaused(now)) {
+      return Duration.between(startOfPause(), now);
+    }
+    Instant start = pausedSince;
+    return start != null && now.isBefore(caughtUpAt)
+        ? Duration.between(start, pausedUntil)
         : Duration.ZERO;
   }
 
