--- a/cassiastack-core/src/main/java/org/cassiastack/request/AnswerCode.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/AnswerCode.java
@@ -59,7 +59,13 @@
    * the process that waited for the answer stopped, or a leader refused a job that an earlier
    * leader may have started.
    */
-  UNANSWERED(622);
+  UNANSWERED(622),
+  /**
+   * A fallback dispatcher has given the job up to the leader and starts none of its tasks any more.
+   * Some of its tasks may have run. The entry sends the job to the leader; callers do not get this
+   * code.
+   */
+  HANDED_OVER(623);
 
   private final int number;
 
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
@@ -11,6 +11,9 @@
 import org.cassiastack.consensus.MemberGreeting;
 import org.cassiastack.consensus.VoteReply;
 import org.cassiastack.consensus.VoteRequest;
+import org.cassiastack.fallback.FallbackDirectory;
+import org.cassiastack.fallback.FallbackOffer;
+import org.cassiastack.fallback.FallbackState;
 import org.cassiastack.propagation.AskConfiguration;
 import org.cassiastack.propagation.ConfigurationAge;
 import org.cassiastack.propagation.ConfigurationUpdate;
@@ -28,8 +31,10 @@
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.AskQueueConfiguration;
 import org.cassiastack.request.CancelJob;
+import org.cassiastack.request.FallbackSubmit;
 import org.cassiastack.request.LeaderNotice;
 import org.cassiastack.request.LeaderReply;
+import org.cassiastack.request.ResubmitJob;
 import org.cassiastack.request.StoreConfiguration;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.request.SwitchDomain;
@@ -127,7 +132,17 @@
   /** Leader to agent: the lease that permits runs, in answer to a report. */
   AGENT_LEASE(91, AgentLease.class),
   /** Leader to agent: runs to start and to stop. */
-  RUN_ORDERS(92, RunOrders.class);
+  RUN_ORDERS(92, RunOrders.class),
+  /** Entry to control member: the entry can act as a fallback dispatcher. */
+  FALLBACK_OFFER(100, FallbackOffer.class),
+  /** Leader to every connected process: the fallback dispatchers. */
+  FALLBACK_DIRECTORY(101, FallbackDirectory.class),
+  /** Leader to fallback dispatcher: the state that it dispatches by without a leader. */
+  FALLBACK_STATE(102, FallbackState.class),
+  /** Entry to fallback dispatcher: a job that was sent to no other process. */
+  FALLBACK_SUBMIT(103, FallbackSubmit.class),
+  /** Entry to leader: a job that was sent to another dispatcher before. */
+  RESUBMIT_JOB(104, ResubmitJob.class);
 
   private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
   private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/codec/MessageCodecTest.java
@@ -28,6 +28,10 @@
 import org.cassiastack.consensus.Snapshot;
 import org.cassiastack.consensus.VoteReply;
 import org.cassiastack.consensus.VoteRequest;
+import org.cassiastack.fallback.FallbackDirectory;
+import org.cassiastack.fallback.FallbackNode;
+import org.cassiastack.fallback.FallbackOffer;
+import org.cassiastack.fallback.FallbackState;
 import org.cassiastack.model.Customer;
 import org.cassiastack.model.Epoch;
 import org.cassiastack.model.FailureDomain;
@@ -70,10 +74,12 @@
 import org.cassiastack.request.AskQueueConfiguration;
 import org.cassiastack.request.CancelJob;
 import org.cassiastack.request.DomainRevision;
+import org.cassiastack.request.FallbackSubmit;
 import org.cassiastack.request.LeaderNotice;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.QueueAddress;
 import org.cassiastack.request.RequestAnswer;
+import org.cassiastack.request.ResubmitJob;
 import org.cassiastack.request.StoreConfiguration;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.request.SwitchDomain;
@@ -160,7 +166,20 @@
             9,
             MINION_INCARNATION,
             List.of(new StartOrder(RUN, "spec")),
-            List.of(RUN)));
+            List.of(RUN)),
+        new FallbackOffer(new FailureDomain("north")),
+        new FallbackDirectory(5, 7, List.of(fallbackNode())),
+        new FallbackState(5, 2, queues(Payload.EMPTY), List.of(new FailureDomain("east"))),
+        new FallbackSubmit(submission(), 7),
+        new ResubmitJob(submission()));
+  }
+
+  private static FallbackNode fallbackNode() {
+    return new FallbackNode(new NodeId("10.0.0.4/entry"), new FailureDomain("north"));
+  }
+
+  private static SubmitJob submission() {
+    return new SubmitJob(1, ADDRESS, queuedJob(), Duration.ofMillis(900), Duration.ofMillis(600));
   }
 
   private static AgentReport agentReport() {
