Agent: use a fallback dispatcher when the leader grants no lease

Cause: an agent without a leader lets its runs expire and starts nothing. It obeys the one that it has chosen, revokes the runs of the former holder, and extends no deadline beyond the former lease while one of them may exist. A notice of a leader ends the use, and runs stay.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -10,6 +10,8 @@
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.Tick;
 import org.cassiastack.decision.Decision;
+import org.cassiastack.fallback.FallbackDirectory;
+import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.PeerConnected;
 import org.cassiastack.protocol.PeerDisconnected;
@@ -20,15 +22,20 @@
 import org.cassiastack.request.LeaderViewChanged;
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
+import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOrders;
 import org.cassiastack.runs.StartOrder;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Controls one minion on behalf of the leader.
+ * Controls one minion on behalf of the leader, or of a fallback dispatcher where there is none.
  *
  * <ol>
- *   <li>It obeys only the leader with the highest fence that it has received.
+ *   <li>It obeys only the leader with the highest fence that it has received, and of several
+ *       fallback dispatchers with this fence the one that it has chosen ({@link LeaderOrFallback}).
+ *   <li>When it takes a fallback dispatcher, it revokes all runs of the former holder, and extends
+ *       no deadline beyond the former lease while one of these runs may exist.
  *   <li>It starts runs, and extends the deadline of the minion's runs, only while it holds a lease
  *       of that leader. If it is cut off from the leader, the runs expire.
  *   <li>It reports the runs that the minion lists and the runs that may exist without being listed.
@@ -50,6 +57,7 @@
   private final AgentSettings settings;
   private final LeaderTracker tracker = LeaderTracker.create();
   private final MinionLink minion;
+  private final HolderChoice holders;
   private long fence;
   private long processedOrdersThrough;
   private Instant leaseUntil = Instant.MIN;
@@ -60,6 +68,7 @@
   private AgentController(AgentSettings settings) {
     this.settings = settings;
     this.minion = new MinionLink(settings);
+    this.holders = HolderChoice.of(settings);
   }
 
   /** Creates an agent that knows neither its minion nor the leader. */
@@ -92,13 +101,14 @@
     } else if (event instanceof PeerDisconnected d && tracker.onDisconnect(d.peer())) {
       effects.add(
           new LeaderViewChanged(null, tracker.members(), LeaderViewChanged.Cause.CONNECTION_LOST));
-    } else if (event instanceof PeerConnected p && p.peer().equals(tracker.leader())) {
-      reportDue = true;
+    } else if (event instanceof PeerConnected p) {
+      reportDue |= p.peer().equals(tracker.leader()) || holders.onConnected(p.peer());
     } else if (event instanceof ClockLeaped c) {
       totalLeap = totalLeap.plus(c.by());
       minion.onClockLeaped(c.by());
     } else if (event instanceof Tick) {
       reportDue |= minion.onTick(now) || !now.isBefore(reportedAt.plus(REPORT_INTERVAL));
+      reportDue |= holders.onTick(fallbackDomain(now), now, effects);
     }
     return effects;
   }
@@ -114,9 +124,22 @@
 
   @Override
   public Instant nextTickAt(Instant now) {
-    Instant reportAt = tracker.leader() == null ? Instant.MAX : reportedAt.plus(REPORT_INTERVAL);
+    boolean hasReceiver = tracker.leader() != null || holders.fallback() != null;
+    Instant reportAt = hasReceiver ? reportedAt.plus(REPORT_INTERVAL) : Instant.MAX;
     Instant callAt = minion.nextTickAt(now);
-    return callAt.isBefore(reportAt) ? callAt : reportAt;
+    Instant holderAt = holders.nextTickAt();
+    Instant at = callAt.isBefore(reportAt) ? callAt : reportAt;
+    return holderAt.isBefore(at) ? holderAt : at;
+  }
+
+  /**
+   * Returns the failure domain whose fallback dispatchers may be used, or null if none may be. A
+   * restarted agent uses none while runs of its earlier incarnation may exist that it does not
+   * know, because it could not revoke them.
+   */
+  private @Nullable FailureDomain fallbackDomain(Instant now) {
+    MinionProfile p = minion.profile();
+    return p != null && haveEarlierCallsExpired(now) ? p.domain() : null;
   }
 
   private void onReceived(Received r, Instant now, List<Effect> effects) {
@@ -129,21 +152,38 @@
             new LeaderViewChanged(
                 tracker.leader(), tracker.members(), LeaderViewChanged.Cause.NOTICE));
       }
-    } else if (r.message() instanceof AgentLease l && l.fence() >= fence) {
-      if (l.fence() > fence) {
-        fence = l.fence();
-        // Each leader numbers its orders from 1.
-        processedOrdersThrough = 0;
-        reportDue = true;
+      holders.onNotice(r.from(), n, now, effects);
+    } else if (r.message() instanceof FallbackDirectory d) {
+      holders.onDirectory(d);
+    } else if (r.message() instanceof AgentLease l) {
+      if (l.fence() >= fence && holders.mayObey(r.from(), l.fence())) {
+        onLease(r.from(), l, now, effects);
       }
-      Instant until = l.reportSentAt().plus(l.duration());
-      leaseUntil = until.isAfter(leaseUntil) ? until : leaseUntil;
-      minion.onAcknowledged(l.minionIncarnation(), l.acknowledgedThrough());
-    } else if (r.message() instanceof RunOrders o) {
+    } else if (r.message() instanceof RunOrders o && holders.mayObey(r.from(), o.fence())) {
       onOrders(o, now, effects);
     }
   }
 
+  private void onLease(NodeId from, AgentLease l, Instant now, List<Effect> effects) {
+    boolean newFence = l.fence() > fence;
+    fence = l.fence();
+    if (holders.onLease(from, l.fence(), now, effects)) {
+      int revoked = minion.revokeRuns(leaseUntil);
+      String inputs =
+          "fence=" + fence + " lease_left=" + Duration.between(now, leaseUntil) + " revoked=";
+      effects.add(Decision.of("fallback_taken", from, "runs_revoked", inputs + revoked));
+      newFence = true;
+    }
+    if (newFence) {
+      // Each holder numbers its orders from 1.
+      processedOrdersThrough = 0;
+      reportDue = true;
+    }
+    Instant until = l.reportSentAt().plus(l.duration());
+    leaseUntil = until.isAfter(leaseUntil) ? until : leaseUntil;
+    minion.onAcknowledged(l.minionIncarnation(), l.acknowledgedThrough());
+  }
+
   private void onOrders(RunOrders o, Instant now, List<Effect> effects) {
     boolean isAddressee = o.agentIncarnation().equals(settings.incarnation());
     if (!isAddressee || o.fence() != fence || o.number() <= processedOrdersThrough) {
@@ -158,7 +198,7 @@
     for (StartOrder s : o.starts()) {
       if (!minion.start(s, fence, leaseUntil, now, effects)) {
         String inputs = "fence=" + fence + " lease_left=" + Duration.between(now, leaseUntil);
-        effects.add(Decision.of("start_refused", s.run(), minion.startRefusalReason(now), inputs));
+        effects.add(Decision.of("start_refused", s.run(), startRefusalReason(now), inputs));
         reportDue = true;
       }
     }
@@ -167,32 +207,49 @@
     }
   }
 
+  /** Returns the reason why no run can start now, as an outcome for the log. */
+  private String startRefusalReason(Instant now) {
+    MinionProfile p = minion.profile();
+    if (p == null) {
+      return "no_minion";
+    }
+    if (p.draining()) {
+      return "minion_leaving";
+    }
+    return minion.isVerified(now) ? "no_lease" : "minion_silent";
+  }
+
   private boolean isReportOld(Instant now) {
     return !now.isBefore(reportedAt.plus(OLD_REPORT_AGE));
   }
 
   private void report(Instant now, List<Effect> effects) {
     NodeId leader = tracker.leader();
-    if (!reportDue || leader == null || !now.isAfter(reportedAt)) {
+    NodeId fallback = holders.fallback();
+    if (!reportDue || (leader == null && fallback == null) || !now.isAfter(reportedAt)) {
       return;
     }
     reportDue = false;
     reportedAt = now;
-    effects.add(
-        new Send(
-            leader,
-            new AgentReport(
-                settings.incarnation(),
-                now,
-                fence,
-                minion.profile(),
-                minion.isReachable(now),
-                areListsComplete(now),
-                processedOrdersThrough,
-                minion.listAge(now),
-                minion.lists().running(),
-                minion.unresolved(),
-                minion.lists().ended())));
+    AgentReport report =
+        new AgentReport(
+            settings.incarnation(),
+            now,
+            fence,
+            minion.profile(),
+            minion.isReachable(now),
+            areListsComplete(now),
+            processedOrdersThrough,
+            minion.listAge(now),
+            minion.lists().running(),
+            minion.unresolved(),
+            minion.lists().ended());
+    if (leader != null) {
+      effects.add(new Send(leader, report));
+    }
+    if (fallback != null) {
+      effects.add(new Send(fallback, report));
+    }
   }
 
   /**
@@ -202,8 +259,11 @@
    * the maximum lease, and the minion takes up to the stop grace to end a run.
    */
   private boolean areListsComplete(Instant now) {
+    return minion.lists().allEndsListed() && haveEarlierCallsExpired(now);
+  }
+
+  private boolean haveEarlierCallsExpired(Instant now) {
     Duration maxRemainingTime = settings.maxLease().plus(settings.stopGrace());
-    return minion.lists().allEndsListed()
-        && !now.isBefore(settings.processStartedAt().plus(totalLeap).plus(maxRemainingTime));
+    return !now.isBefore(settings.processStartedAt().plus(totalLeap).plus(maxRemainingTime));
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -43,6 +43,7 @@
   private final AgentSettings settings;
   private final MinionClock clock = new MinionClock();
   private final PendingStarts starts = new PendingStarts();
+  private final RevokedRuns revoked = new RevokedRuns();
   private @Nullable MinionProfile profile;
 
   /**
@@ -176,6 +177,7 @@
     }
     lists = RunLists.EMPTY;
     starts.clear();
+    revoked.clear();
     profile = new MinionProfile(p.life(), p.service(), p.domain(), p.capacity(), p.labels(), true);
     answeredAt = Instant.MIN;
     return true;
@@ -194,26 +196,16 @@
   boolean start(
       StartOrder order, long fence, Instant leaseUntil, Instant now, List<Effect> effects) {
     MinionProfile p = profile;
-    if (p == null || p.draining() || !isVerified(now) || !now.isBefore(leaseUntil)) {
+    Instant until = revoked.capped(leaseUntil);
+    boolean mayStart = now.isBefore(until) && !revoked.contains(order.run());
+    if (p == null || p.draining() || !isVerified(now) || !mayStart) {
       return false;
     }
-    long leaseDeadlineMillis = leaseDeadlineMillis(leaseUntil, now);
+    long leaseDeadlineMillis = leaseDeadlineMillis(until, now);
     effects.add(starts.add(p.life(), order, fence, leaseDeadlineMillis));
     return true;
   }
 
-  /** Returns the reason why no run can start now, as an outcome for the log. */
-  String startRefusalReason(Instant now) {
-    MinionProfile p = profile;
-    if (p == null) {
-      return "no_minion";
-    }
-    if (p.draining()) {
-      return "minion_leaving";
-    }
-    return isVerified(now) ? "no_lease" : "minion_silent";
-  }
-
   void stop(RunId run, long fence, List<Effect> effects) {
     MinionProfile p = profile;
     if (p != null) {
@@ -221,6 +213,17 @@
     }
   }
 
+  /**
+   * Revokes all runs that may exist. Until the last of them is known to have ended, no deadline of
+   * the minion is extended beyond the given lease, under which the runs were started.
+   *
+   * @return the number of revoked runs
+   */
+  int revokeRuns(Instant formerLeaseUntil) {
+    starts.revokeAll();
+    return revoked.add(lists, starts.runs(), formerLeaseUntil);
+  }
+
   /** Handles the outcome of a start call; returns whether the agent should report to the leader. */
   boolean onStartAnswered(StartAnswered a) {
     return starts.onStartAnswered(a, lastHoldNumber + 1);
@@ -229,6 +232,7 @@
   /** Handles the outcome of a stop call, which may resolve a start that was revoked. */
   void onStopAnswered(StopAnswered a) {
     starts.onStopAnswered(a, lastHoldNumber + 1);
+    revoked.onStopAnswered(a);
   }
 
   /** Handles the minion's run lists; returns whether the agent should report to the leader. */
@@ -248,6 +252,7 @@
     acknowledgedWhenListed = acknowledgedThrough;
     boolean changed = !lists.hasSameRuns(former);
     changed |= starts.onLists(lists, h.number(), h.clockMillis());
+    revoked.onLists(lists, starts.runs());
     boolean nothingToAcknowledge =
         lists.ended().isEmpty() || acknowledgedThrough > acknowledgedByHold;
     nextHold = nothingToAcknowledge ? Instant.MIN : now.plus(UNACKNOWLEDGED_DELAY);
@@ -286,6 +291,7 @@
     if (mayHaveRuns() && !isReachable(now) && now.isAfter(runsExpireAt)) {
       lists = lists.withoutRuns();
       starts.onDeadlinesPassed();
+      revoked.onLists(lists, starts.runs());
       return true;
     }
     return false;
@@ -298,6 +304,8 @@
     }
     Instant at = nextHold.equals(Instant.MAX) ? now : nextHold;
     at = holdInFlight ? Instant.MAX : at;
+    Instant stopAt = revoked.nextCallAt();
+    at = stopAt.isBefore(at) ? stopAt : at;
     Instant expiry = runsExpireAt.isBefore(unreachableAt()) ? unreachableAt() : runsExpireAt;
     return mayHaveRuns() && expiry.isBefore(at) ? expiry : at;
   }
@@ -313,8 +321,10 @@
     if (p == null) {
       return;
     }
+    Instant until = revoked.capped(leaseUntil);
     if (successor == null) {
-      starts.sendDueCalls(p.life(), fence, leaseUntil, now, effects);
+      starts.sendDueCalls(p.life(), fence, until, now, effects);
+      revoked.sendDueCalls(p.life(), starts.runs(), fence, now, effects);
     }
     if (holdInFlight || now.isBefore(nextHold)) {
       return;
@@ -323,7 +333,7 @@
     lastHoldNumber++;
     holdSentAt = now;
     long leaseDeadlineMillis =
-        now.isBefore(leaseUntil) && clock.isKnown() ? leaseDeadlineMillis(leaseUntil, now) : 0;
+        now.isBefore(until) && clock.isKnown() ? leaseDeadlineMillis(until, now) : 0;
     boolean unacknowledged =
         !lists.ended().isEmpty() && acknowledgedWhenListed == acknowledgedThrough;
     boolean verified = isVerified(now);
@@ -343,7 +353,7 @@
    * without answers, the minion may have restarted under the same identity, and the new incarnation
    * would accept calls that are meant for the previous one.
    */
-  private boolean isVerified(Instant now) {
+  boolean isVerified(Instant now) {
     return !now.isAfter(verifiedAt.plus(VERIFICATION_VALIDITY));
   }
 
@@ -374,6 +384,7 @@
     } else {
       starts.clear();
     }
+    revoked.onLists(lists, starts.runs());
     clock.reset();
     sequence = 0;
     acknowledgedThrough = 0;
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStart.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStart.java
@@ -31,9 +31,9 @@
   private int callCount;
 
   /**
-   * Whether the minion has restarted since the order. A stop must then prevent the new incarnation
-   * from carrying out the start, because the deadline is meaningless on the clock of the new
-   * incarnation.
+   * Whether the minion has restarted, or another holder has taken it over, since the order. A stop
+   * must then prevent the start: the deadline is meaningless on the clock of a new incarnation, and
+   * another holder gives the capacity to other runs.
    */
   boolean revoked;
 
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
@@ -123,8 +123,8 @@
   }
 
   /**
-   * Revokes all starts, because the minion has restarted and the new incarnation must not carry out
-   * any of them.
+   * Revokes all starts: the minion has restarted and the new incarnation must not carry out any of
+   * them, or another holder takes the minion over.
    */
   void revokeAll() {
     starts.values().forEach(s -> s.revoked = true);
