Entry: send jobs to a fallback dispatcher while the leader is silent

Cause: without a leader an entry refuses every job, and jobs at a lost leader wait until their callers give up. Jobs that a dispatcher hands over, and jobs that go to another leader, are sent as ResubmitJob. Jobs are answered 504 at once when their dispatcher is gone or their leader has been silent for longer than any lease. PendingRequest is a class of its own; FallbackRoute has one implementation for each case.

--- a/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
@@ -13,6 +13,7 @@
 import org.cassiastack.controller.Tick;
 import org.cassiastack.decision.Decision;
 import org.cassiastack.model.NodeId;
+import org.cassiastack.protocol.PeerConnected;
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
@@ -37,6 +38,12 @@
  *       operator still waits when the revision arrives, the order is sent with it; otherwise the
  *       operator has to confirm the order with this revision. An order that lies somewhere for
  *       seconds therefore never takes effect after a newer one.
+ *   <li>Where fallback dispatchers are in use ({@link LeaderOrFallbackRoute}), a job that need not
+ *       be stored and was sent to nobody goes to one of them while the leader is silent. It is sent
+ *       to a leader only after the fallback dispatcher has handed it over, and as a {@link
+ *       ResubmitJob}. When the connection to the fallback dispatcher is lost, or the leader that
+ *       has the job stays silent until its runs have ended, it gets {@link AnswerCode#UNANSWERED}
+ *       at once.
  * </ol>
  *
  * @since 0.2
@@ -68,11 +75,20 @@
    */
   private @Nullable Instant leaderlessSince;
 
-  private LeaderRequestController() {}
+  private final FallbackRoute fallback;
+
+  private LeaderRequestController(FallbackRoute fallback) {
+    this.fallback = fallback;
+  }
 
   /** Creates a controller that knows no leader. */
   public static LeaderRequestController create() {
-    return new LeaderRequestController();
+    return new LeaderRequestController(new FallbackRoute.LeaderOnly());
+  }
+
+  /** Creates a controller that knows no leader and uses fallback dispatchers. */
+  public static LeaderRequestController withFallback(EntryFallback settings) {
+    return new LeaderRequestController(new LeaderOrFallbackRoute(settings));
   }
 
   @Override
@@ -81,21 +97,24 @@
     if (tracker.leader() == null && leaderlessSince == null) {
       leaderlessSince = now;
     }
+    if (event instanceof Received r && r.message() instanceof LeaderNotice n) {
+      if (tracker.onNotice(r.from(), n)) {
+        onLeaderChanged(LeaderViewChanged.Cause.NOTICE, now, effects);
+      }
+    } else if (event instanceof PeerDisconnected d) {
+      onDisconnected(d.peer(), now, effects);
+    }
+    if (fallback.on(event, tracker, now, effects)) {
+      sendUnsent("leader_heard", now, effects);
+    }
     if (event instanceof RequestPosted c) {
       onCall(new PendingRequest(c.request(), null, now, c.deadline()), now, effects);
     } else if (event instanceof DomainOrder o) {
       onCall(new PendingRequest(firstRequest(o), o, now, o.deadline()), now, effects);
     } else if (event instanceof Received r && r.message() instanceof LeaderReply a) {
-      onReply(a, now, effects);
-    } else if (event instanceof Received r && r.message() instanceof LeaderNotice n) {
-      if (tracker.onNotice(r.from(), n)) {
-        onLeaderChanged(LeaderViewChanged.Cause.NOTICE, now, effects);
-      }
-    } else if (event instanceof PeerDisconnected d) {
-      if (tracker.onDisconnect(d.peer())) {
-        pendingRequests.values().forEach(PendingRequest::onDisconnected);
-        onLeaderChanged(LeaderViewChanged.Cause.CONNECTION_LOST, now, effects);
-      }
+      onReply(r.from(), a, now, effects);
+    } else if (event instanceof PeerConnected) {
+      sendUnsent("dispatcher_connected", now, effects);
     } else if (event instanceof Tick) {
       onTick(now, effects);
     }
@@ -104,7 +123,26 @@
 
   @Override
   public Instant nextTickAt(Instant now) {
-    return pendingRequests.isEmpty() ? Instant.MAX : now;
+    return pendingRequests.isEmpty() ? fallback.nextTickAt() : now;
+  }
+
+  private void onDisconnected(NodeId peer, Instant now, List<Effect> effects) {
+    int lost = 0;
+    for (Iterator<PendingRequest> i = pendingRequests.values().iterator(); i.hasNext(); ) {
+      PendingRequest pending = i.next();
+      if (peer.equals(pending.fallback())) {
+        i.remove();
+        effects.add(unanswered(pending));
+        lost++;
+      }
+    }
+    if (lost > 0) {
+      effects.add(Decision.of("fallback_lost", peer, "unanswered", "requests=" + lost));
+    }
+    if (tracker.onDisconnect(peer)) {
+      pendingRequests.values().forEach(PendingRequest::onDisconnected);
+      onLeaderChanged(LeaderViewChanged.Cause.CONNECTION_LOST, now, effects);
+    }
   }
 
   private void onCall(PendingRequest pending, Instant now, List<Effect> effects) {
@@ -113,7 +151,7 @@
       effects.add(unanswered(pending));
       return;
     }
-    if (isElectionOverdue(now)) {
+    if (isElectionOverdue(now) && !fallback.mayFindDispatcher(pending, now)) {
       effects.add(noLeader(pending));
       return;
     }
@@ -143,14 +181,25 @@
         pending.request.requestId(), RequestAnswer.of(AnswerCode.UNANSWERED));
   }
 
-  private void onReply(LeaderReply reply, Instant now, List<Effect> effects) {
+  private void onReply(NodeId from, LeaderReply reply, Instant now, List<Effect> effects) {
     PendingRequest pending = pendingRequests.get(reply.requestId());
-    if (pending == null) {
+    if (pending == null || (pending.fallback() != null && !from.equals(pending.fallback()))) {
       return;
     }
     if (reply.answer().code() == AnswerCode.NOT_LEADER) {
-      // The request is sent again on the next leader change or tick.
+      // Another fallback dispatcher is tried at once. A leader is tried on its change or on a tick.
+      boolean fromFallback = pending.fallback() != null;
       pending.onNotLeader();
+      if (fromFallback) {
+        send(pending, "fallback_refused", now, effects);
+      }
+      return;
+    }
+    if (reply.answer().code() == AnswerCode.HANDED_OVER) {
+      if (pending.fallback() != null) {
+        pending.onHandedOver(now);
+        send(pending, "handed_over", now, effects);
+      }
       return;
     }
     DomainOrder order = pending.order;
@@ -197,15 +246,33 @@
     }
   }
 
+  /** Sends the requests that no process has now: unsent ones and those that were handed over. */
+  private void sendUnsent(String reason, Instant now, List<Effect> effects) {
+    for (PendingRequest pending : pendingRequests.values()) {
+      if (pending.resendAt.equals(Instant.MIN)) {
+        send(pending, reason, now, effects);
+      }
+    }
+  }
+
   private void onTick(Instant now, List<Effect> effects) {
     for (Iterator<PendingRequest> i = pendingRequests.values().iterator(); i.hasNext(); ) {
       PendingRequest pending = i.next();
       boolean leaderTimedOut =
           !now.isBefore(pending.receivedAt.plus(NO_LEADER_TIMEOUT)) || isElectionOverdue(now);
-      boolean noLeaderInTime = !pending.mayHaveEffect && leaderTimedOut && tracker.leader() == null;
-      if (!now.isBefore(pending.deadline) || noLeaderInTime) {
+      boolean noLeaderInTime =
+          !pending.mayHaveEffect
+              && leaderTimedOut
+              && leaderToSendTo(pending) == null
+              && !fallback.mayFindDispatcher(pending, now);
+      boolean answerLost = fallback.isAnswerLost(pending, now);
+      if (!now.isBefore(pending.deadline) || noLeaderInTime || answerLost) {
         i.remove();
         effects.add(pending.mayHaveEffect ? unanswered(pending) : noLeader(pending));
+        if (answerLost) {
+          Object id = pending.request.requestId();
+          effects.add(Decision.of("answer_lost", id, "unanswered", pending.describe()));
+        }
       } else if (!now.isBefore(pending.resendAt)) {
         send(pending, "leader_silent", now, effects);
       }
@@ -213,109 +280,34 @@
   }
 
   private void send(PendingRequest pending, String reason, Instant now, List<Effect> effects) {
-    NodeId leader = tracker.leader();
-    if (leader != null && now.isBefore(pending.deadline)) {
-      if (pending.sendCount > 0) {
-        String inputs =
-            "leader=" + leader + " sends=" + pending.sendCount + " since=" + pending.receivedAt;
+    if (pending.fallback() != null || !now.isBefore(pending.deadline)) {
+      return;
+    }
+    NodeId dispatcher = fallback.dispatcherFor(pending, now);
+    if (dispatcher != null) {
+      Object id = pending.request.requestId();
+      String inputs = "dispatcher=" + dispatcher + " " + pending.describe();
+      effects.add(Decision.of("request_sent_to_fallback", id, "sent", inputs));
+      pending.onSentToFallback(dispatcher);
+      effects.add(new Send(dispatcher, fallback.toFallback(pending.requestToSend(now))));
+      return;
+    }
+    NodeId leader = leaderToSendTo(pending);
+    if (leader != null) {
+      if (pending.sendCount() > 0) {
+        String inputs = "leader=" + leader + " " + pending.describe();
         effects.add(Decision.of("request_sent_again", pending.request.requestId(), reason, inputs));
       }
       pending.onSent(leader, tracker.term(), now);
-      effects.add(new Send(leader, pending.requestToSend(now)));
+      LeaderRequest request = pending.requestToSend(now);
+      effects.add(
+          new Send(
+              leader, pending.hasEarlierDispatcher() ? fallback.resubmission(request) : request));
     }
   }
 
-  private static final class PendingRequest {
-    final LeaderRequest request;
-
-    /** The order that the request is a step of; null for a request that is no such step. */
-    final @Nullable DomainOrder order;
-
-    final Instant receivedAt;
-    final Instant deadline;
-    Instant resendAt = Instant.MIN;
-    boolean mayHaveEffect;
-    private int sendCount;
-    private Duration resendDelay = RESEND_DELAY;
-
-    /**
-     * Leader that the request was last sent to, with its term in {@link #term}; null before the
-     * first sending and after the connection to the leader was lost.
-     */
-    private @Nullable NodeId leader;
-
-    private long term;
-
-    /**
-     * Number of leaders that the request was sent to. The same leader counts again in a later term
-     * and after the connection to it was lost.
-     */
-    private int leaderCount;
-
-    PendingRequest(
-        LeaderRequest request, @Nullable DomainOrder order, Instant receivedAt, Instant deadline) {
-      this.request = request;
-      this.order = order;
-      this.receivedAt = receivedAt;
-      this.deadline = deadline;
-    }
-
-    void onSent(NodeId receiver, long receiverTerm, Instant now) {
-      if (!receiver.equals(leader) || receiverTerm != term) {
-        leader = receiver;
-        term = receiverTerm;
-        leaderCount++;
-        resendDelay = RESEND_DELAY;
-      }
-      sendCount++;
-      resendAt = now.plus(resendDelay);
-      Duration doubledDelay = resendDelay.multipliedBy(2);
-      resendDelay = doubledDelay.compareTo(MAX_RESEND_DELAY) < 0 ? doubledDelay : MAX_RESEND_DELAY;
-      mayHaveEffect = true;
-    }
-
-    /**
-     * Handles the loss of the connection to the leader. The leader may answer the request, and drop
-     * its record of the answer, before it can be reached again, so it counts as another leader from
-     * now on.
-     */
-    void onDisconnected() {
-      leader = null;
-    }
-
-    /**
-     * Returns the request as it is sent now: a submitted job states how long its caller has waited.
-     */
-    LeaderRequest requestToSend(Instant now) {
-      Duration waitTime = Duration.between(receivedAt, now);
-      return request instanceof SubmitJob s && !waitTime.isZero()
-          ? s.withAdditionalWait(waitTime)
-          : request;
-    }
-
-    /**
-     * Returns whether a refusal does not prove that the job has not run. An earlier leader that the
-     * job was sent to, or the same leader in an earlier term, may have started the job.
-     */
-    boolean isRefusalUncertain(LeaderReply reply) {
-      boolean sentInSeveralTerms = leaderCount > 1 || (sendCount > 1 && reply.term() != term);
-      return request instanceof SubmitJob
-          && sentInSeveralTerms
-          && reply.answer().code() != AnswerCode.ACCEPTED;
-    }
-
-    /**
-     * Handles a refusal by a process that is not the leader. If the request was sent only once, the
-     * refusal proves that the request had no effect.
-     */
-    void onNotLeader() {
-      if (sendCount == 1) {
-        mayHaveEffect = false;
-        sendCount = 0;
-        leaderCount = 0;
-        leader = null;
-      }
-      resendAt = Instant.MIN;
-    }
+  /** Returns the leader that the request may be sent to, or null. */
+  private @Nullable NodeId leaderToSendTo(PendingRequest pending) {
+    return fallback.mayUseLeader(pending) ? tracker.leader() : null;
   }
 }
