Connections and settings of fallback dispatchers

Cause: agents and entries only connect to control members, and a dialed address could not be given up. Change: with the feature on, entries listen on the second port of the range. An entry is ready while it uses fallback dispatchers, so that the balancer keeps it. The other tests of these modules were not run.

--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/AgentNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/AgentNode.java
@@ -27,11 +27,11 @@
       NodeId self,
       AgentSettings settings,
       List<NodeId> seeds,
-      int memberPort,
+      MemberPorts ports,
       MinionRunClient minion,
       TimeSource time) {
     this.minion = minion;
-    runtime = NodeRuntime.create(self, settings.incarnation(), memberPort, time);
+    runtime = NodeRuntime.create(self, settings.incarnation(), ports, time);
     runtime.start("agent", List.of(AgentController.create(settings)), this::perform, TICK);
     runtime.dial(seeds);
   }
@@ -43,7 +43,7 @@
    * @param settings incarnation and start time of the process, maximum lease and stop grace of the
    *     runs
    * @param seeds control members to connect to first
-   * @param memberPort port on which all control members listen
+   * @param ports ports on which control members and entries listen
    * @param minion client of the minion
    * @param time source of the current time
    */
@@ -51,10 +51,10 @@
       NodeId self,
       AgentSettings settings,
       List<NodeId> seeds,
-      int memberPort,
+      MemberPorts ports,
       MinionRunClient minion,
       TimeSource time) {
-    return new AgentNode(self, settings, seeds, memberPort, minion, time);
+    return new AgentNode(self, settings, seeds, ports, minion, time);
   }
 
   /** Returns the runtime of this process, to which the events of the minion are posted. */
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/ControlNode.java
@@ -72,7 +72,11 @@
     self = settings.self();
     raft = RaftDriver.open(settings.dataFolder(), self, raftSettings(settings), new SecureRandom());
     runtime =
-        NodeRuntime.create(self, Incarnation.startedAt(time.now()), settings.memberPort(), time);
+        NodeRuntime.create(
+            self,
+            Incarnation.startedAt(time.now()),
+            MemberPorts.withoutFallback(settings.memberPort()),
+            time);
     leaderClient = new LeaderClient(time, runtime::post);
     LeaderController leaderController =
         LeaderController.create(
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/EntryNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/EntryNode.java
@@ -3,13 +3,19 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.controller.TimeSource;
+import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.NodeId;
+import org.cassiastack.request.DialFallback;
+import org.cassiastack.request.EntryFallback;
+import org.cassiastack.request.HangUpFallback;
 import org.cassiastack.request.LeaderRequestController;
 import org.cassiastack.request.LeaderViewChanged;
 import org.cassiastack.request.RequestAnswered;
+import org.cassiastack.schedule.ScheduleSettings;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,11 +31,20 @@
   private final NodeRuntime runtime;
   private final LeaderClient leaderClient;
   private final AtomicReference<@Nullable NodeId> leader = new AtomicReference<>();
+  private volatile boolean usingFallback;
 
-  private EntryNode(NodeId self, List<NodeId> seeds, int memberPort, TimeSource time) {
-    runtime = NodeRuntime.create(self, Incarnation.startedAt(time.now()), memberPort, time);
+  private EntryNode(
+      NodeId self,
+      List<NodeId> seeds,
+      MemberPorts ports,
+      List<Controller> controllers,
+      TimeSource time) {
+    runtime = NodeRuntime.create(self, Incarnation.startedAt(time.now()), ports, time);
     leaderClient = new LeaderClient(time, runtime::post);
-    runtime.start("desk", List.of(LeaderRequestController.create()), this::perform, TICK);
+    runtime.start("desk", controllers, this::perform, TICK);
+    if (ports.usesFallback()) {
+      runtime.listenAsFallback();
+    }
     runtime.dial(seeds);
   }
 
@@ -42,7 +57,40 @@
    * @param time source of the current time
    */
   public static EntryNode start(NodeId self, List<NodeId> seeds, int memberPort, TimeSource time) {
-    return new EntryNode(self, seeds, memberPort, time);
+    return new EntryNode(
+        self,
+        seeds,
+        MemberPorts.withoutFallback(memberPort),
+        List.of(LeaderRequestController.create()),
+        time);
+  }
+
+  /**
+   * Starts an entry that uses fallback dispatchers and may be one itself.
+   *
+   * @param self identity of the entry
+   * @param domain failure domain of the entry
+   * @param schedule settings of the scheduling
+   * @param seeds control members to connect to first
+   * @param ports ports on which control members and entries listen
+   * @param time source of the current time
+   */
+  public static EntryNode startWithFallback(
+      NodeId self,
+      FailureDomain domain,
+      ScheduleSettings schedule,
+      List<NodeId> seeds,
+      MemberPorts ports,
+      TimeSource time) {
+    return new EntryNode(self, seeds, ports, fallbackControllers(self, domain, schedule), time);
+  }
+
+  /** Returns the controllers of an entry; the fallback dispatcher joins them here. */
+  private static List<Controller> fallbackControllers(
+      NodeId self, FailureDomain domain, ScheduleSettings schedule) {
+    return List.of(
+        LeaderRequestController.withFallback(
+            new EntryFallback(self, domain, schedule.leaseExpiryTimeout())));
   }
 
   /** Returns the client that sends requests to the leader. */
@@ -50,9 +98,9 @@
     return leaderClient;
   }
 
-  /** Returns whether a leader is known. */
+  /** Returns whether a leader is known, or fallback dispatchers are used in its place. */
   public boolean isReady() {
-    return leader.get() != null;
+    return leader.get() != null || usingFallback;
   }
 
   /** Returns the runtime of this process, with its connections and metrics. */
@@ -70,6 +118,10 @@
       leaderClient.onAnswered(a);
     } else if (effect instanceof LeaderViewChanged l) {
       leader.set(l.leader());
+    } else if (effect instanceof DialFallback) {
+      usingFallback = true;
+    } else if (effect instanceof HangUpFallback) {
+      usingFallback = false;
     }
   }
 }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/MemberNetwork.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/MemberNetwork.java
@@ -3,6 +3,8 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
@@ -18,11 +20,13 @@
 import org.cassiastack.transport.peer.PeerListener;
 import org.cassiastack.transport.peer.PeerNetwork;
 import org.cassiastack.transport.peer.PeerTimings;
+import reactor.core.Disposable;
 
 /**
- * The connections of a process to the control members. Connection changes and received messages are
- * reported as events. The node name of a control member is its IP address, and all control members
- * listen on the same port.
+ * The connections of a process to the control members and, on demand, to fallback dispatchers.
+ * Connection changes and received messages are reported as events. The node name of a control
+ * member is its IP address, that of an entry begins with the IP address and a slash; all control
+ * members listen on one port, and all entries on another one.
  */
 final class MemberNetwork implements AutoCloseable {
   /**
@@ -38,13 +42,16 @@
           Duration.ofMillis(500));
 
   private final NodeId self;
-  private final int port;
+  private final MemberPorts ports;
   private final PeerNetwork network;
   private final Set<NodeId> dialedMembers = ConcurrentHashMap.newKeySet();
 
-  private MemberNetwork(NodeId self, int port, PeerNetwork network) {
+  /** Handles that end the dialing of fallback dispatchers; used by the thread of the loop only. */
+  private final Map<NodeId, Disposable> dialedFallbacks = new HashMap<>();
+
+  private MemberNetwork(NodeId self, MemberPorts ports, PeerNetwork network) {
     this.self = self;
-    this.port = port;
+    this.ports = ports;
     this.network = network;
   }
 
@@ -53,19 +60,31 @@
    *
    * @param self node of this process
    * @param incarnation incarnation of this process
-   * @param port port on which all control members listen
+   * @param ports ports on which control members and entries listen
    * @param events called with each event, on the I/O threads of the connections
    */
   static MemberNetwork create(
-      NodeId self, Incarnation incarnation, int port, Consumer<Event> events) {
+      NodeId self, Incarnation incarnation, MemberPorts ports, Consumer<Event> events) {
     Hello hello = new Hello(Hello.PROTOCOL_VERSION, self, incarnation);
     PeerNetwork network =
         PeerNetwork.create(hello, MessageCodec.create(), TIMINGS, new EventPoster(events));
-    return new MemberNetwork(self, port, network);
+    return new MemberNetwork(self, ports, network);
+  }
+
+  /** Accepts connections as a control member. */
+  void listen() {
+    network.listen(new InetSocketAddress(host(self), ports.members()));
   }
 
-  void listen(String address) {
-    network.listen(new InetSocketAddress(address, port));
+  /** Accepts connections as an entry that may be a fallback dispatcher. */
+  void listenAsFallback() {
+    network.listen(new InetSocketAddress(host(self), ports.fallback()));
+  }
+
+  /** Returns the IP address of the machine of a node. */
+  private static String host(NodeId node) {
+    int slash = node.name().indexOf('/');
+    return slash < 0 ? node.name() : node.name().substring(0, slash);
   }
 
   /**
@@ -75,11 +94,30 @@
   void dial(Collection<NodeId> members) {
     for (NodeId member : members) {
       if (!member.equals(self) && dialedMembers.add(member)) {
-        network.dial(new InetSocketAddress(member.name(), port));
+        network.dial(new InetSocketAddress(member.name(), ports.members()));
       }
     }
   }
 
+  /**
+   * Connects to the fallback dispatchers that are not dialed yet, except to this process, and
+   * reconnects whenever a connection is lost, until {@link #hangUpFallbacks}.
+   */
+  void dialFallbacks(Collection<NodeId> nodes) {
+    for (NodeId node : nodes) {
+      if (ports.usesFallback() && !node.equals(self)) {
+        InetSocketAddress address = new InetSocketAddress(host(node), ports.fallback());
+        dialedFallbacks.computeIfAbsent(node, n -> network.dial(address));
+      }
+    }
+  }
+
+  /** Closes the connections that {@link #dialFallbacks} maintains. */
+  void hangUpFallbacks() {
+    dialedFallbacks.values().forEach(Disposable::dispose);
+    dialedFallbacks.clear();
+  }
+
   void send(NodeId to, Message message) {
     network.send(to, message);
   }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/NodeRuntime.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/NodeRuntime.java
@@ -15,6 +15,8 @@
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
+import org.cassiastack.request.DialFallback;
+import org.cassiastack.request.HangUpFallback;
 import org.cassiastack.request.LeaderViewChanged;
 import org.cassiastack.schedule.PlacementStats;
 import org.jspecify.annotations.Nullable;
@@ -25,7 +27,7 @@
  * to the control members, the decision log and the metrics.
  *
  * <pre>{@code
- * NodeRuntime runtime = NodeRuntime.create(self, incarnation, memberPort, time);
+ * NodeRuntime runtime = NodeRuntime.create(self, incarnation, ports, time);
  * runtime.start("desk", controllers, effect -> perform(effect), tick);
  * runtime.dial(seeds);
  * }</pre>
@@ -49,12 +51,12 @@
   private final MemberNetwork network;
   private volatile @Nullable ControllerLoop loop;
 
-  private NodeRuntime(NodeId self, Incarnation incarnation, int memberPort, TimeSource time) {
+  private NodeRuntime(NodeId self, Incarnation incarnation, MemberPorts ports, TimeSource time) {
     this.self = self;
     this.time = time;
     this.limiter = LogRateLimiter.create(time, metrics);
     this.decisions = new DecisionLog(limiter, metrics);
-    this.network = MemberNetwork.create(self, incarnation, memberPort, this::post);
+    this.network = MemberNetwork.create(self, incarnation, ports, this::post);
   }
 
   /**
@@ -62,11 +64,12 @@
    *
    * @param self identity of the process
    * @param incarnation incarnation of the process
-   * @param memberPort port on which all control members listen
+   * @param ports ports on which control members and entries listen
    * @param time source of the current time
    */
-  static NodeRuntime create(NodeId self, Incarnation incarnation, int memberPort, TimeSource time) {
-    return new NodeRuntime(self, incarnation, memberPort, time);
+  static NodeRuntime create(
+      NodeId self, Incarnation incarnation, MemberPorts ports, TimeSource time) {
+    return new NodeRuntime(self, incarnation, ports, time);
   }
 
   /**
@@ -75,7 +78,7 @@
    * @param name name of the thread of the loop
    * @param controllers the controllers, in the order in which they see each event
    * @param effectHandler performs the effects that are specific to this kind of process, and also
-   *     receives each {@link LeaderViewChanged}
+   *     receives each {@link LeaderViewChanged}, {@link DialFallback} and {@link HangUpFallback}
    * @param tickInterval time between the ticks that are passed to the controllers
    */
   void start(
@@ -95,9 +98,14 @@
     started.tickEvery(tickInterval);
   }
 
-  /** Accepts connections at the address that is the name of this node. */
+  /** Accepts connections as a control member, at the address that is the name of this node. */
   void listen() {
-    network.listen(self.name());
+    network.listen();
+  }
+
+  /** Accepts connections as an entry that may be a fallback dispatcher. */
+  void listenAsFallback() {
+    network.listenAsFallback();
   }
 
   /** Connects to further control members; members that were dialed before are skipped. */
@@ -149,6 +157,12 @@
       send(s);
     } else if (effect instanceof Decision d) {
       decisions.write(d);
+    } else if (effect instanceof DialFallback f) {
+      network.dialFallbacks(f.nodes());
+      effectHandler.handle(effect);
+    } else if (effect instanceof HangUpFallback) {
+      network.hangUpFallbacks();
+      effectHandler.handle(effect);
     } else if (effect instanceof PlacementStats p) {
       metrics.recordPlacement(p);
     } else if (effect instanceof LogStats l) {
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/OperatorNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/OperatorNode.java
@@ -27,7 +27,9 @@
 
   private OperatorNode(
       NodeId self, List<NodeId> seeds, int memberPort, boolean firstStart, TimeSource time) {
-    runtime = NodeRuntime.create(self, Incarnation.startedAt(time.now()), memberPort, time);
+    runtime =
+        NodeRuntime.create(
+            self, Incarnation.startedAt(time.now()), MemberPorts.withoutFallback(memberPort), time);
     leaderClient = new LeaderClient(time, runtime::post);
     runtime.start(
         "operators",
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
@@ -100,16 +100,19 @@
   }
 
   /**
-   * Maintains a connection to an address until the network is closed. Failed attempts to connect
-   * are repeated with exponential backoff.
+   * Maintains a connection to an address until the network is closed or the returned handle is
+   * disposed of, which also closes the connection. Failed attempts to connect are repeated with
+   * exponential backoff.
    */
-  public void dial(InetSocketAddress address) {
+  public Disposable dial(InetSocketAddress address) {
     Retry retry =
         Retry.backoff(Long.MAX_VALUE, timings.minRetryDelay())
             .maxBackoff(timings.maxRetryDelay())
             .transientErrors(true)
             .doBeforeRetry(s -> Logger.debug("event=dial_retry address={}", address));
-    resources.add(
+    // A new connection takes the place of the former one, which has ended.
+    Disposable.Swap connection = Disposables.swap();
+    Disposable dialing =
         TcpClient.create()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timings.idleTimeout().toMillis())
             // Addresses are IP numbers; the default resolver would set up a DNS client.
@@ -118,10 +121,22 @@
             .doOnChannelInit((observer, channel, remote) -> configure(channel))
             .handle(this::handle)
             .connect()
+            .doOnNext(connection::update)
             .flatMap(c -> c.onDispose().thenReturn(c))
             .retryWhen(retry)
             .repeat()
-            .subscribe());
+            .subscribe();
+    // Dialing ends first, so that the end of the connection is not followed by another one.
+    Disposable handle =
+        () -> {
+          dialing.dispose();
+          connection.dispose();
+        };
+    resources.add(handle);
+    return () -> {
+      resources.remove(handle);
+      handle.dispose();
+    };
   }
 
   /**
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/peer/PeerNetworkTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/peer/PeerNetworkTest.java
@@ -16,6 +16,7 @@
 import org.cassiastack.transport.codec.MessageCodec;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import reactor.core.Disposable;
 
 class PeerNetworkTest {
   private static final NodeId ENTRY = new NodeId("entry-1");
@@ -50,6 +51,18 @@
     assertThat(agentListener.nextMessage()).isEqualTo(new Welcome(ENTRY, 2));
   }
 
+  @Test
+  void a_connection_that_is_hung_up_is_closed_and_not_dialed_again() throws Exception {
+    Disposable dialing = agent.dial(address);
+    assertThat(entryListener.nextConnectionEvent()).isEqualTo("connected agent-1");
+
+    dialing.dispose();
+    assertThat(entryListener.nextConnectionEvent()).isEqualTo("disconnected agent-1");
+    Thread.sleep(SHORT_TIMINGS.maxRetryDelay().multipliedBy(4).toMillis());
+
+    assertThat(entryListener.hasConnectionEvent()).isFalse();
+  }
+
   @Test
   void a_message_to_an_unknown_peer_is_dropped() {
     assertThat(entry.send(new NodeId("nobody"), new Welcome(ENTRY, 1))).isFalse();
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/peer/RecordingListener.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/peer/RecordingListener.java
@@ -32,6 +32,10 @@
     return next(connectionEvents);
   }
 
+  boolean hasConnectionEvent() {
+    return !connectionEvents.isEmpty();
+  }
+
   Message nextMessage() throws InterruptedException {
     return next(messages);
   }
