--- a/cassiastack-core/src/main/java/org/cassiastack/queue/JobLedger.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/queue/JobLedger.java
@@ -218,6 +218,11 @@
     return domainsOut.contains(domain);
   }
 
+  /** Returns the failure domains that are out of service. */
+  public Set<FailureDomain> domainsOut() {
+    return Collections.unmodifiableSet(domainsOut);
+  }
+
   /** Returns the agents to which a leader may grant leases. */
   public Set<NodeId> agents() {
     return Collections.unmodifiableSet(agents);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.UUID;
@@ -22,6 +24,7 @@
 import org.cassiastack.controller.Raise;
 import org.cassiastack.controller.Tick;
 import org.cassiastack.decision.Decision;
+import org.cassiastack.fallback.FallbackOffer;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.PeerConnected;
 import org.cassiastack.protocol.PeerDisconnected;
@@ -35,6 +38,7 @@
 import org.cassiastack.request.LeaderRequest;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.runs.AgentReport;
+import org.cassiastack.schedule.internal.FallbackAnnouncer;
 import org.cassiastack.schedule.internal.LeaderTerm;
 import org.jspecify.annotations.Nullable;
 
@@ -51,12 +55,32 @@
   /** How often the leader notice is sent again, for processes that missed the last change. */
   private static final Duration NOTICE_INTERVAL = Duration.ofMillis(500);
 
+  /**
+   * How often the leader notice is sent to entries that may dispatch themselves when they hear no
+   * leader.
+   */
+  private static final Duration OFFER_NOTICE_INTERVAL = Duration.ofMillis(200);
+
+  /**
+   * Time after the lease expiry timeout for which the jobs of a lost process are kept. An entry
+   * that has lost its leader gives its jobs up after that timeout, and their callers, who wait for
+   * 1.3 s, may then send them to a fallback dispatcher. A caller whose entry has ended sends them
+   * to this leader instead, and joins them if they are kept for as long.
+   */
+  private static final Duration LOST_CALLER_MARGIN = Duration.ofMillis(200);
+
   private final NodeId self;
   private final ScheduleSettings settings;
   private final LedgerCodec codec;
   private final Supplier<UUID> proposalIds;
   private final JobLedger ledger;
   private final Set<NodeId> peers = new TreeSet<>(NodeId.BY_NAME);
+  private final FallbackAnnouncer fallback = new FallbackAnnouncer();
+
+  /** Processes to which the connection was lost a short time ago. */
+  private final Map<NodeId, Instant> lostPeers = new HashMap<>();
+
+  private Instant nextOfferNoticeAt = Instant.MIN;
   private LeaderNotice notice = new LeaderNotice(0, null, List.of());
   private Instant nextNoticeAt = Instant.MIN;
   private @Nullable LeaderTerm term;
@@ -96,17 +120,29 @@
       onCommandCommitted(c, now);
     } else if (event instanceof SnapshotRestored s) {
       ledger.restore(codec.decodeSnapshot(s.state()));
+      fallback.onLedgerChanged();
     } else if (event instanceof SnapshotRequested w) {
       effects.add(new Raise(new SnapshotTaken(w.index(), codec.encode(ledger.snapshot()))));
     } else if (event instanceof LeaderChanged l) {
       onLeaderChanged(l, now, effects);
     } else if (event instanceof MembersChanged m) {
+      fallback.onMembers(m.nodes());
       updateNotice(new LeaderNotice(notice.term(), notice.leader(), m.nodes()), effects);
     } else if (event instanceof PeerConnected p) {
       peers.add(p.peer());
+      lostPeers.remove(p.peer());
       effects.add(new Send(p.peer(), notice));
+      fallback.sendDirectory(p.peer(), effects);
     } else if (event instanceof PeerDisconnected p) {
       peers.remove(p.peer());
+      if (settings.fallback()) {
+        lostPeers.put(p.peer(), now);
+        fallback.onDisconnected(p.peer(), now);
+      }
+    } else if (event instanceof Received r && r.message() instanceof FallbackOffer offer) {
+      if (settings.fallback()) {
+        fallback.onOffer(r.from(), offer);
+      }
     } else {
       handleLeaderEvent(event, now, effects);
     }
@@ -117,7 +153,17 @@
   @Override
   public List<Effect> endTurn(Instant now) {
     LeaderTerm t = term;
-    return t == null ? List.of() : t.advance(now);
+    if (t == null) {
+      return List.of();
+    }
+    List<Effect> effects = new ArrayList<>();
+    // Before the orders of this turn, so that no entry can dispatch by an older state of a stored
+    // job that starts in it, unless the entry is already cut off.
+    if (settings.fallback() && t.isGenerationCommitted() && t.holdsLeadership(now)) {
+      fallback.announce(t.term(), ledger, peers, now, effects);
+    }
+    effects.addAll(t.advance(now));
+    return effects;
   }
 
   @Override
@@ -152,7 +198,12 @@
       }
     } else if (event instanceof Tick) {
       if (t != null) {
-        t.tick(now);
+        stopJobsOfLostPeers(t, now);
+        t.tick(!fallback.mayHoldAgents(now), now);
+        if (!now.isBefore(nextOfferNoticeAt)) {
+          nextOfferNoticeAt = now.plus(OFFER_NOTICE_INTERVAL);
+          fallback.entries().forEach(e -> effects.add(new Send(e, notice)));
+        }
       }
       if (!now.isBefore(nextNoticeAt)) {
         nextNoticeAt = now.plus(NOTICE_INTERVAL);
@@ -161,8 +212,23 @@
     }
   }
 
+  private void stopJobsOfLostPeers(LeaderTerm t, Instant now) {
+    Duration limit = settings.leaseExpiryTimeout().plus(LOST_CALLER_MARGIN);
+    lostPeers
+        .entrySet()
+        .removeIf(
+            e -> {
+              boolean expired = now.isAfter(e.getValue().plus(limit));
+              if (expired) {
+                t.onCallersLost(e.getKey(), now);
+              }
+              return expired;
+            });
+  }
+
   private void onCommandCommitted(CommandCommitted c, Instant now) {
     ledger.apply(codec.decodeBatch(c.command()));
+    fallback.onLedgerChanged();
     LeaderTerm t = term;
     if (t != null) {
       t.onCommitted(c.proposalId(), now);
@@ -176,12 +242,14 @@
         effects.add(Decision.of("leadership_ended", term.fence(), "lost", "leader=" + l.leader()));
       }
       term = null;
-    } else if (term == null || term.fence() != l.term()) {
+      fallback.reset();
+    } else if (term == null || term.term() != l.term()) {
       LeaderTerm t = LeaderTerm.start(l.term(), ledger, settings, codec, proposalIds, now);
       if (lease != null && lease.term() == l.term()) {
         t.onLeaseExtended(lease.until());
       }
       term = t;
+      fallback.reset();
     }
     updateNotice(new LeaderNotice(l.term(), l.leader(), notice.members()), effects);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -26,12 +26,6 @@
 
 /** Places waiting tasks of ready steps on workers with free capacity. */
 final class Dispatcher {
-  /**
-   * Run numbers of each task that are reserved for one generation, which is the term of one leader.
-   * A task is started far less often during one term of leadership.
-   */
-  private static final long RUNS_PER_GENERATION = 1_000;
-
   /** Maximum number of concurrent runs on a minion that is probed after an ejection. */
   private static final int MAX_PROBE_RUNS = 1;
 
@@ -80,16 +74,14 @@
    * last round. A worker that becomes usable by the passing of time alone, for example at the end
    * of an ejection, is not noticed before {@link #forceNextRound} has been called.
    *
-   * @param generation number of this leader's generation, from 1; determines the numbers of new
-   *     runs
+   * @param firstRun lowest number of new runs
    */
-  void place(long generation, Instant now) {
+  void place(long firstRun, Instant now) {
     long changes = liveJobs.ready.additions() + fleet.capacityIncreases();
     if (liveJobs.ready.isEmpty() || changes == lastPlacedChanges) {
       return;
     }
     lastPlacedChanges = changes;
-    long firstRun = (generation - 1) * RUNS_PER_GENERATION + 1;
     RoundWorkers workers = new RoundWorkers(liveJobs.ready.minNeed(), now);
     ReadySteps steps = liveJobs.ready.inOrder(s -> workers.of(s).mayFit(s.spec.need()));
     for (LiveStep s = steps.next(); s != null; s = steps.next()) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DomainOrders.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/DomainOrders.java
@@ -26,7 +26,7 @@
   private static final int INITIAL_NUMBER = 1;
 
   private final long term;
-  private final PendingCommits commits;
+  private final LedgerChanges commits;
   private final Consumer<Decision> decisions;
   private final BiConsumer<Caller, AnswerCode> answers;
   private final Map<FailureDomain, LastOrder> lastOrders = new HashMap<>();
@@ -34,7 +34,7 @@
 
   DomainOrders(
       long term,
-      PendingCommits commits,
+      LedgerChanges commits,
       Consumer<Decision> decisions,
       BiConsumer<Caller, AnswerCode> answers) {
     this.term = term;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -70,6 +70,20 @@
     return w != null && w.synced;
   }
 
+  /**
+   * Returns since when every one of some agents has listed all its runs under this leader's fence;
+   * {@link Instant#MIN} if one never has, {@link Instant#MAX} without agents.
+   */
+  Instant listsSince(Collection<NodeId> agents) {
+    Instant oldest = Instant.MAX;
+    for (NodeId a : agents) {
+      WorkerState w = workers.get(a);
+      Instant at = w == null || !w.synced ? Instant.MIN : w.listsAt;
+      oldest = at.isBefore(oldest) ? at : oldest;
+    }
+    return oldest;
+  }
+
   /**
    * Returns the median speed of the workers of a service, as of the last tick; 1 while none is
    * known.
@@ -175,6 +189,7 @@
     if (r.fence() == fence) {
       applyLists(w, r, now);
       w.synced |= r.listsComplete();
+      w.listsAt = r.listsComplete() ? now : w.listsAt;
     }
     boolean mayHaveCapacity = w.runs.size() < runCount || !wasSynced || !m.equals(former);
     capacityIncreases += mayHaveCapacity ? 1 : 0;
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/HeldJobs.java
@@ -0,0 +1,76 @@
+package org.cassiastack.schedule.internal;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Jobs of which runs may exist that this leader does not know. They start no task until the agents
+ * have listed their runs, or until the leases of these runs have expired. The steps of these jobs
+ * are not in the ready queue, so that they block no other step.
+ */
+final class HeldJobs {
+  private final Duration leaseExpiryTimeout;
+  private final Set<LiveJob> restored = new LinkedHashSet<>();
+
+  /** Jobs that another dispatcher had before, with the time of their arrival. */
+  private final Map<LiveJob, Instant> resubmitted = new LinkedHashMap<>();
+
+  HeldJobs(Duration leaseExpiryTimeout) {
+    this.leaseExpiryTimeout = leaseExpiryTimeout;
+  }
+
+  /** Holds a job of the ledger until all agents are synced. */
+  void addRestored(LiveJob job) {
+    job.startsHeld = true;
+    restored.add(job);
+  }
+
+  /** Holds a job that an entry has sent to another dispatcher before. */
+  void addResubmitted(LiveJob job, Instant now) {
+    job.startsHeld = true;
+    resubmitted.put(job, now);
+  }
+
+  void remove(LiveJob job) {
+    restored.remove(job);
+    resubmitted.remove(job);
+  }
+
+  boolean isEmpty() {
+    return restored.isEmpty() && resubmitted.isEmpty();
+  }
+
+  /** Moves the times from which leases are counted. */
+  void onClockLeaped(Duration leap) {
+    resubmitted.replaceAll((job, at) -> at.plus(leap));
+  }
+
+  /**
+   * Removes and returns the jobs whose tasks may start.
+   *
+   * @param agentsSynced whether the leader knows every run of earlier leaders
+   * @param listsSince the time since which every agent of the ledger has listed all its runs
+   */
+  List<LiveJob> takeReleased(boolean agentsSynced, Instant listsSince, Instant now) {
+    List<LiveJob> released = new ArrayList<>();
+    if (agentsSynced) {
+      released.addAll(restored);
+      restored.clear();
+    }
+    resubmitted.forEach(
+        (job, at) -> {
+          if (at.isBefore(listsSince) || now.isAfter(at.plus(leaseExpiryTimeout))) {
+            released.add(job);
+          }
+        });
+    released.forEach(resubmitted::remove);
+    released.forEach(j -> j.startsHeld = false);
+    return released;
+  }
+}
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
@@ -0,0 +1,161 @@
+package org.cassiastack.schedule.internal;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.decision.Decision;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.model.ServiceName;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.queue.JobLedger;
+import org.cassiastack.queue.JobPhase;
+import org.cassiastack.runs.AgentLease;
+import org.cassiastack.runs.AgentReport;
+import org.cassiastack.runs.MinionIncarnation;
+import org.cassiastack.runs.MinionProfile;
+import org.cassiastack.schedule.ScheduleSettings;
+
+/**
+ * Dispatch of jobs under one fence: jobs, workers, placement and the answers to callers. The leader
+ * and the fallback dispatchers use it with ledgers of their own and decide when it may place tasks.
+ */
+final class JobDispatch {
+  final LiveJobs liveJobs = new LiveJobs();
+  final Fleet fleet;
+  final HeldJobs held;
+  final LeaderRequestHandler requests;
+  private final long fence;
+  private final ScheduleSettings settings;
+  private final RunEventHandler runEvents;
+  private final Dispatcher dispatcher;
+  private List<Effect> effects = new ArrayList<>();
+
+  /**
+   * Creates a dispatch without jobs and workers.
+   *
+   * @param fence fence of the leases and orders
+   * @param replyTerm term in the answers to callers
+   * @param changes changes of stored state
+   * @param capacityKnown returns whether the workers known are all that there are
+   */
+  JobDispatch(
+      long fence,
+      long replyTerm,
+      JobLedger ledger,
+      ScheduleSettings settings,
+      LedgerChanges changes,
+      BooleanSupplier capacityKnown) {
+    this.fence = fence;
+    this.settings = settings;
+    Consumer<Decision> decisions = d -> effects.add(d);
+    this.runEvents =
+        new RunEventHandler(
+            liveJobs,
+            changes,
+            decisions,
+            this::jobEnded,
+            id -> ledger.live(id) != null,
+            this::medianSpeed);
+    this.fleet = new Fleet(settings, runEvents);
+    this.held = new HeldJobs(settings.leaseExpiryTimeout());
+    this.requests =
+        new LeaderRequestHandler(
+            replyTerm,
+            ledger,
+            liveJobs,
+            held,
+            fleet,
+            changes,
+            decisions,
+            (to, reply) -> effects.add(new Send(to, reply)),
+            capacityKnown,
+            settings.fallback());
+    this.dispatcher =
+        new Dispatcher(
+            liveJobs,
+            fleet,
+            ledger,
+            decisions,
+            FastestFit.withRemoteFactor(settings.remoteFactor()));
+  }
+
+  void addEffect(Effect effect) {
+    effects.add(effect);
+  }
+
+  void addDecision(String event, Object subject, String outcome, String inputs) {
+    effects.add(Decision.of(event, subject, outcome, inputs));
+  }
+
+  /** Returns the effects since the last call. */
+  List<Effect> takeEffects() {
+    List<Effect> collected = effects;
+    effects = new ArrayList<>();
+    return collected;
+  }
+
+  /**
+   * Performs the actions that depend on time.
+   *
+   * @param mayPlace whether tasks may be moved to other workers
+   * @param stopsUnknownRuns whether runs of unknown jobs are stopped
+   */
+  void tick(boolean mayPlace, boolean stopsUnknownRuns, Instant now) {
+    fleet.tick(now);
+    liveJobs.ready.updateLateness(now);
+    // A worker may have become usable by the passing of time alone.
+    dispatcher.forceNextRound();
+    requests.tick(now);
+    if (mayPlace) {
+      dispatcher.moveStalledRuns(now);
+    }
+    for (WorkerState w : fleet.workers()) {
+      runEvents.stopUnwantedRuns(w, stopsUnknownRuns, now);
+      dispatcher.probeLostOrders(w, fence, now, effects);
+    }
+    effects.add(dispatcher.takeStats());
+  }
+
+  /** Grants the agent of a worker the lease that its last report asked for. */
+  void grantLease(NodeId agent, WorkerState w, AgentReport report) {
+    MinionProfile m = w.minion;
+    MinionIncarnation incarnation = m == null ? null : m.life();
+    effects.add(
+        new Send(
+            agent,
+            new AgentLease(
+                fence, report.sentAt(), settings.lease(), incarnation, w.acknowledgedThrough())));
+  }
+
+  /** Puts the steps of jobs that are held no longer into the ready queue. */
+  void release(List<LiveJob> released) {
+    released.forEach(liveJobs::queueReadySteps);
+  }
+
+  /**
+   * Places waiting tasks.
+   *
+   * @param firstRun lowest number of new runs
+   */
+  void place(long firstRun, Instant now) {
+    dispatcher.place(firstRun, now);
+  }
+
+  /** Sends the pending orders of all workers. */
+  void sendOrders(Instant now) {
+    for (WorkerState w : fleet.workers()) {
+      dispatcher.sendOrders(w, fence, now, effects);
+    }
+  }
+
+  private double medianSpeed(ServiceName service) {
+    return fleet.medianSpeed(service);
+  }
+
+  private void jobEnded(LiveJob job, JobPhase phase, Instant now) {
+    requests.jobEnded(job, phase, now);
+  }
+}
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -22,10 +22,12 @@
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.AskQueueConfiguration;
 import org.cassiastack.request.CancelJob;
+import org.cassiastack.request.FallbackSubmit;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.LeaderRequest;
 import org.cassiastack.request.QueueAddress;
 import org.cassiastack.request.RequestAnswer;
+import org.cassiastack.request.ResubmitJob;
 import org.cassiastack.request.StoreConfiguration;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.request.SwitchDomain;
@@ -37,14 +39,18 @@
  * changes the configuration and failure domains.
  */
 final class LeaderRequestHandler {
-  private final long fence;
+  private final long term;
   private final JobLedger ledger;
   private final LiveJobs liveJobs;
+  private final HeldJobs held;
   private final Fleet fleet;
-  private final PendingCommits commits;
+  private final LedgerChanges commits;
   private final Consumer<Decision> decisions;
   private final ReplySender replies;
-  private final BooleanSupplier agentsSynced;
+  private final BooleanSupplier capacityKnown;
+
+  /** Whether jobs that were refused or run by another dispatcher may come to this one. */
+  private final boolean fallback;
 
   /** Callers that wait for a job to be accepted or, if the job is not durable, to end. */
   private final Map<QueuedJobId, Caller> callers = new HashMap<>();
@@ -57,26 +63,37 @@
    */
   private final RecentAnswers refusals = RecentAnswers.ofRefusals();
 
+  private final StoppedJobs stopped;
+
   private final DomainOrders domainOrders;
+  private final JobQueries queries;
+  private final QueueingDelays delays;
 
   LeaderRequestHandler(
-      long fence,
+      long term,
       JobLedger ledger,
       LiveJobs liveJobs,
+      HeldJobs held,
       Fleet fleet,
-      PendingCommits commits,
+      LedgerChanges commits,
       Consumer<Decision> decisions,
       ReplySender replies,
-      BooleanSupplier agentsSynced) {
-    this.fence = fence;
+      BooleanSupplier capacityKnown,
+      boolean fallback) {
+    this.term = term;
+    this.held = held;
+    this.fallback = fallback;
     this.ledger = ledger;
     this.liveJobs = liveJobs;
     this.fleet = fleet;
     this.commits = commits;
     this.decisions = decisions;
     this.replies = replies;
-    this.agentsSynced = agentsSynced;
-    this.domainOrders = new DomainOrders(fence, commits, decisions, this::answer);
+    this.capacityKnown = capacityKnown;
+    this.stopped = new StoppedJobs(liveJobs, held, fleet);
+    this.queries = new JobQueries(ledger, liveJobs);
+    this.delays = new QueueingDelays(ledger, liveJobs, fleet, capacityKnown);
+    this.domainOrders = new DomainOrders(term, commits, decisions, this::answer);
   }
 
   /**
@@ -87,9 +104,13 @@
   void handle(NodeId from, LeaderRequest request, Instant now) {
     Caller caller = new Caller(from, request.requestId());
     if (request instanceof SubmitJob s) {
-      submit(caller, s, now);
+      submit(caller, s, stopped.mayHaveRun(s.job().id(), now), now);
+    } else if (request instanceof ResubmitJob r) {
+      submit(caller, r.submission(), true, now);
+    } else if (request instanceof FallbackSubmit) {
+      answer(caller, AnswerCode.NOT_LEADER);
     } else if (request instanceof AskJob a) {
-      answer(caller, query(a.address()));
+      answer(caller, queries.query(a.address()));
     } else if (request instanceof CancelJob c) {
       cancel(caller, c.address(), now);
     } else if (request instanceof StoreConfiguration s) {
@@ -105,19 +126,25 @@
     }
   }
 
-  private void submit(Caller caller, SubmitJob s, Instant now) {
+  /**
+   * Submits a job.
+   *
+   * @param mayHaveRun whether the job was sent to another dispatcher before; it is not refused,
+   *     because a refusal states that no task has run
+   */
+  private void submit(Caller caller, SubmitJob s, boolean mayHaveRun, Instant now) {
     QueuedJobId id = s.job().id();
     RequestAnswer recentAnswer = recentAnswers.findAndRefresh(id, now);
     if (recentAnswer != null) {
       answer(caller, recentAnswer);
       return;
     }
-    RequestAnswer refusal = refusals.findAndRefresh(id, now);
+    RequestAnswer refusal = mayHaveRun ? null : refusals.findAndRefresh(id, now);
     if (refusal != null) {
       answer(caller, refusal);
       return;
     }
-    if (ledger.isRefused(id)) {
+    if (!mayHaveRun && ledger.isRefused(id)) {
       answer(caller, refusalOfEarlierLeader());
       return;
     }
@@ -132,27 +159,50 @@
       return;
     }
     QueueConfiguration c = ledger.configuration();
+    Queue queue = c == null ? null : c.find(s.address().host(), s.address().path());
+    if (mayHaveRun && (queue == null || s.job().durable())) {
+      answer(caller, AnswerCode.UNANSWERED);
+      return;
+    }
     if (c == null) {
       refuse(caller, s.job(), RequestAnswer.of(AnswerCode.NOT_CONFIGURED), now);
       return;
     }
-    Queue queue = c.find(s.address().host(), s.address().path());
     if (queue == null) {
       answer(caller, AnswerCode.NO_SUCH_QUEUE);
       return;
     }
-    admit(caller, s, queue, now);
+    if (mayHaveRun) {
+      resubmit(caller, s, queue, now);
+    } else {
+      admit(caller, s, queue, now);
+    }
+  }
+
+  /** Takes a job that another dispatcher had before. */
+  private void resubmit(Caller caller, SubmitJob s, Queue queue, Instant now) {
+    int maxAttempts = Math.max(1, queue.maxAttempts());
+    Instant requestedAt = now.minus(s.waitTime());
+    Instant callerTimeoutAt = now.plus(s.timeout());
+    LiveJob job = liveJobs.newJob(s.job(), queue, maxAttempts, requestedAt, callerTimeoutAt);
+    held.addResubmitted(job, now);
+    callers.put(s.job().id(), caller);
+    activate(job, now);
+    liveJobs.markStarted(job);
+    addDecision("job_admitted", s.job().id(), "resubmitted", "waited=" + s.waitTime());
   }
 
   private void admit(Caller caller, SubmitJob s, Queue queue, Instant now) {
+    // Where a new leader starts jobs before it knows all workers, a larger one may still report.
+    boolean needsKnown = !fallback || s.job().durable() || capacityKnown.getAsBoolean();
     for (StepSpec step : s.job().steps()) {
-      if (!fleet.canEverFit(queue.service(), step.need())) {
+      if (needsKnown && !fleet.canEverFit(queue.service(), step.need())) {
         addDecision("job_refused", s.job().id(), "unsupported", "need=" + step.need());
         refuse(caller, s.job(), RequestAnswer.of(AnswerCode.UNSUPPORTED), now);
         return;
       }
     }
-    Duration delay = queueingDelay(queue, now);
+    Duration delay = delays.of(queue, now);
     boolean durable = s.job().durable();
     Instant requestedAt = now.minus(s.waitTime());
     Instant callerTimeoutAt = durable ? Instant.MAX : now.plus(s.timeout());
@@ -176,23 +226,6 @@
     commits.addJob(a, at -> onAccepted(job, at));
   }
 
-  /**
-   * Returns how long the waiting tasks delay a new job; zero until all agents are synced, because
-   * the capacity is not known before.
-   */
-  private Duration queueingDelay(Queue queue, Instant now) {
-    if (!agentsSynced.getAsBoolean()) {
-      return Duration.ZERO;
-    }
-    return Admission.queueingDelay(
-        liveJobs.cpuTimeAhead(queue.service(), queue.priority(), this::canServe),
-        fleet.capacityMilliCpu(queue.service(), now));
-  }
-
-  private boolean canServe(Demand demand) {
-    return fleet.canServe(demand, ledger::isOutOfService);
-  }
-
   private void onAccepted(LiveJob job, Instant now) {
     QueuedJobId id = job.job.id();
     Caller caller = callers.remove(id);
@@ -220,35 +253,6 @@
     }
   }
 
-  private RequestAnswer query(QueueAddress address) {
-    QueueConfiguration c = ledger.configuration();
-    if (c == null) {
-      return RequestAnswer.of(AnswerCode.NOT_CONFIGURED);
-    }
-    Queue queue = c.find(address.host(), address.path());
-    if (queue == null) {
-      return RequestAnswer.of(AnswerCode.NO_SUCH_QUEUE);
-    }
-    String jobPart = address.path().substring(queue.pathPrefix().length());
-    if (jobPart.isEmpty()) {
-      return RequestAnswer.pending(liveJobs.unstartedJobCount(queue.name()));
-    }
-    QueuedJobId id = QueuedJobId.parse(jobPart);
-    JobPhase phase = id == null ? null : phase(id);
-    return phase == null
-        ? RequestAnswer.of(AnswerCode.NO_SUCH_JOB)
-        : RequestAnswer.phase(AnswerCode.FOUND, phase);
-  }
-
-  private @Nullable JobPhase phase(QueuedJobId id) {
-    JobPhase finalPhase = ledger.finalPhase(id);
-    if (finalPhase != null || ledger.live(id) == null) {
-      return finalPhase;
-    }
-    LiveJob job = liveJobs.find(id);
-    return job == null || job.started ? JobPhase.RUNNING : JobPhase.QUEUED;
-  }
-
   private void cancel(Caller caller, QueueAddress address, Instant now) {
     int slash = address.path().lastIndexOf('/');
     QueuedJobId id = QueuedJobId.parse(address.path().substring(slash + 1));
@@ -262,11 +266,11 @@
           id,
           at -> {
             addDecision("job_ended", id, "cancelled", "");
-            removeJob(id);
+            stopped.stop(id);
             answer(caller, AnswerCode.ACCEPTED);
           });
     } else {
-      removeJob(id);
+      stopped.stop(id);
       answerJobEnd(id, JobPhase.CANCELLED, now);
       answer(caller, AnswerCode.ACCEPTED);
     }
@@ -301,32 +305,22 @@
   }
 
   private void refuseOvertaken(LiveJob job, Instant now) {
-    Duration delay = queueingDelay(job.queue, now);
+    Duration delay = delays.of(job.queue, now);
     String inputs = "waited=" + Duration.between(job.requestedAt, now) + " delay=" + delay;
     addDecision("job_refused", job.job.id(), "overtaken", inputs);
-    removeJob(job.job.id());
+    stopped.stop(job.job.id());
     Caller caller = callers.remove(job.job.id());
     if (caller != null) {
       refuse(caller, job.job, RequestAnswer.overloaded(Admission.retryAfter(delay)), now);
     }
   }
 
-  /** Removes a live job and stops its runs. */
-  private void removeJob(QueuedJobId id) {
-    LiveJob job = liveJobs.find(id);
-    if (job != null) {
-      liveJobs.remove(job);
-      if (job.started) {
-        fleet.markRunsUnwanted(job);
-      }
-    }
-  }
-
   /** Removes a job that was completed or failed by its runs, and answers its waiting caller. */
   void jobEnded(LiveJob job, JobPhase phase, Instant now) {
     boolean failed = phase == JobPhase.FAILED;
     String inputs = failed ? "attempts=" + job.maxAttempts : "queue=" + job.queue.name();
     addDecision("job_ended", job.job.id(), phase.name().toLowerCase(Locale.ROOT), inputs);
+    held.remove(job);
     liveJobs.remove(job);
     if (failed) {
       fleet.markRunsUnwanted(job);
@@ -350,13 +344,14 @@
    */
   void tick(Instant now) {
     recentAnswers.evictExpired(now);
+    stopped.evictExpired(now);
     refusals.evictExpired(now);
     for (LiveJob job : liveJobs.tooLateToStart(now)) {
       refuseOvertaken(job, now);
     }
     for (LiveJob job : liveJobs.callerTimedOut(now)) {
       QueuedJobId id = job.job.id();
-      removeJob(id);
+      stopped.stop(id);
       callers.remove(id);
       if (job.started) {
         // A repeated request may still arrive. It must not be refused, because a refusal states
@@ -366,6 +361,22 @@
     }
   }
 
+  /** Stops the jobs whose ends a process waits for, because the process cannot be reached. */
+  void callersLost(NodeId node, Instant now) {
+    stopped.stopJobsOf(node, callers, now);
+  }
+
+  /** Returns the number of callers that wait for an answer. */
+  int waitingCallers() {
+    return callers.size();
+  }
+
+  /** Gives all jobs up to the leader. */
+  void handOver() {
+    callers.values().forEach(c -> answer(c, AnswerCode.HANDED_OVER));
+    callers.clear();
+  }
+
   private void addDecision(String event, Object subject, String outcome, String inputs) {
     decisions.accept(Decision.of(event, subject, outcome, inputs));
   }
@@ -381,6 +392,6 @@
   }
 
   private void answer(Caller caller, RequestAnswer answer) {
-    replies.send(caller.node(), new LeaderReply(caller.requestId(), answer, fence));
+    replies.send(caller.node(), new LeaderReply(caller.requestId(), answer, term));
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -2,27 +2,21 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.UUID;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.cassiastack.consensus.HandLeadershipOver;
 import org.cassiastack.controller.Effect;
-import org.cassiastack.decision.Decision;
+import org.cassiastack.controller.Raise;
 import org.cassiastack.model.NodeId;
-import org.cassiastack.model.ServiceName;
-import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
-import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.LedgerCodec;
 import org.cassiastack.queue.LedgerJob;
 import org.cassiastack.request.LeaderRequest;
-import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
-import org.cassiastack.runs.MinionIncarnation;
-import org.cassiastack.runs.MinionProfile;
+import org.cassiastack.runs.Fences;
 import org.cassiastack.schedule.ScheduleSettings;
 
 /**
@@ -36,24 +30,28 @@
  * </ol>
  */
 public final class LeaderTerm {
+  /**
+   * Time for which a new leader does not stop runs of jobs that it does not know: the entries send
+   * it these jobs first.
+   */
+  private static final Duration UNKNOWN_RUN_GRACE = Duration.ofMillis(300);
+
+  /** Minimum time between two attempts to hand the leadership over. */
+  private static final Duration HAND_OVER_INTERVAL = Duration.ofMillis(500);
+
+  private final long term;
   private final long fence;
   private final JobLedger ledger;
   private final ScheduleSettings settings;
   private Instant startedAt;
   private final PendingCommits commits;
-  private final LiveJobs liveJobs = new LiveJobs();
-  private final RunEventHandler runEvents;
-  private final Fleet fleet;
-  private final Dispatcher dispatcher;
+  private final JobDispatch dispatch;
 
   /**
    * Agents whose addition to or removal from the ledger is not yet committed; these get no lease.
    */
   private final Set<NodeId> changingAgents = new HashSet<>();
 
-  private final LeaderRequestHandler requestHandler;
-  private List<Effect> effects = new ArrayList<>();
-
   /** End of the leadership lease. */
   private Instant leadershipUntil = Instant.MIN;
 
@@ -66,58 +64,35 @@
   /** Whether this leader knows every run that may exist; once true, stays true. */
   private boolean agentsSynced;
 
+  private Instant nextHandOverAt = Instant.MIN;
+
   private LeaderTerm(
-      long fence,
+      long term,
       JobLedger ledger,
       ScheduleSettings settings,
       LedgerCodec codec,
       Supplier<UUID> proposalIds,
       Instant now) {
-    this.fence = fence;
+    this.term = term;
+    this.fence = settings.fallback() ? Fences.ofLeader(term) : term;
     this.ledger = ledger;
     this.settings = settings;
     this.startedAt = now;
     this.commits = new PendingCommits(codec, proposalIds);
-    Consumer<Decision> decisions = d -> effects.add(d);
-    this.runEvents =
-        new RunEventHandler(
-            liveJobs,
-            commits,
-            decisions,
-            this::jobEnded,
-            id -> ledger.live(id) != null,
-            this::medianSpeed);
-    this.fleet = new Fleet(settings, runEvents);
-    this.requestHandler =
-        new LeaderRequestHandler(
-            fence,
-            ledger,
-            liveJobs,
-            fleet,
-            commits,
-            decisions,
-            (to, reply) -> effects.add(new Send(to, reply)),
-            () -> agentsSynced);
-    this.dispatcher =
-        new Dispatcher(
-            liveJobs,
-            fleet,
-            ledger,
-            decisions,
-            FastestFit.withRemoteFactor(settings.remoteFactor()));
+    this.dispatch = new JobDispatch(fence, term, ledger, settings, commits, () -> agentsSynced);
   }
 
   /** Starts a term with the live jobs of the ledger. */
   public static LeaderTerm start(
-      long fence,
+      long term,
       JobLedger ledger,
       ScheduleSettings settings,
       LedgerCodec codec,
       Supplier<UUID> proposalIds,
       Instant now) {
-    LeaderTerm t = new LeaderTerm(fence, ledger, settings, codec, proposalIds, now);
+    LeaderTerm t = new LeaderTerm(term, ledger, settings, codec, proposalIds, now);
     String inputs = "jobs=" + ledger.live().size() + " agents=" + ledger.agents().size();
-    t.addDecision("leadership_began", fence, "waiting_for_agents", inputs);
+    t.dispatch.addDecision("leadership_began", t.fence, "waiting_for_agents", inputs);
     for (LedgerJob j : ledger.live()) {
       t.restore(j, now);
     }
@@ -128,14 +103,30 @@
   /** Restores a job. A job that cannot be restored stays in the ledger and is not run. */
   private void restore(LedgerJob job, Instant now) {
     try {
-      liveJobs.restore(job, ledger.queueOf(job), now);
+      dispatch.liveJobs.restore(job, ledger.queueOf(job), this::holdIfEarly, now);
     } catch (RuntimeException e) {
       // An error in one job must not keep this member from leading the others.
       String inputs = "queue=" + job.queue() + " error=" + e.getClass().getSimpleName();
-      addDecision("job_not_restored", job.job().id(), "failed", inputs);
+      dispatch.addDecision("job_not_restored", job.job().id(), "failed", inputs);
     }
   }
 
+  private void holdIfEarly(LiveJob job) {
+    if (settings.fallback()) {
+      dispatch.held.addRestored(job);
+    }
+  }
+
+  /** Returns the term of this leader. */
+  public long term() {
+    return term;
+  }
+
+  /** Returns whether the generation that this leader begins is committed. */
+  public boolean isGenerationCommitted() {
+    return generationCommitted;
+  }
+
   /** Returns the fence of this leader, which is higher than the fence of any earlier leader. */
   public long fence() {
     return fence;
@@ -152,7 +143,8 @@
    */
   public void onClockLeaped(Duration leap) {
     startedAt = startedAt.plus(leap);
-    fleet.onClockLeaped(leap);
+    dispatch.fleet.onClockLeaped(leap);
+    dispatch.held.onClockLeaped(leap);
   }
 
   /** Returns whether the leadership lease is valid, so that no other member can be leader. */
@@ -174,22 +166,22 @@
    * moves the tasks of stalled runs to other workers, orders stops of unwanted runs, sends orders
    * that reveal the loss of earlier orders, removes from the ledger the agents that have stopped
    * reporting, and reports the placement statistics.
+   *
+   * @param forgetsSilentAgents whether agents that have stopped reporting are removed from the
+   *     ledger; a fallback dispatcher may hold them otherwise
    */
-  public void tick(Instant now) {
-    fleet.tick(now);
-    liveJobs.ready.updateLateness(now);
-    // A worker may have become usable by the passing of time alone.
-    dispatcher.forceNextRound();
-    requestHandler.tick(now);
-    if (generationCommitted && holdsLeadership(now)) {
-      dispatcher.moveStalledRuns(now);
-    }
-    for (WorkerState w : fleet.workers()) {
-      runEvents.stopUnwantedRuns(w, now);
-      dispatcher.probeLostOrders(w, fence, now, effects);
+  public void tick(boolean forgetsSilentAgents, Instant now) {
+    boolean stopsUnknownRuns =
+        !settings.fallback() || !now.isBefore(startedAt.plus(UNKNOWN_RUN_GRACE));
+    dispatch.tick(generationCommitted && holdsLeadership(now), stopsUnknownRuns, now);
+    if (forgetsSilentAgents) {
+      removeSilentAgents(now);
     }
-    removeSilentAgents(now);
-    effects.add(dispatcher.takeStats());
+  }
+
+  /** Stops the jobs that a process waits for that has been unreachable for too long. */
+  public void onCallersLost(NodeId node, Instant now) {
+    dispatch.requests.callersLost(node, now);
   }
 
   /**
@@ -198,35 +190,47 @@
    * unless the agent is drained.
    */
   public void onReport(NodeId agent, AgentReport report, Instant now) {
-    if (report.fence() > fence || !holdsLeadership(now)) {
+    if (!holdsLeadership(now)) {
+      return;
+    }
+    if (report.fence() > fence) {
+      handOver(agent, report, now);
       return;
     }
     if (changingAgents.contains(agent)) {
       return;
     }
     if (!ledger.agents().contains(agent)) {
-      if (!fleet.isDrained(agent, report, fence)) {
+      if (!dispatch.fleet.isDrained(agent, report, fence)) {
         changingAgents.add(agent);
-        fleet.recordUnleasedReport(agent, now);
+        dispatch.fleet.recordUnleasedReport(agent, now);
         commits.addAgent(agent, at -> changingAgents.remove(agent));
       }
       return;
     }
-    WorkerState w = fleet.applyReport(agent, report, fence, now);
+    WorkerState w = dispatch.fleet.applyReport(agent, report, fence, now);
     if (w == null) {
       return;
     }
-    if (fleet.isDrained(agent, report, fence)) {
+    if (dispatch.fleet.isDrained(agent, report, fence)) {
       removeAgent(agent, "idle", "minion=" + report.minion());
       return;
     }
-    MinionProfile m = w.minion;
-    MinionIncarnation incarnation = m == null ? null : m.life();
-    effects.add(
-        new Send(
-            agent,
-            new AgentLease(
-                fence, report.sentAt(), settings.lease(), incarnation, w.acknowledgedThrough())));
+    dispatch.grantLease(agent, w, report);
+  }
+
+  /**
+   * Hands the leadership over when an agent has obeyed a higher fence: the next leader has a fence
+   * above those of all fallback dispatchers, so that the agent obeys it.
+   */
+  private void handOver(NodeId agent, AgentReport report, Instant now) {
+    if (!settings.fallback() || now.isBefore(nextHandOverAt)) {
+      return;
+    }
+    nextHandOverAt = now.plus(HAND_OVER_INTERVAL);
+    String inputs = "agent=" + agent + " fence=" + report.fence() + " own=" + fence;
+    dispatch.addDecision("higher_fence_seen", fence, "handing_over", inputs);
+    dispatch.addEffect(new Raise(new HandLeadershipOver()));
   }
 
   /**
@@ -234,21 +238,25 @@
    * returns the effects since the last call.
    */
   public List<Effect> advance(Instant now) {
-    if (generationCommitted && holdsLeadership(now) && areAgentsSynced(now)) {
-      dispatcher.place(ledger.generation(), now);
-    }
-    for (WorkerState w : fleet.workers()) {
-      dispatcher.sendOrders(w, fence, now, effects);
+    if (generationCommitted && holdsLeadership(now)) {
+      boolean synced = areAgentsSynced(now);
+      if (!dispatch.held.isEmpty()) {
+        Instant listsSince = dispatch.fleet.listsSince(ledger.agents());
+        dispatch.release(dispatch.held.takeReleased(synced, listsSince, now));
+      }
+      if (synced || settings.fallback()) {
+        dispatch.place(RunNumbers.firstOfLeader(ledger.generation()), now);
+      }
     }
-    commits.propose(now, effects);
-    return takeEffects();
+    dispatch.sendOrders(now);
+    List<Effect> collected = dispatch.takeEffects();
+    commits.propose(now, collected);
+    return collected;
   }
 
   /** Returns the effects since the last call of this method or of {@link #advance}. */
   public List<Effect> takeEffects() {
-    List<Effect> collected = effects;
-    effects = new ArrayList<>();
-    return collected;
+    return dispatch.takeEffects();
   }
 
   /**
@@ -257,15 +265,7 @@
    * refused one at once.
    */
   public void onRequest(NodeId from, LeaderRequest request, Instant now) {
-    requestHandler.handle(from, request, now);
-  }
-
-  private double medianSpeed(ServiceName service) {
-    return fleet.medianSpeed(service);
-  }
-
-  private void jobEnded(LiveJob job, JobPhase phase, Instant now) {
-    requestHandler.jobEnded(job, phase, now);
+    dispatch.requests.handle(from, request, now);
   }
 
   /**
@@ -281,9 +281,12 @@
     agentsSynced =
         ledger.agents().stream()
             .allMatch(
-                a -> fleet.isSynced(a) || (leasesExpired && !fleet.hasUnlistedEnds(a, fence)));
+                a ->
+                    dispatch.fleet.isSynced(a)
+                        || (leasesExpired && !dispatch.fleet.hasUnlistedEnds(a, fence)));
     if (agentsSynced) {
-      addDecision("starts_allowed", fence, "begun", "after=" + Duration.between(startedAt, now));
+      dispatch.addDecision(
+          "starts_allowed", fence, "begun", "after=" + Duration.between(startedAt, now));
     }
     return agentsSynced;
   }
@@ -297,20 +300,16 @@
       return;
     }
     for (NodeId a : ledger.agents()) {
-      if (!fleet.mayHoldLease(a, now) && !changingAgents.contains(a)) {
+      if (!dispatch.fleet.mayHoldLease(a, now) && !changingAgents.contains(a)) {
         removeAgent(a, "silent", "limit=" + settings.leaseExpiryTimeout());
       }
     }
   }
 
   private void removeAgent(NodeId agent, String outcome, String inputs) {
-    addDecision("agent_forgotten", agent, outcome, inputs);
+    dispatch.addDecision("agent_forgotten", agent, outcome, inputs);
     changingAgents.add(agent);
-    fleet.markUnsynced(agent);
+    dispatch.fleet.markUnsynced(agent);
     commits.removeAgent(agent, at -> changingAgents.remove(agent));
   }
-
-  private void addDecision(String event, Object subject, String outcome, String inputs) {
-    effects.add(Decision.of(event, subject, outcome, inputs));
-  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
@@ -40,9 +40,12 @@
    */
   final Instant callerTimeoutAt;
 
-  /** Whether any task has been started, as far as this leader knows. */
+  /** Whether any task may have been started, as far as this leader knows. */
   boolean started;
 
+  /** Whether no task may start, because runs may exist that this leader does not know. */
+  boolean startsHeld;
+
   LiveJob(
       QueuedJob job,
       Queue queue,
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJobs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJobs.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.cassiastack.model.ServiceName;
 import org.cassiastack.queue.LedgerJob;
@@ -55,8 +56,12 @@
     queueReadySteps(job);
   }
 
-  /** Adds a job that an earlier leader accepted, with its done tasks and failed runs. */
-  void restore(LedgerJob ledgerJob, Queue queue, Instant now) {
+  /**
+   * Adds a job that an earlier leader accepted, with its done tasks and failed runs.
+   *
+   * @param beforeAdding called with the job before its steps are added to the ready queue
+   */
+  void restore(LedgerJob ledgerJob, Queue queue, Consumer<LiveJob> beforeAdding, Instant now) {
     LiveJob job = newJob(ledgerJob.job(), queue, ledgerJob.maxAttempts(), now, Instant.MAX);
     boolean anyDone = false;
     for (LiveStep s : job.steps) {
@@ -70,6 +75,7 @@
         }
       }
     }
+    beforeAdding.accept(job);
     add(job, now);
     if (anyDone) {
       markStarted(job);
@@ -98,9 +104,13 @@
   }
 
   /**
-   * Adds to the ready queue the steps of a job that have waiting tasks and whose tasks may start.
+   * Adds to the ready queue the steps of a job that have waiting tasks and whose tasks may start. A
+   * job whose starts are held has none.
    */
   void queueReadySteps(LiveJob job) {
+    if (job.startsHeld) {
+      return;
+    }
     for (LiveStep s : job.steps) {
       if (!s.waiting.isEmpty() && job.isReady(s)) {
         ready.add(s);
@@ -111,7 +121,8 @@
   /** Returns a task to the waiting tasks after its run ended without success or was lost. */
   void requeueTask(LiveStep step, int index) {
     step.requeueTask(index);
-    if (jobs.get(step.job.job.id()) == step.job && step.job.isReady(step)) {
+    LiveJob job = step.job;
+    if (jobs.get(job.job.id()) == job && !job.startsHeld && job.isReady(step)) {
       ready.add(step);
     }
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/PendingCommits.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/PendingCommits.java
@@ -26,7 +26,7 @@
  *
  * <p>Each change comes with a completion: a callback that is called when the change is committed.
  */
-final class PendingCommits {
+final class PendingCommits implements LedgerChanges {
   /**
    * Maximum proposals in flight: one that is being synced and one in transit keep the disks busy.
    */
@@ -57,14 +57,16 @@
     completions.add(completion);
   }
 
-  void addConfiguration(QueueConfiguration c, Consumer<Instant> completion) {
+  @Override
+  public void addConfiguration(QueueConfiguration c, Consumer<Instant> completion) {
     if (configuration == null || configuration.version() < c.version()) {
       configuration = c;
     }
     completions.add(completion);
   }
 
-  void addDomainSwitch(LedgerBatch.DomainSwitch change, Consumer<Instant> completion) {
+  @Override
+  public void addDomainSwitch(LedgerBatch.DomainSwitch change, Consumer<Instant> completion) {
     domainSwitches.add(change);
     completions.add(completion);
   }
@@ -79,12 +81,13 @@
     completions.add(completion);
   }
 
-  /** Returns whether the acceptance of a job is pending. */
-  boolean isAccepting(QueuedJobId id) {
+  @Override
+  public boolean isAccepting(QueuedJobId id) {
     return jobsBeingAccepted.contains(id);
   }
 
-  void addJob(LedgerBatch.Acceptance a, Consumer<Instant> completion) {
+  @Override
+  public void addJob(LedgerBatch.Acceptance a, Consumer<Instant> completion) {
     QueuedJobId id = a.job().id();
     jobsBeingAccepted.add(id);
     acceptedJobs.add(a);
@@ -95,13 +98,13 @@
         });
   }
 
-  /** Returns whether the refusal of a job is pending. */
-  boolean isRefusing(QueuedJobId id) {
+  @Override
+  public boolean isRefusing(QueuedJobId id) {
     return jobsBeingRefused.contains(id);
   }
 
-  /** Records that a job that is not in the ledger must not be accepted later. */
-  void addRefusal(QueuedJobId id, Consumer<Instant> completion) {
+  @Override
+  public void addRefusal(QueuedJobId id, Consumer<Instant> completion) {
     jobsBeingRefused.add(id);
     cancelledJobs.add(id);
     completions.add(
@@ -111,12 +114,14 @@
         });
   }
 
-  void addTaskEnd(LedgerBatch.TaskEnd end, Consumer<Instant> completion) {
+  @Override
+  public void addTaskEnd(LedgerBatch.TaskEnd end, Consumer<Instant> completion) {
     taskEnds.add(end);
     completions.add(completion);
   }
 
-  void addCancellation(QueuedJobId id, Consumer<Instant> completion) {
+  @Override
+  public void addCancellation(QueuedJobId id, Consumer<Instant> completion) {
     cancelledJobs.add(id);
     completions.add(completion);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
@@ -30,6 +30,9 @@
   /** When the stop was last ordered; {@link Instant#MIN} before the first time. */
   Instant stopSentAt = Instant.MIN;
 
+  /** Whether the run was found at an agent and its job was not known then. */
+  boolean isOfUnknownJob;
+
   /** Whether the run is being stopped so that its task can start on another worker. */
   boolean isMoving;
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
@@ -34,7 +34,7 @@
   private static final double MIN_RELATIVE_SPEED = 0.5;
 
   private final LiveJobs liveJobs;
-  private final PendingCommits commits;
+  private final LedgerChanges commits;
   private final Consumer<Decision> decisions;
   private final JobEndListener jobEndListener;
 
@@ -46,7 +46,7 @@
 
   RunEventHandler(
       LiveJobs liveJobs,
-      PendingCommits commits,
+      LedgerChanges commits,
       Consumer<Decision> decisions,
       JobEndListener jobEndListener,
       Predicate<QueuedJobId> isLiveInLedger,
@@ -114,7 +114,9 @@
     int index = id.task().index();
     if (step == null || step.isDone(index) || step.isAssigned(index)) {
       Resources need = step == null ? Resources.NONE : step.spec.need();
-      return new Run(id, null, need, 0, now);
+      Run unwanted = new Run(id, null, need, 0, now);
+      unwanted.isOfUnknownJob = step == null;
+      return unwanted;
     }
     step.adopt(index, id.number());
     liveJobs.ready.tasksRemoved(step);
@@ -122,13 +124,18 @@
     return new Run(id, step, step.spec.need(), 0, now);
   }
 
-  /** Orders stops of unwanted runs, and repeats the orders for runs that have not ended. */
-  void stopUnwantedRuns(WorkerState w, Instant now) {
+  /**
+   * Orders stops of unwanted runs, and repeats the orders for runs that have not ended.
+   *
+   * @param stopsUnknownRuns whether this includes runs whose job was not known when they were found
+   */
+  void stopUnwantedRuns(WorkerState w, boolean stopsUnknownRuns, Instant now) {
     if (!w.synced) {
       return;
     }
     for (Run r : w.runs.values()) {
-      if (r.isUnwanted() && now.isAfter(r.stopSentAt.plus(STOP_RESEND_INTERVAL))) {
+      boolean mayStop = stopsUnknownRuns || !r.isOfUnknownJob;
+      if (mayStop && r.isUnwanted() && now.isAfter(r.stopSentAt.plus(STOP_RESEND_INTERVAL))) {
         r.stopSentAt = now;
         w.orderStop(r.id);
       }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
@@ -54,6 +54,12 @@
    */
   Instant leasedAt = Instant.MIN;
 
+  /**
+   * When the last report under this leader's fence with complete run lists arrived; {@link
+   * Instant#MIN} before the first.
+   */
+  Instant listsAt = Instant.MIN;
+
   /** When the last report arrived. */
   Instant reportedAt = Instant.MIN;
 
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackLeaderTest.java
@@ -0,0 +1,282 @@
+package org.cassiastack.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.cassiastack.consensus.LeaseExtended;
+import org.cassiastack.controller.Tick;
+import org.cassiastack.decision.Decision;
+import org.cassiastack.model.NodeId;
+import org.cassiastack.protocol.PeerConnected;
+import org.cassiastack.protocol.PeerDisconnected;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.queue.JobPhase;
+import org.cassiastack.queue.QueuedJob;
+import org.cassiastack.queue.QueuedJobId;
+import org.cassiastack.queue.QueuedTaskId;
+import org.cassiastack.request.AnswerCode;
+import org.cassiastack.request.LeaderReply;
+import org.cassiastack.request.QueueAddress;
+import org.cassiastack.request.RequestAnswer;
+import org.cassiastack.request.ResubmitJob;
+import org.cassiastack.request.SubmitJob;
+import org.cassiastack.runs.ActiveRun;
+import org.cassiastack.runs.EndedRun;
+import org.cassiastack.runs.Fences;
+import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunOutcome;
+import org.junit.jupiter.api.Test;
+
+/** Tests a leader with fallback dispatchers, in particular one that has just been elected. */
+class FallbackLeaderTest extends LeaderScenario {
+  private static final Duration LIMIT = Duration.ofSeconds(1);
+  private static final QueuedJobId NEW = new QueuedJobId(0xbbL);
+  private static final RunId EARLIER = new RunId(new QueuedTaskId(ID, 0, 0, 0), 4_511);
+
+  @Override
+  ScheduleSettings settings() {
+    return SETTINGS.withFallback(true);
+  }
+
+  @Test
+  void a_new_leader_starts_a_new_job_on_the_first_worker_that_has_reported() {
+    lead(6);
+    report(FIRST, List.of(), List.of());
+
+    submit(1, false);
+
+    assertThat(starts.get(FIRST)).hasSize(1);
+  }
+
+  @Test
+  void a_new_leader_starts_no_new_job_on_a_worker_whose_lists_are_not_complete() {
+    lead(6);
+    reportFirstEnds(FIRST, List.of());
+
+    submit(1, false);
+
+    assertThat(started()).isEmpty();
+  }
+
+  /** Guards against held steps that block the steps behind them in the ready queue. */
+  @Test
+  void a_new_leader_starts_a_new_job_while_a_job_of_the_ledger_waits_for_the_agents() {
+    submit(1, true);
+    starts.clear();
+    lead(6);
+    report(FIRST, List.of(), List.of());
+
+    submitNew(1);
+    List<QueuedJobId> early = jobs(started());
+    report(SECOND, List.of(), List.of());
+
+    assertThat(early).containsExactly(NEW);
+    assertThat(jobs(started())).containsExactlyInAnyOrder(NEW, ID);
+  }
+
+  @Test
+  void a_new_leader_starts_a_job_of_the_ledger_when_the_leases_of_silent_agents_have_expired() {
+    submit(1, true);
+    starts.clear();
+    lead(6);
+    now = now.plus(SETTINGS.leaseExpiryTimeout());
+    report(FIRST, List.of(), List.of());
+
+    on(new Tick());
+
+    assertThat(jobs(started())).containsExactly(ID);
+  }
+
+  @Test
+  void starts_a_resubmitted_job_once_every_agent_has_reported_since_it_arrived() {
+    resubmit(1);
+    boolean startedAtOnce = !started().isEmpty();
+    report(FIRST, List.of(), List.of());
+    boolean startedEarly = !started().isEmpty();
+
+    report(SECOND, List.of(), List.of());
+
+    assertThat(startedAtOnce).isFalse();
+    assertThat(startedEarly).isFalse();
+    assertThat(started()).hasSize(1);
+  }
+
+  @Test
+  void starts_a_resubmitted_job_when_the_lease_of_a_silent_agent_has_expired_since_it_arrived() {
+    on(new LeaseExtended(5, now.plusSeconds(100)));
+    now = now.plusSeconds(5);
+    report(FIRST, List.of(), List.of());
+    resubmit(1);
+    now = now.plus(SETTINGS.leaseExpiryTimeout());
+    on(new Tick());
+    report(FIRST, List.of(), List.of());
+    on(new Tick());
+
+    assertThat(jobs(started())).containsExactly(ID);
+  }
+
+  /** Guards against a second run of a task that a fallback dispatcher has started. */
+  @Test
+  void a_resubmitted_job_keeps_the_runs_that_agents_report() {
+    lead(6);
+    resubmit(1);
+    report(FIRST, List.of(new ActiveRun(EARLIER, 10)), List.of());
+    report(SECOND, List.of(), List.of());
+    on(new Tick());
+    answers.clear();
+
+    report(FIRST, List.of(), List.of(new EndedRun(1, EARLIER, RunOutcome.DONE)));
+
+    assertThat(started()).isEmpty();
+    assertThat(stops).isEmpty();
+    assertThat(answers)
+        .containsExactly(RequestAnswer.phase(AnswerCode.ACCEPTED, JobPhase.COMPLETED));
+  }
+
+  @Test
+  void a_resubmitted_job_claims_a_run_that_was_reported_before() {
+    lead(6);
+    report(FIRST, List.of(new ActiveRun(EARLIER, 10)), List.of());
+    on(new Tick());
+    resubmit(1);
+    now = now.plusMillis(400);
+    report(SECOND, List.of(), List.of());
+    report(FIRST, List.of(new ActiveRun(EARLIER, 50)), List.of());
+    on(new Tick());
+
+    assertThat(started()).isEmpty();
+    assertThat(stops).isEmpty();
+  }
+
+  @Test
+  void a_new_leader_stops_runs_of_unknown_jobs_only_after_300_ms() {
+    lead(6);
+    report(FIRST, List.of(new ActiveRun(EARLIER, 10)), List.of());
+    now = now.plusMillis(290);
+    on(new Tick());
+    List<RunId> early = List.copyOf(stops);
+    now = now.plusMillis(20);
+
+    on(new Tick());
+
+    assertThat(early).isEmpty();
+    assertThat(stops).containsExactly(EARLIER);
+  }
+
+  /** Guards against refusals of jobs of which a fallback dispatcher has run tasks. */
+  @Test
+  void never_refuses_a_resubmitted_job() {
+    QueuedJob tooLarge = new QueuedJob(ID, "spec", List.of(step(1, 9_000)), false);
+    request(SubmitJob.of(++lastRequestId, ADDRESS, tooLarge, Duration.ofSeconds(1)));
+    answers.clear();
+
+    request(
+        new ResubmitJob(SubmitJob.of(++lastRequestId, ADDRESS, tooLarge, Duration.ofMillis(500))));
+    QueueAddress unknown = new QueueAddress("h", "/none/" + NEW);
+    QueuedJob other = new QueuedJob(NEW, "spec", List.of(step(1, 1_000)), false);
+    request(new ResubmitJob(SubmitJob.of(++lastRequestId, unknown, other, Duration.ofSeconds(1))));
+    now = now.plusSeconds(2);
+    on(new LeaseExtended(5, now.plusSeconds(10)));
+    on(new Tick());
+
+    assertThat(answers).extracting(RequestAnswer::code).containsExactly(AnswerCode.UNANSWERED);
+  }
+
+  @Test
+  void a_new_leader_does_not_refuse_a_job_that_a_worker_not_known_yet_may_fit() {
+    lead(6);
+    report(FIRST, List.of(), List.of());
+    QueuedJob large = new QueuedJob(ID, "spec", List.of(step(1, 9_000)), false);
+
+    request(SubmitJob.of(++lastRequestId, ADDRESS, large, Duration.ofSeconds(1)));
+
+    assertThat(answers).isEmpty();
+  }
+
+  @Test
+  void hands_the_leadership_over_at_most_twice_a_second_to_agents_with_a_higher_fence() {
+    long own = fence;
+    fence = Fences.ofFallback(5);
+    for (int i = 0; i < 10; i++) {
+      report(FIRST, List.of(), List.of());
+      now = now.plusMillis(99);
+    }
+
+    assertThat(own).isLessThan(fence);
+    assertThat(handOvers).isEqualTo(2);
+    assertThat(decisions).extracting(Decision::event).contains("higher_fence_seen");
+  }
+
+  @Test
+  void answers_with_its_term_and_not_with_its_fence() {
+    sends.clear();
+    request(SubmitJob.of(++lastRequestId, new QueueAddress("h", "/none/1"), job(), LIMIT));
+
+    assertThat(sends)
+        .extracting(Send::message)
+        .anyMatch(m -> m instanceof LeaderReply r && r.term() == 5);
+  }
+
+  /** Guards against runs at a leader and at a fallback dispatcher of an entry that was cut off. */
+  @Test
+  void stops_the_jobs_of_an_entry_that_stays_away_for_longer_than_it_keeps_them() {
+    submitNew(1);
+    RunId run = started().get(0);
+    on(new PeerDisconnected(ENTRY));
+    reportFor(Duration.ofMillis(1_250), lastStartAgent, run, 0, 10);
+    List<RunId> early = List.copyOf(stops);
+
+    reportFor(Duration.ofMillis(120), lastStartAgent, run, 10, 20);
+
+    assertThat(early).isEmpty();
+    assertThat(stops).containsExactly(run);
+  }
+
+  @Test
+  void keeps_the_jobs_of_an_entry_that_connects_again() {
+    submitNew(1);
+    RunId run = started().get(0);
+    on(new PeerDisconnected(ENTRY));
+    reportFor(Duration.ofMillis(900), lastStartAgent, run, 0, 10);
+    on(new PeerConnected(ENTRY));
+
+    reportFor(Duration.ofMillis(900), lastStartAgent, run, 10, 20);
+
+    assertThat(stops).isEmpty();
+  }
+
+  private static QueuedJob job() {
+    return new QueuedJob(ID, "spec", List.of(step(1, 1_000)), false);
+  }
+
+  private void submitNew(int tasks) {
+    QueuedJob job = new QueuedJob(NEW, "spec", List.of(step(tasks, 1_000)), false);
+    QueueAddress address = new QueueAddress("h", "/q/" + NEW);
+    request(SubmitJob.of(++lastRequestId, address, job, Duration.ofSeconds(3)));
+  }
+
+  private void resubmit(int tasks) {
+    QueuedJob job = new QueuedJob(ID, "spec", List.of(step(tasks, 1_000)), false);
+    request(new ResubmitJob(SubmitJob.of(++lastRequestId, ADDRESS, job, Duration.ofSeconds(3))));
+  }
+
+  private static List<QueuedJobId> jobs(List<RunId> runs) {
+    return runs.stream().map(r -> r.task().job()).toList();
+  }
+
+  @Test
+  void keeps_a_silent_agent_in_the_ledger_while_a_lost_entry_may_hold_it() {
+    NodeId entry = new NodeId("10.0.0.3/entry");
+    offer(entry, "a");
+    on(new PeerDisconnected(entry));
+    now = now.plus(SETTINGS.leaseExpiryTimeout()).plusMillis(50);
+    report(FIRST, List.of(), List.of());
+    on(new Tick());
+    resubmit(1);
+
+    report(FIRST, List.of(), List.of());
+
+    assertThat(started()).isEmpty();
+  }
+}
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
@@ -10,6 +10,7 @@
 import java.util.Queue;
 import java.util.UUID;
 import org.cassiastack.consensus.CommandCommitted;
+import org.cassiastack.consensus.HandLeadershipOver;
 import org.cassiastack.consensus.LeaderChanged;
 import org.cassiastack.consensus.LeaseExtended;
 import org.cassiastack.consensus.ProposeCommand;
@@ -18,12 +19,14 @@
 import org.cassiastack.controller.Raise;
 import org.cassiastack.controller.Tick;
 import org.cassiastack.decision.Decision;
+import org.cassiastack.fallback.FallbackOffer;
 import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.MinionId;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.model.Payload;
 import org.cassiastack.model.ServiceName;
+import org.cassiastack.protocol.PeerConnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.InMemoryLedgerCodec;
@@ -42,6 +45,7 @@
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.EndedRun;
+import org.cassiastack.runs.Fences;
 import org.cassiastack.runs.MinionIncarnation;
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.runs.RunId;
@@ -67,7 +71,8 @@
   static final Duration REPORT_INTERVAL = Duration.ofMillis(30);
 
   final InMemoryLedgerCodec codec = new InMemoryLedgerCodec();
-  final LeaderController leader = LeaderController.create(SELF, SETTINGS, codec, UUID::randomUUID);
+  final LeaderController leader =
+      LeaderController.create(SELF, settings(), codec, UUID::randomUUID);
 
   /** Start orders by agent. */
   final Map<NodeId, List<StartOrder>> starts = new HashMap<>();
@@ -77,6 +82,8 @@
   final List<AgentLease> leases = new ArrayList<>();
   final List<RequestAnswer> answers = new ArrayList<>();
   final List<Decision> decisions = new ArrayList<>();
+  final List<Send> sends = new ArrayList<>();
+  int handOvers;
   Instant now = Instant.parse("2026-12-04T08:00:00Z");
   long fence;
   long lastCommitIndex;
@@ -105,9 +112,14 @@
     answers.clear();
   }
 
+  /** Returns the settings of the leader. */
+  ScheduleSettings settings() {
+    return SETTINGS;
+  }
+
   /** Makes the controller lose leadership and win it again in a new term. */
   void lead(long term) {
-    fence = term;
+    fence = settings().fallback() ? Fences.ofLeader(term) : term;
     on(new LeaderChanged(term - 1, null, false));
     on(new LeaderChanged(term, SELF, true));
     on(new LeaseExtended(term, now.plusSeconds(10)));
@@ -127,6 +139,12 @@
     return StepSpec.plain(tasks, milliCpu, 64, Duration.ofMillis(100));
   }
 
+  /** Connects an entry and makes it offer itself as a fallback dispatcher. */
+  void offer(NodeId entry, String domain) {
+    on(new PeerConnected(entry));
+    on(new Received(entry, new FallbackOffer(new FailureDomain(domain))));
+  }
+
   void request(LeaderRequest request) {
     on(new Received(ENTRY, request));
   }
@@ -210,6 +228,11 @@
     do {
       Event e = events.poll();
       for (Effect f : e == null ? leader.endTurn(now) : leader.on(e, now)) {
+        if (f instanceof Send s) {
+          sends.add(s);
+        } else if (f instanceof Raise r && r.event() instanceof HandLeadershipOver) {
+          handOvers++;
+        }
         if (f instanceof Raise r && r.event() instanceof ProposeCommand p) {
           if (holdCommits) {
             heldProposals.add(p);
