Leader: keep agents that a fallback dispatcher may hold in the ledger

Cause: a leader that woke up after 2 s removed all agents from the ledger as silent. Its successor then waited for none of them and started a task of a resubmitted job that still ran at an agent of a fallback dispatcher.

Change: with the feature on, an agent is removed after 30 s of silence, and the leader does not count its own pauses.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -240,12 +240,12 @@
   }
 
   /**
-   * Returns whether an agent may still hold a lease. A lease counts from the sending of a report,
-   * so it ends no later than the lease expiry timeout after the arrival of the report.
+   * Returns whether an agent has reported at or after a time. A lease counts from the sending of a
+   * report, so it ends no later than the lease expiry timeout after the arrival of the report.
    */
-  boolean mayHoldLease(NodeId agent, Instant now) {
+  boolean hasReportedSince(NodeId agent, Instant since) {
     WorkerState w = workers.get(agent);
-    return w != null && !now.isAfter(w.reportedAt.plus(settings.leaseExpiryTimeout()));
+    return w != null && !w.reportedAt.isBefore(since);
   }
 
   /**
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -39,6 +39,16 @@
   /** Minimum time between two attempts to hand the leadership over. */
   private static final Duration HAND_OVER_INTERVAL = Duration.ofMillis(500);
 
+  /**
+   * Time without reports after which an agent is removed from the ledger where fallback dispatchers
+   * are in use. Until then an agent that is held by one is waited for by the leaders that get the
+   * jobs of the dispatcher.
+   */
+  private static final Duration FALLBACK_SILENCE_LIMIT = Duration.ofSeconds(30);
+
+  /** Minimum time between two ticks after which this process counts as paused. */
+  private static final Duration PAUSE = Duration.ofMillis(450);
+
   private final long term;
   private final long fence;
   private final JobLedger ledger;
@@ -64,6 +74,10 @@
   /** Whether this leader knows every run that may exist; once true, stays true. */
   private boolean agentsSynced;
 
+  /** When this process last began to hear the agents: at the start, or after a pause. */
+  private Instant hearsAgentsSince;
+
+  private Instant lastTickAt;
   private Instant nextHandOverAt = Instant.MIN;
 
   private LeaderTerm(
@@ -78,6 +92,8 @@
     this.ledger = ledger;
     this.settings = settings;
     this.startedAt = now;
+    this.hearsAgentsSince = now;
+    this.lastTickAt = now;
     this.commits = new PendingCommits(codec, proposalIds);
     this.dispatch = new JobDispatch(fence, term, ledger, settings, commits, () -> agentsSynced);
   }
@@ -174,6 +190,8 @@
     boolean stopsUnknownRuns =
         !settings.fallback() || !now.isBefore(startedAt.plus(UNKNOWN_RUN_GRACE));
     dispatch.tick(generationCommitted && holdsLeadership(now), stopsUnknownRuns, now);
+    hearsAgentsSince = now.isAfter(lastTickAt.plus(PAUSE)) ? now : hearsAgentsSince;
+    lastTickAt = now;
     if (forgetsSilentAgents) {
       removeSilentAgents(now);
     }
@@ -296,12 +314,18 @@
    * wait for their reports.
    */
   private void removeSilentAgents(Instant now) {
-    if (now.isBefore(startedAt.plus(settings.leaseExpiryTimeout()))) {
+    Duration limit = settings.leaseExpiryTimeout();
+    Instant since = startedAt;
+    if (settings.fallback()) {
+      limit = FALLBACK_SILENCE_LIMIT;
+      since = hearsAgentsSince;
+    }
+    if (now.isBefore(since.plus(limit))) {
       return;
     }
     for (NodeId a : ledger.agents()) {
-      if (!dispatch.fleet.mayHoldLease(a, now) && !changingAgents.contains(a)) {
-        removeAgent(a, "silent", "limit=" + settings.leaseExpiryTimeout());
+      if (!dispatch.fleet.hasReportedSince(a, now.minus(limit)) && !changingAgents.contains(a)) {
+        removeAgent(a, "silent", "limit=" + limit);
       }
     }
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackLeaderTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackLeaderTest.java
@@ -265,13 +265,46 @@
     return runs.stream().map(r -> r.task().job()).toList();
   }
 
+  /** Guards against a leader that does not wait for agents that a fallback dispatcher holds. */
+  @Test
+  void keeps_an_agent_that_was_silent_for_less_than_30_s_in_the_ledger() {
+    beSilentFor(Duration.ofSeconds(29));
+    resubmit(1);
+
+    report(FIRST, List.of(), List.of());
+
+    assertThat(started()).isEmpty();
+  }
+
+  @Test
+  void removes_an_agent_that_was_silent_for_30_s_from_the_ledger() {
+    beSilentFor(Duration.ofSeconds(31));
+    resubmit(1);
+
+    report(FIRST, List.of(), List.of());
+
+    assertThat(started()).hasSize(1);
+  }
+
   @Test
   void keeps_a_silent_agent_in_the_ledger_while_a_lost_entry_may_hold_it() {
     NodeId entry = new NodeId("10.0.0.3/entry");
     offer(entry, "a");
     on(new PeerDisconnected(entry));
-    now = now.plus(SETTINGS.leaseExpiryTimeout()).plusMillis(50);
+    beSilentFor(Duration.ofSeconds(31));
+    resubmit(1);
+
     report(FIRST, List.of(), List.of());
+
+    assertThat(started()).isEmpty();
+  }
+
+  /** Guards against a leader that counts its own pause as the silence of all agents. */
+  @Test
+  void removes_no_agent_from_the_ledger_right_after_a_pause() {
+    on(new Tick());
+    now = now.plusSeconds(40);
+    on(new LeaseExtended(5, now.plusSeconds(10)));
     on(new Tick());
     resubmit(1);
 
@@ -279,4 +312,14 @@
 
     assertThat(started()).isEmpty();
   }
+
+  /** Lets the second agent be silent while the first one reports. */
+  private void beSilentFor(Duration time) {
+    on(new LeaseExtended(5, now.plusSeconds(100)));
+    for (long i = 0; i < time.toMillis() / 200; i++) {
+      now = now.plusMillis(199);
+      report(FIRST, List.of(), List.of());
+      on(new Tick());
+    }
+  }
 }
