--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -70,6 +70,20 @@
     return w != null && w.synced;
   }
 
+  /**
+   * Returns since when every one of some agents has listed all its runs under this leader's fence;
+   * {@link Instant#MIN} if one never has, {@link Instant#MAX} without agents.
+   */
+  Instant listsSince(Collection<NodeId> agents) {
+    Instant oldest = Instant.MAX;
+    for (NodeId a : agents) {
+      WorkerState w = workers.get(a);
+      Instant at = w == null || !w.synced ? Instant.MIN : w.listsAt;
+      oldest = at.isBefore(oldest) ? at : oldest;
+    }
+    return oldest;
+  }
+
   /**
    * Returns the median speed of the workers of a service, as of the last tick; 1 while none is
    * known.
@@ -175,6 +189,7 @@
     if (r.fence() == fence) {
       applyLists(w, r, now);
       w.synced |= r.listsComplete();
+      w.listsAt = r.listsComplete() ? now : w.listsAt;
     }
     boolean mayHaveCapacity = w.runs.size() < runCount || !wasSynced || !m.equals(former);
     capacityIncreases += mayHaveCapacity ? 1 : 0;
@@ -225,12 +240,12 @@
   }
 
   /**
-   * Returns whether an agent may still hold a lease. A lease counts from the sending of a report,
-   * so it ends no later than the lease expiry timeout after the arrival of the report.
+   * Returns whether an agent has reported at or after a time. A lease counts from the sending of a
+   * report, so it ends no later than the lease expiry timeout after the arrival of the report.
    */
-  boolean mayHoldLease(NodeId agent, Instant now) {
+  boolean hasReportedSince(NodeId agent, Instant since) {
     WorkerState w = workers.get(agent);
-    return w != null && !now.isAfter(w.reportedAt.plus(settings.leaseExpiryTimeout()));
+    return w != null && !w.reportedAt.isBefore(since);
   }
 
   /**
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/EntryNode.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/EntryNode.java
@@ -15,6 +15,7 @@
 import org.cassiastack.request.LeaderRequestController;
 import org.cassiastack.request.LeaderViewChanged;
 import org.cassiastack.request.RequestAnswered;
+import org.cassiastack.schedule.FallbackController;
 import org.cassiastack.schedule.ScheduleSettings;
 import org.jspecify.annotations.Nullable;
 
@@ -85,12 +86,12 @@
     return new EntryNode(self, seeds, ports, fallbackControllers(self, domain, schedule), time);
   }
 
-  /** Returns the controllers of an entry; the fallback dispatcher joins them here. */
   private static List<Controller> fallbackControllers(
       NodeId self, FailureDomain domain, ScheduleSettings schedule) {
     return List.of(
         LeaderRequestController.withFallback(
-            new EntryFallback(self, domain, schedule.leaseExpiryTimeout())));
+            new EntryFallback(self, domain, schedule.leaseExpiryTimeout())),
+        FallbackController.create(self, schedule));
   }
 
   /** Returns the client that sends requests to the leader. */
