Metrics: no exemplars

Cause: the metrics client keeps exemplars for each counter, gauge and histogram unless it is told not to. We attach none, but the timer of the client's scheduler woke up each process some 25 times a second.

Change: withoutExemplars() on each metric of QueueMetrics and DaemonMetrics. A test checks that answers and observations leave no thread of the metrics library behind.

--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/metrics/DaemonMetrics.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/metrics/DaemonMetrics.java
@@ -53,6 +53,7 @@
           .name("cassia_requests_total")
           .help("Submissions answered, by result code.")
           .labelNames("code")
+          .withoutExemplars()
           .register(registry);
   private final Histogram responseTimes =
       Histogram.builder()
@@ -60,34 +61,40 @@
           .help("Time from the arrival of a submission to its answer.")
           .classicUpperBounds(0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60)
           .classicOnly()
+          .withoutExemplars()
           .register(registry);
   private final Counter sentMessages =
       Counter.builder()
           .name("cassia_messages_sent_total")
           .help("Messages handed to connections, by type.")
           .labelNames("type")
+          .withoutExemplars()
           .register(registry);
   private final Counter receivedMessages =
       Counter.builder()
           .name("cassia_messages_received_total")
           .help("Messages that came from other processes, by type.")
           .labelNames("type")
+          .withoutExemplars()
           .register(registry);
   private final Counter dispatches =
       Counter.builder()
           .name("cassia_dispatches_total")
           .help("Tasks handed to agents, resends included.")
+          .withoutExemplars()
           .register(registry);
   private final Counter starts =
       Counter.builder()
           .name("cassia_task_starts_total")
           .help("Tasks that the start guard let start.")
+          .withoutExemplars()
           .register(registry);
   private final Counter notStarted =
       Counter.builder()
           .name("cassia_tasks_not_started_total")
           .help("Proofs that a task did not start, sent or received, by reason.")
           .labelNames("reason")
+          .withoutExemplars()
           .register(registry);
 
   private DaemonMetrics() {}
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/QueueMetrics.java
@@ -48,6 +48,7 @@
           .name("cassia_desk_answers_total")
           .help("Callers' requests answered, by kind and code.")
           .labelNames("kind", "code")
+          .withoutExemplars()
           .register(registry);
   private final Histogram answerTimes =
       Histogram.builder()
@@ -56,18 +57,21 @@
           .labelNames("kind")
           .classicOnly()
           .classicUpperBounds(ANSWER_TIME_BOUNDS)
+          .withoutExemplars()
           .register(registry);
   private final Counter decisions =
       Counter.builder()
           .name("cassia_decisions_total")
           .help("Decisions, by event and outcome.")
           .labelNames("event", "outcome")
+          .withoutExemplars()
           .register(registry);
   private final Counter droppedLines =
       Counter.builder()
           .name("cassia_log_lines_dropped_total")
           .help("Log lines that were not written because there were too many, by event.")
           .labelNames("event")
+          .withoutExemplars()
           .register(registry);
 
   private final Histogram loopWaits =
@@ -76,44 +80,52 @@
           .help("Time that events wait for the thread of the controllers.")
           .classicOnly()
           .classicUpperBounds(LOOP_WAIT_BOUNDS)
+          .withoutExemplars()
           .register(registry);
   private final Counter loopBusySeconds =
       Counter.builder()
           .name("cassia_loop_busy_seconds_total")
           .help("Time that the thread of the controllers spent, by kind of event.")
           .labelNames("event")
+          .withoutExemplars()
           .register(registry);
   private final Counter loopEvents =
       Counter.builder()
           .name("cassia_loop_events_total")
           .help("Events that the controllers have handled, by kind.")
           .labelNames("event")
+          .withoutExemplars()
           .register(registry);
   private final Gauge loopQueuedEvents =
       Gauge.builder()
           .name("cassia_loop_events_waiting")
           .help("Events that waited for the controllers when the last one was handled.")
+          .withoutExemplars()
           .register(registry);
   private final Counter candidatesExamined =
       Counter.builder()
           .name("cassia_placing_candidates_total")
           .help("Workers that the leader looked at to place tasks.")
+          .withoutExemplars()
           .register(registry);
 
   private final Gauge logEntries =
       Gauge.builder()
           .name("cassia_log_entries")
           .help("Entries of the replicated log after the last snapshot.")
+          .withoutExemplars()
           .register(registry);
   private final Gauge logBytes =
       Gauge.builder()
           .name("cassia_log_bytes")
           .help("Size of the entries of the replicated log after the last snapshot.")
+          .withoutExemplars()
           .register(registry);
   private final Gauge snapshotBytes =
       Gauge.builder()
           .name("cassia_snapshot_bytes")
           .help("Size of the last snapshot of the replicated log.")
+          .withoutExemplars()
           .register(registry);
 
   private QueueMetrics() {}
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/QueueMetricsTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/QueueMetricsTest.java
@@ -21,6 +21,7 @@
 import org.cassiastack.request.AskQueueConfiguration;
 import org.cassiastack.request.CallerRequest;
 import org.cassiastack.request.RequestPosted;
+import org.cassiastack.schedule.PlacementStats;
 import org.junit.jupiter.api.Test;
 
 class QueueMetricsTest {
@@ -69,6 +70,21 @@
         .contains("cassia_loop_busy_seconds_total{event=\"Tick\"} 2.0");
   }
 
+  @Test
+  void answers_and_observations_start_no_thread_of_the_metrics_library() {
+    metrics.recordAnswer(CallerRequest.Kind.SUBMIT, AnswerCode.OVERLOADED, Duration.ofMillis(3));
+    metrics.recordLoopTurn(
+        new LoopTurn(List.of(new Tick()), Duration.ofMillis(1), Duration.ofMillis(1), 0));
+    metrics.countDecision("run_gone", "not_there");
+    metrics.countDroppedLine("run_gone");
+    metrics.recordPlacement(new PlacementStats(1));
+
+    // The timer of the exemplars would wake up the process about 26 times a second.
+    assertThat(Thread.getAllStackTraces().keySet())
+        .extracting(Thread::getName)
+        .noneMatch(name -> name.startsWith("prometheus-metrics"));
+  }
+
   private String prometheusText() {
     return new String(metrics.prometheusText(), StandardCharsets.UTF_8);
   }
