Estimate run times and speeds robustly, and report slow workers

Cause: the speed of a worker and the run time of a queue were moving averages of ratios, and the progress of active runs was added to the former as a sum. One task of seven times the length made its worker look slow for as long as it ran, and 3 % of such tasks lengthened the estimates of the queue.

Change: both averages are of logarithms with bounded deviations. The current speed is a weighted median of the speed of completed runs and of the progress of each active run, computed with each report and tick instead of in each placement round. `worker_speed` reports a worker that falls below half the median speed of its service, or recovers.

LoadSimulation gets kinds of jobs, workers of given speeds and racks, and run times with a heavy tail (LoadKind, HardLoad).

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Candidates.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Candidates.java
@@ -1,6 +1,5 @@
 package org.cassiastack.schedule.internal;
 
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -16,8 +15,7 @@
  *
  * <p>Under a backlog nearly all workers are full and most steps find no free capacity. A round
  * therefore examines only the workers whose free capacity covers the smallest need of the steps in
- * the round. The speed of a worker is computed once per round, because runs that start in the round
- * do not change it.
+ * the round. The speed of a worker changes with its reports only, so it is constant during a round.
  */
 final class Candidates {
   private final Resources minNeed;
@@ -120,20 +118,14 @@
 
   /** A worker with its speed in this round. */
   static final class Candidate {
-    private static final double UNKNOWN_SPEED = -1;
-
     final WorkerState worker;
-    private double speed = UNKNOWN_SPEED;
 
     private Candidate(WorkerState worker) {
       this.worker = worker;
     }
 
-    double speed(Instant now) {
-      if (speed == UNKNOWN_SPEED) {
-        speed = worker.currentSpeed(now);
-      }
-      return speed;
+    double speed() {
+      return worker.currentSpeed();
     }
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FastestFit.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FastestFit.java
@@ -38,8 +38,8 @@
     }
     Fit fit =
         hasOwnLimits(step, avoided)
-            ? find(step, workers, avoided, now)
-            : workers.fit(step.demand, () -> find(step, workers, avoided, now));
+            ? find(step, workers, avoided)
+            : workers.fit(step.demand, () -> find(step, workers, avoided));
     WorkerState best = fit.best();
     if (best == null) {
       return fit.demandMet() ? Placement.WAIT : Placement.DEMAND_NOT_MET;
@@ -52,7 +52,7 @@
   }
 
   /** Finds the best worker with free capacity for the next task of a step. */
-  private Fit find(LiveStep step, Candidates workers, Set<NodeId> avoided, Instant now) {
+  private Fit find(LiveStep step, Candidates workers, Set<NodeId> avoided) {
     Candidate best = null;
     double bestSpeed = 0;
     boolean demandMet = false;
@@ -64,7 +64,7 @@
       if (!isAllowed(step, c.worker, avoided)) {
         continue;
       }
-      double speed = speed(step, c, now);
+      double speed = speed(step, c);
       boolean equallyFast = Math.abs(speed - bestSpeed) < SPEED_TOLERANCE;
       if (best == null || (equallyFast ? hasMoreFreeCpu(c, best) : speed > bestSpeed)) {
         best = c;
@@ -83,16 +83,16 @@
       LiveStep step, Candidates workers, Set<NodeId> avoided, Instant latestEnd, Instant now) {
     double maxSpeed =
         hasOwnLimits(step, avoided)
-            ? maxSpeed(step, workers, avoided, now)
-            : workers.maxSpeed(step.demand, () -> maxSpeed(step, workers, avoided, now));
+            ? maxSpeed(step, workers, avoided)
+            : workers.maxSpeed(step.demand, () -> maxSpeed(step, workers, avoided));
     return !step.estimatedEnd(now, maxSpeed).isAfter(latestEnd);
   }
 
-  private double maxSpeed(LiveStep step, Candidates workers, Set<NodeId> avoided, Instant now) {
+  private double maxSpeed(LiveStep step, Candidates workers, Set<NodeId> avoided) {
     double maxSpeed = 0;
     for (Candidate c : workers.all()) {
       if (hasRequiredLabel(step, c.worker) && isAllowed(step, c.worker, avoided)) {
-        maxSpeed = Math.max(maxSpeed, speed(step, c, now));
+        maxSpeed = Math.max(maxSpeed, speed(step, c));
       }
     }
     return maxSpeed;
@@ -103,11 +103,11 @@
     return !avoided.isEmpty() || step.spec.maxPerMinion() != 0;
   }
 
-  private double speed(LiveStep step, Candidate c, Instant now) {
+  private double speed(LiveStep step, Candidate c) {
     MinionProfile m = c.worker.minion;
     String rack = step.spec.dataRack();
     boolean remote = !rack.isEmpty() && m != null && !m.labels().contains(rack);
-    double speed = c.speed(now);
+    double speed = c.speed();
     return remote ? speed / remoteFactor : speed;
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -176,6 +176,7 @@
       applyLists(w, r, now);
       w.synced |= r.listsComplete();
     }
+    w.updateSpeed(now);
     boolean mayHaveCapacity = w.runs.size() < runCount || !wasSynced || !m.equals(former);
     capacityIncreases += mayHaveCapacity ? 1 : 0;
     return w;
@@ -240,6 +241,7 @@
   void tick(Instant now) {
     workers.values().forEach(w -> expireLease(w, now));
     workers.values().removeIf(w -> now.isAfter(w.reportedAt.plus(WORKER_RETENTION)));
+    workers.values().forEach(w -> w.updateSpeed(now));
     updateMedianSpeeds(now);
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -185,6 +185,7 @@
       dispatcher.moveStalledRuns(now);
     }
     for (WorkerState w : fleet.workers()) {
+      runEvents.reportSlowness(w);
       runEvents.stopUnwantedRuns(w, now);
       dispatcher.probeLostOrders(w, fence, now, effects);
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
@@ -33,6 +33,9 @@
    */
   private static final double MIN_RELATIVE_SPEED = 0.5;
 
+  /** A slow worker counts as recovered from this fraction of the median speed. */
+  private static final double RECOVERED_RELATIVE_SPEED = 0.7;
+
   private final LiveJobs liveJobs;
   private final PendingCommits commits;
   private final Consumer<Decision> decisions;
@@ -122,6 +125,31 @@
     return new Run(id, step, step.spec.need(), 0, now);
   }
 
+  /**
+   * Reports a worker that has become much slower than the median of its service, or has recovered.
+   */
+  void reportSlowness(WorkerState w) {
+    MinionProfile m = w.minion;
+    if (m == null || !w.synced) {
+      return;
+    }
+    double median = medianSpeed.applyAsDouble(m.service());
+    double relative = w.currentSpeed() / median;
+    boolean slow = relative < (w.isSlow ? RECOVERED_RELATIVE_SPEED : MIN_RELATIVE_SPEED);
+    if (slow != w.isSlow) {
+      w.isSlow = slow;
+      String inputs =
+          String.format(
+              Locale.ROOT,
+              "speed=%.2f median=%.2f completed=%d running=%d",
+              w.currentSpeed(),
+              median,
+              w.speed.samples(),
+              w.runs.size());
+      decisions.accept(Decision.of("worker_speed", w.agent, slow ? "slow" : "recovered", inputs));
+    }
+  }
+
   /** Orders stops of unwanted runs, and repeats the orders for runs that have not ended. */
   void stopUnwantedRuns(WorkerState w, Instant now) {
     if (!w.synced) {
@@ -161,7 +189,7 @@
       // A run time only shows the ratio of the task's size to the worker's speed. The estimates
       // therefore use the speed relative to the median speed: with absolute speeds, the estimates
       // of run times and the speeds would drift together.
-      double relative = w.currentSpeed(now) / medianSpeed.applyAsDouble(step.job.queue.service());
+      double relative = w.currentSpeed() / medianSpeed.applyAsDouble(step.job.queue.service());
       w.speed.recordRun(step.estimatedRunTime, taken, now);
       if (relative >= MIN_RELATIVE_SPEED) {
         liveJobs.runTimeEstimates().recordRun(step.job.queue.name(), step.spec, taken, relative);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunTimeEstimates.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunTimeEstimates.java
@@ -5,26 +5,31 @@
 import java.util.Map;
 import org.cassiastack.queue.StepSpec;
 
-/** Estimates run times of tasks: the caller's estimate, corrected by past run times per queue. */
+/**
+ * Estimates run times of tasks: the caller's estimate, corrected by past run times per queue. The
+ * correction is an average of logarithms with bounded deviations, so that a small share of very
+ * long tasks hardly changes it.
+ */
 final class RunTimeEstimates {
   /** Weight of the newest run in the moving average of a queue's ratio. */
   private static final double NEWEST_RUN_WEIGHT = 0.05;
 
   /**
-   * Bound on the deviation that is recorded of one run: a run time above three times or below a
-   * third of the expected time depends more on the worker than on the task.
+   * Bound on the deviation that is recorded of one run, as a logarithm: a run time above three
+   * times or below a third of the expected time depends more on the worker or on chance than on the
+   * task.
    */
-  private static final double MAX_CHANGE_FACTOR = 3;
+  private static final double MAX_DEVIATION = Math.log(3);
 
   /** Estimate for a task whose caller gives none, until runs of its queue have ended. */
   private static final Duration DEFAULT_RUN_TIME = Duration.ofMillis(300);
 
-  /** Run time at median speed divided by the base estimate, as a moving average by queue name. */
-  private final Map<String, Double> ratios = new HashMap<>();
+  /** Logarithm of the run time at median speed divided by the base estimate, by queue name. */
+  private final Map<String, Double> logRatios = new HashMap<>();
 
   /** Returns the estimated run time of a task at a worker of median speed. */
   Duration estimate(String queue, StepSpec step) {
-    double millis = baseEstimate(step).toMillis() * ratios.getOrDefault(queue, 1.0);
+    double millis = baseEstimate(step).toMillis() * Math.exp(logRatios.getOrDefault(queue, 0.0));
     return Duration.ofMillis(Math.max(1, Math.round(millis)));
   }
 
@@ -37,12 +42,11 @@
    * @param speed speed of the worker, as a multiple of the median speed
    */
   void recordRun(String queue, StepSpec step, Duration taken, double speed) {
-    double ratio = taken.toNanos() * speed / baseEstimate(step).toNanos();
-    double currentRatio = ratios.getOrDefault(queue, 1.0);
-    double bounded =
-        Math.min(
-            currentRatio * MAX_CHANGE_FACTOR, Math.max(currentRatio / MAX_CHANGE_FACTOR, ratio));
-    ratios.put(queue, currentRatio + NEWEST_RUN_WEIGHT * (bounded - currentRatio));
+    double ratio = Math.max(1, taken.toNanos()) * speed / baseEstimate(step).toNanos();
+    double former = logRatios.getOrDefault(queue, 0.0);
+    double deviation = Math.log(ratio) - former;
+    double bounded = Math.min(MAX_DEVIATION, Math.max(-MAX_DEVIATION, deviation));
+    logRatios.put(queue, former + NEWEST_RUN_WEIGHT * bounded);
   }
 
   private static Duration baseEstimate(StepSpec step) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
@@ -28,10 +28,19 @@
   private static final Duration REPORT_TIMEOUT = Duration.ofMillis(500);
 
   /**
-   * Weight of the speed of completed runs in {@link #currentSpeed}: that speed counts as much as
-   * active runs with this total run time.
+   * Weight of the speed of completed runs in {@link #currentSpeed}, as a multiple of the weight of
+   * the active runs: nearly all of these must deviate to the same side to replace it.
    */
-  private static final Duration HISTORY_WEIGHT = Duration.ofMillis(300);
+  private static final double HISTORY_WEIGHT = 0.8;
+
+  /** Minimum weight of the speed of completed runs, in runs. */
+  private static final double MIN_HISTORY_WEIGHT = 2;
+
+  /** An active run counts as a full observation of the speed after this time. */
+  private static final Duration FULL_OBSERVATION = Duration.ofMillis(100);
+
+  /** Lower bound of the speed, for workers whose active runs make no progress. */
+  private static final double MIN_SPEED = 0.02;
 
   final NodeId agent;
   final MinionHealth health = new MinionHealth();
@@ -54,6 +63,9 @@
    */
   Instant leasedAt = Instant.MIN;
 
+  /** Whether the worker was reported as slow, and not as recovered since. */
+  boolean isSlow;
+
   /** When the last report arrived. */
   Instant reportedAt = Instant.MIN;
 
@@ -62,6 +74,7 @@
    */
   long handledEndsThrough;
 
+  private double currentSpeed = 1;
   private Resources used = Resources.NONE;
   private int unknownNeedCount;
   private final TreeSet<Long> uncommittedEnds = new TreeSet<>();
@@ -116,23 +129,67 @@
   }
 
   /**
-   * Returns the current speed: the estimated run time of the work that the active runs have done,
-   * divided by the time that they have taken for it. The speed of completed runs is included with
-   * the weight {@link #HISTORY_WEIGHT}, so that speed dominates while the active runs have taken
-   * less time than that. The progress of active runs shows that a worker has become slow before any
-   * of its runs ends.
+   * Returns the speed as of the last {@link #updateSpeed}, which takes place with each report and
+   * each tick.
+   */
+  double currentSpeed() {
+    return currentSpeed;
+  }
+
+  /**
+   * Computes the current speed: the weighted median of the speed of completed runs and of the
+   * speeds that the progress of the active runs shows. The progress of active runs shows that a
+   * worker has become slow before any of its runs ends; a single task that is much longer than
+   * estimated does not change a median.
    */
-  double currentSpeed(Instant now) {
-    double done = speed.current(now) * HISTORY_WEIGHT.toNanos();
-    double taken = HISTORY_WEIGHT.toNanos();
+  void updateSpeed(Instant now) {
+    double history = speed.current(now);
+    double[] speeds = new double[runs.size()];
+    double[] weights = new double[runs.size()];
+    int count = 0;
+    double total = 0;
     for (Run r : runs.values()) {
       LiveStep step = r.step;
-      if (step != null) {
-        done += r.progress() * step.estimatedRunTime.toNanos();
-        taken += r.runTime().toNanos();
+      long taken = r.runTime().toNanos();
+      if (step == null || taken == 0) {
+        continue;
+      }
+      double shown = r.progress() * step.estimatedRunTime.toNanos() / taken;
+      double weight = Math.min(1, (double) taken / FULL_OBSERVATION.toNanos());
+      int at = count++;
+      for (; at > 0 && speeds[at - 1] > shown; at--) {
+        speeds[at] = speeds[at - 1];
+        weights[at] = weights[at - 1];
+      }
+      speeds[at] = shown;
+      weights[at] = weight;
+      total += weight;
+    }
+    double historyWeight = Math.max(MIN_HISTORY_WEIGHT, HISTORY_WEIGHT * total);
+    currentSpeed =
+        Math.max(MIN_SPEED, median(speeds, weights, count, total, history, historyWeight));
+  }
+
+  /** Returns the weighted median of ascending values and one more value. */
+  private static double median(
+      double[] values, double[] weights, int count, double total, double other, double weight) {
+    double half = (total + weight) / 2;
+    double below = 0;
+    boolean otherPassed = false;
+    for (int i = 0; i < count; i++) {
+      if (!otherPassed && values[i] > other) {
+        below += weight;
+        otherPassed = true;
+        if (below >= half) {
+          return other;
+        }
+      }
+      below += weights[i];
+      if (below >= half) {
+        return values[i];
       }
     }
-    return done / taken;
+    return other;
   }
 
   /** Returns whether the worker answers and accepts new tasks. */
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadSimulation.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadSimulation.java
@@ -65,6 +65,7 @@
   private static final Duration TARGET_LATENCY = Duration.ofMillis(60);
   private static final Duration TIMEOUT_MARGIN = Duration.ofMillis(1_500);
   private static final double STRETCH = 1.6;
+  private static final double RUN_TIME_SPREAD = 0.3;
   private static final ScheduleSettings SETTINGS =
       ScheduleSettings.of(Duration.ofSeconds(1), Duration.ofMillis(150), Duration.ofMinutes(2));
 
@@ -81,6 +82,10 @@
   private final Random random;
   private long lastCommitIndex;
   private long lastRequestId;
+  private final List<HardLoad.FoundSlow> foundSlow = new ArrayList<>();
+  private final Map<Long, LoadKind.Counts> countsOfRequests = new HashMap<>();
+  private final Map<QueuedJobId, LoadKind> kindsOfJobs = new HashMap<>();
+  private final Map<QueuedJobId, String> racksOfJobs = new HashMap<>();
   private int submittedJobs;
   private int jobsOnTime;
   private int unansweredUnstartedJobs;
@@ -244,6 +249,10 @@
         } else if (f instanceof Decision d && d.event().equals("job_admitted")) {
           Matcher m = OBJECTIVE_PATTERN.matcher(d.inputs());
           lastObjective = m.find() ? Duration.parse(m.group(1)) : Duration.ZERO;
+        } else if (f instanceof Decision d
+            && d.event().equals("worker_speed")
+            && d.outcome().equals("slow")) {
+          foundSlow.add(new HardLoad.FoundSlow(d.subject(), now()));
         } else if (f instanceof PlacementStats p) {
           candidatesExamined += p.candidatesExamined();
         }
@@ -283,6 +292,10 @@
     Submission s = submissions.remove(a.requestId());
     if (s != null) {
       answers.merge(a.answer().code(), 1, Integer::sum);
+      LoadKind.Counts counts = countsOfRequests.remove(a.requestId());
+      if (counts != null) {
+        counts.add(a.answer().code(), s.objectiveAt, now());
+      }
       boolean unansweredUnstarted =
           a.answer().code() == AnswerCode.UNANSWERED && !startedJobs.contains(s.job);
       unansweredUnstartedJobs += unansweredUnstarted ? 1 : 0;
@@ -304,6 +317,66 @@
     return new QueueConfiguration(1, List.of(q), Payload.ofText("document"));
   }
 
+  /** Replaces the queues by one for each kind of load. */
+  void configure(List<LoadKind> kinds) {
+    List<org.cassiastack.queue.Queue> queues = kinds.stream().map(k -> k.queue(SERVICE)).toList();
+    QueueConfiguration c = new QueueConfiguration(2, queues, Payload.ofText("document"));
+    on(new Received(ENTRY, new StoreConfiguration(0, c)));
+  }
+
+  SimulatedWorker addWorker(int slots, double speed, String rack) {
+    NodeId node = new NodeId("10.0.1." + workers.size() + "/agent");
+    SimulatedWorker w = new SimulatedWorker(this, node, slots, List.of(rack));
+    w.slowDown(1 / speed);
+    workers.put(node, w);
+    return w;
+  }
+
+  /** Submits jobs of a kind at random times with exponentially distributed intervals. */
+  void submitKindEvery(Duration mean, LoadKind kind, LoadKind.Counts counts, Duration during) {
+    Duration interval = Duration.ofNanos((long) (-Math.log(random.nextDouble()) * mean.toNanos()));
+    if (interval.compareTo(during) < 0) {
+      scheduler.runAfter(
+          interval,
+          () -> {
+            submitKind(kind, counts);
+            submitKindEvery(mean, kind, counts, during.minus(interval));
+          });
+    }
+  }
+
+  private void submitKind(LoadKind kind, LoadKind.Counts counts) {
+    lastRequestId++;
+    counts.submitted++;
+    QueuedJobId id = new QueuedJobId(lastRequestId);
+    QueuedJob job = kind.job(id, TASK_MILLI_CPU, random);
+    Duration objective = kind.objective();
+    countsOfRequests.put(lastRequestId, counts);
+    kindsOfJobs.put(id, kind);
+    racksOfJobs.put(id, job.steps().get(0).dataRack());
+    submissions.put(lastRequestId, new Submission(id, now().plus(objective)));
+    Duration timeout = objective.plus(TIMEOUT_MARGIN);
+    QueueAddress address = new QueueAddress("h", kind.pathPrefix() + id);
+    SubmitJob submit = SubmitJob.of(lastRequestId, address, job, timeout);
+    handleAtEntry(new RequestPosted(submit, now().plus(timeout)));
+  }
+
+  /** Draws the run time of a run at speed 1 on a worker with the given labels, in nanoseconds. */
+  double drawRunTime(RunId run, List<String> labels) {
+    QueuedJobId job = run.task().job();
+    LoadKind kind = kindsOfJobs.get(job);
+    if (kind == null) {
+      return runTimeOf(run).toNanos() * (1 + RUN_TIME_SPREAD * (2 * random() - 1));
+    }
+    String rack = racksOfJobs.get(job);
+    return kind.drawRunTime(random, !rack.isEmpty() && !labels.contains(rack));
+  }
+
+  /** Returns the workers that the leader has found slow, in order. */
+  List<HardLoad.FoundSlow> foundSlow() {
+    return List.copyOf(foundSlow);
+  }
+
   private record Submission(QueuedJobId job, Instant objectiveAt) {}
 
   /**
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/SimulatedWorker.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/SimulatedWorker.java
@@ -27,7 +27,7 @@
  */
 final class SimulatedWorker {
   private static final Duration REPORT_INTERVAL = Duration.ofMillis(200);
-  private static final double RUN_TIME_SPREAD = 0.3;
+  private static final Duration FAILURE_DELAY = Duration.ofMillis(5);
 
   private final LoadSimulation simulation;
   private final NodeId node;
@@ -35,10 +35,15 @@
   private final Map<RunId, RunProgress> running = new LinkedHashMap<>();
   private final List<EndedRun> ended = new ArrayList<>();
   private double speed = 1;
+  private boolean failing;
   private long processedOrdersThrough;
   private long endCount;
 
   SimulatedWorker(LoadSimulation simulation, NodeId node, int slots) {
+    this(simulation, node, slots, List.of());
+  }
+
+  SimulatedWorker(LoadSimulation simulation, NodeId node, int slots, List<String> labels) {
     this.simulation = simulation;
     this.node = node;
     this.minion =
@@ -47,7 +52,7 @@
             LoadSimulation.SERVICE,
             new FailureDomain("a"),
             new Resources(slots * LoadSimulation.TASK_MILLI_CPU, 8_000, 0),
-            List.of(),
+            labels,
             false);
     reportPeriodically();
   }
@@ -64,8 +69,13 @@
         .starts()
         .forEach(
             s -> {
-              running.put(s.run(), new RunProgress(simulation.runTimeOf(s.run())));
-              scheduleEnd(s.run());
+              running.put(
+                  s.run(), new RunProgress(simulation.drawRunTime(s.run(), minion.labels())));
+              if (failing) {
+                simulation.runAfter(FAILURE_DELAY, () -> end(s.run(), RunOutcome.FAILED));
+              } else {
+                scheduleEnd(s.run());
+              }
             });
     orders.stops().forEach(r -> end(r, RunOutcome.STOPPED));
   }
@@ -117,6 +127,11 @@
     simulation.runAfter(Duration.ofMillis(1), () -> simulation.on(new Received(node, report)));
   }
 
+  /** Makes every run that starts from now on fail. */
+  void failAllRuns() {
+    failing = true;
+  }
+
   /** Total and remaining run time of a run, at speed 1. */
   private final class RunProgress {
     private final double totalNanos;
@@ -126,8 +141,8 @@
     /** Number of the last scheduled end; earlier scheduled ends of the run no longer apply. */
     private long scheduledEndNumber;
 
-    RunProgress(Duration mean) {
-      this.totalNanos = mean.toNanos() * (1 + RUN_TIME_SPREAD * (2 * simulation.random() - 1));
+    RunProgress(double totalNanos) {
+      this.totalNanos = totalNanos;
       this.remainingNanos = totalNanos;
       this.updatedAt = simulation.now();
     }
