--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -191,6 +191,7 @@
       w.synced |= r.listsComplete();
       w.listsAt = r.listsComplete() ? now : w.listsAt;
     }
+    w.updateSpeed(now);
     boolean mayHaveCapacity = w.runs.size() < runCount || !wasSynced || !m.equals(former);
     capacityIncreases += mayHaveCapacity ? 1 : 0;
     return w;
@@ -255,6 +256,7 @@
   void tick(Instant now) {
     workers.values().forEach(w -> expireLease(w, now));
     workers.values().removeIf(w -> now.isAfter(w.reportedAt.plus(WORKER_RETENTION)));
+    workers.values().forEach(w -> w.updateSpeed(now));
     updateMedianSpeeds(now);
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
@@ -113,6 +113,7 @@
       dispatcher.moveStalledRuns(now);
     }
     for (WorkerState w : fleet.workers()) {
+      runEvents.reportSlowness(w);
       runEvents.stopUnwantedRuns(w, stopsUnknownRuns, now);
       dispatcher.probeLostOrders(w, fence, now, effects);
     }
