Fallback: one constant for the delay of engagement

FallbackController and FallbackTargets both had a constant of 450 ms. The dispatcher must not engage much earlier or later than entries and agents turn to it, so there is one constant now, in FallbackTargets. No value changes.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/FallbackController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/FallbackController.java
@@ -21,6 +21,7 @@
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.CancelJob;
 import org.cassiastack.request.FallbackSubmit;
+import org.cassiastack.request.FallbackTargets;
 import org.cassiastack.request.LeaderNotice;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.LeaderRequest;
@@ -35,7 +36,7 @@
  * leader has chosen as a fallback dispatcher.
  *
  * <ol>
- *   <li>It engages when it has heard no leader for {@link #ENGAGE_DELAY} and the last leader's
+ *   <li>It engages when it has heard no leader for {@link FallbackTargets#ENGAGE_DELAY} and the last leader's
  *       directory names it.
  *   <li>It steps down when it hears a leader, and then gives all its jobs up to the leader.
  *   <li>It steps down after a pause of its process too, because messages of a leader may be
@@ -45,11 +46,8 @@
  * @since 0.4
  */
 public final class FallbackController implements Controller {
-  /** Time without a message of a leader after which the dispatcher engages. */
-  public static final Duration ENGAGE_DELAY = Duration.ofMillis(450);
-
   /**
-   * Last part of {@link #ENGAGE_DELAY}, at whose beginning and end the process must have run, so
+   * Last part of {@link FallbackTargets#ENGAGE_DELAY}, at whose beginning and end the process must have run, so
    * that messages of a leader that arrived during a pause are handled before it engages.
    */
   private static final Duration CONFIRM_DELAY = Duration.ofMillis(50);
@@ -58,7 +56,7 @@
    * Maximum time between two turns of an engaged dispatcher. After a longer one the process may
    * have been paused.
    */
-  private static final Duration MAX_TURN_GAP = ENGAGE_DELAY;
+  private static final Duration MAX_TURN_GAP = FallbackTargets.ENGAGE_DELAY;
 
   private final NodeId self;
   private final ScheduleSettings settings;
@@ -140,7 +138,7 @@
     if (term != null || silentAt != null) {
       return now;
     }
-    return position() < 0 ? Instant.MAX : heardAt.plus(ENGAGE_DELAY).minus(CONFIRM_DELAY);
+    return position() < 0 ? Instant.MAX : heardAt.plus(FallbackTargets.ENGAGE_DELAY).minus(CONFIRM_DELAY);
   }
 
   private void onReceived(Received r, Instant now, List<Effect> effects) {
@@ -232,7 +230,7 @@
     FallbackState s = state;
     int position = position();
     Duration silence = Duration.between(heardAt, now);
-    if (s == null || position < 0 || silence.compareTo(ENGAGE_DELAY.minus(CONFIRM_DELAY)) < 0) {
+    if (s == null || position < 0 || silence.compareTo(FallbackTargets.ENGAGE_DELAY.minus(CONFIRM_DELAY)) < 0) {
       silentAt = null;
       return;
     }
