Tests: both sides of fallback dispatch together in virtual time

Leader, fallback dispatchers, entries and agents were only tested apart, each against a stand-in for the other side. QueueSimulation can now have six entries and six agents in two failure domains that use fallback dispatchers, and callers that send jobs all the time.

--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
@@ -77,6 +77,10 @@
     return new MinionAnnounced(profile, announcementCount);
   }
 
+  FailureDomain domain() {
+    return new FailureDomain(domain);
+  }
+
   /** Announces from now on that the minion is about to leave. */
   void drain() {
     draining = true;
@@ -127,6 +131,7 @@
     int startIncarnation = incarnationNumber;
     running.put(run, incarnationNumber);
     simulation.runChecker().started(this, run);
+    simulation.callers().started(run, c.fence());
     long runMillis = simulation.runMillisOf(run);
     simulation.runAfter(runMillis, () -> finish(run, startIncarnation));
     return StartAnswered.Outcome.STARTED;
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/LedgerObserver.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/LedgerObserver.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.List;
 import org.cassiastack.consensus.CommandCommitted;
+import org.cassiastack.consensus.LeaderChanged;
 import org.cassiastack.consensus.SnapshotRestored;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
@@ -16,6 +17,8 @@
   private final InMemoryLedgerCodec codec;
   private final JobLedger ledger = JobLedger.create(Duration.ofMinutes(5));
   private long lastIndex;
+  private long ledTerm;
+  private Instant electedAt = Instant.MIN;
 
   LedgerObserver(InMemoryLedgerCodec codec) {
     this.codec = codec;
@@ -30,11 +33,24 @@
     return lastIndex;
   }
 
+  /** Returns the last term in which the member was elected leader, or 0. */
+  long ledTerm() {
+    return ledTerm;
+  }
+
+  /** Returns when the member was last elected leader. */
+  Instant electedAt() {
+    return electedAt;
+  }
+
   @Override
   public List<Effect> on(Event event, Instant now) {
     if (event instanceof CommandCommitted c) {
       ledger.apply(codec.decodeBatch(c.command()));
       lastIndex = c.index();
+    } else if (event instanceof LeaderChanged l && l.leading()) {
+      ledTerm = l.term();
+      electedAt = now;
     } else if (event instanceof SnapshotRestored s) {
       ledger.restore(codec.decodeSnapshot(s.state()));
       lastIndex = s.index();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
@@ -26,8 +26,10 @@
 import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.CancelJob;
+import org.cassiastack.request.DialFallback;
 import org.cassiastack.request.DomainOrder;
 import org.cassiastack.request.DomainRevision;
+import org.cassiastack.request.HangUpFallback;
 import org.cassiastack.request.QueueAddress;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.RequestAnswered;
@@ -38,12 +40,18 @@
 import org.cassiastack.schedule.ScheduleSettings;
 import org.jspecify.annotations.Nullable;
 
-/** Simulates control members, agents with minions, and an entry on a faulty network. */
+/**
+ * Simulates control members, agents with minions, and an entry on a faulty network. With fallback
+ * dispatchers there are several entries, and two failure domains.
+ */
 final class QueueSimulation {
   static final int MAX_ATTEMPTS = 3;
   static final long TASK_MILLI_CPU = 2_000;
   static final int MEMBERS = 3;
   static final int AGENTS = 4;
+  static final int FALLBACK_AGENTS = 6;
+  static final int FALLBACK_ENTRIES = 6;
+  private static final int FALLBACK_DOMAINS = 2;
   private static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
   static final Duration LEASE = Duration.ofSeconds(1);
   static final ScheduleSettings SCHEDULE_SETTINGS =
@@ -56,6 +64,7 @@
 
   private final long seed;
   private final int endsPerPage;
+  private final boolean fallback;
   private final Random random;
   private final VirtualScheduler scheduler = new VirtualScheduler(START);
   private final InMemoryLedgerCodec codec = new InMemoryLedgerCodec();
@@ -63,33 +72,55 @@
   private final SimulatedNetwork network = new SimulatedNetwork(this, nodes);
   private final Map<Long, RequestAnswer> answers = new HashMap<>();
   private final RunChecker runChecker = new RunChecker(this);
+  private final SimulatedCallers callers = new SimulatedCallers(this);
   private final Map<QueuedJobId, Long> submissions = new LinkedHashMap<>();
   private final Map<QueuedJobId, Long> cancellations = new LinkedHashMap<>();
   private int unansweredPercent;
   private int failingPercent;
   private long lastRequestId;
 
-  private QueueSimulation(long seed, int endsPerPage) {
+  private QueueSimulation(long seed, int endsPerPage, boolean fallback) {
     this.seed = seed;
     this.endsPerPage = endsPerPage;
+    this.fallback = fallback;
     this.random = new Random(seed);
     for (int i = 0; i < MEMBERS; i++) {
       add(new SimulatedMember(this, "m" + i));
     }
-    for (int i = 0; i < AGENTS; i++) {
-      add(new SimulatedAgent(this, "a" + i, "domain" + i % 3, 0.98 + 0.01 * (i % 4)));
+    int domains = fallback ? FALLBACK_DOMAINS : 3;
+    for (int i = 0; i < (fallback ? FALLBACK_AGENTS : AGENTS); i++) {
+      add(new SimulatedAgent(this, "a" + i, "domain" + i % domains, 0.98 + 0.01 * (i % 4)));
+    }
+    for (int i = 0; i < (fallback ? FALLBACK_ENTRIES : 1); i++) {
+      add(new SimulatedEntry(this, "e" + i, "domain" + i % domains));
     }
-    add(new SimulatedEntry(this, "e0"));
     nodes.values().forEach(SimulatedNode::start);
   }
 
   static QueueSimulation create(long seed) {
-    return new QueueSimulation(seed, DEFAULT_ENDS_PER_PAGE);
+    return new QueueSimulation(seed, DEFAULT_ENDS_PER_PAGE, false);
+  }
+
+  /** Creates a simulation whose entries dispatch jobs that need not be stored without a leader. */
+  static QueueSimulation withFallback(long seed) {
+    return new QueueSimulation(seed, DEFAULT_ENDS_PER_PAGE, true);
+  }
+
+  boolean usesFallback() {
+    return fallback;
+  }
+
+  ScheduleSettings scheduleSettings() {
+    return SCHEDULE_SETTINGS.withFallback(fallback);
+  }
+
+  SimulatedCallers callers() {
+    return callers;
   }
 
   /** Creates a simulation whose minions list few ends in one answer. */
   static QueueSimulation withEndsPerPage(long seed, int endsPerPage) {
-    return new QueueSimulation(seed, endsPerPage);
+    return new QueueSimulation(seed, endsPerPage, false);
   }
 
   int endsPerPage() {
@@ -122,6 +153,10 @@
     return Duration.between(START, scheduler.now()).toMillis();
   }
 
+  Instant instantAt(long millis) {
+    return START.plusMillis(millis);
+  }
+
   Instant now() {
     return scheduler.now();
   }
@@ -289,6 +324,18 @@
     return nodes.values().stream().filter(SimulatedAgent.class::isInstance).toList();
   }
 
+  List<SimulatedNode> entries() {
+    return nodes.values().stream().filter(SimulatedEntry.class::isInstance).toList();
+  }
+
+  /** Returns the member that was elected last. */
+  SimulatedMember leader() {
+    return members().stream()
+        .map(SimulatedMember.class::cast)
+        .max(Comparator.comparingLong(m -> m.observer().ledTerm()))
+        .orElseThrow();
+  }
+
   SimulatedNode entry() {
     return nodes.get(new NodeId("e0"));
   }
@@ -337,6 +384,11 @@
       network.deliver(from, s);
     } else if (effect instanceof RequestAnswered a) {
       answers.put(a.requestId(), a.answer());
+      callers.answered(a);
+    } else if (effect instanceof DialFallback d) {
+      network.dial(from, d.nodes());
+    } else if (effect instanceof HangUpFallback) {
+      network.hangUp(from);
     } else {
       from.perform(effect);
     }
@@ -346,7 +398,7 @@
     nodes.put(node.node, node);
   }
 
-  private static QueueAddress address(QueuedJobId id) {
+  static QueueAddress address(QueuedJobId id) {
     return new QueueAddress(HOST, PREFIX + id);
   }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedAgent.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedAgent.java
@@ -12,6 +12,7 @@
 import org.cassiastack.agent.StopAnswered;
 import org.cassiastack.controller.Controller;
 import org.cassiastack.controller.Effect;
+import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.Incarnation;
 
 /** An agent and its minion. The minion may leave calls of the agent unanswered. */
@@ -27,6 +28,10 @@
     minion = new FakeMinion(simulation, "minion-of-" + name, domain, clockRate);
   }
 
+  FailureDomain domain() {
+    return minion.domain();
+  }
+
   FakeMinion minion() {
     return minion;
   }
@@ -40,7 +45,8 @@
             Incarnation.startedAt(simulation.now()),
             simulation.now(),
             QueueSimulation.LEASE,
-            Duration.ofMillis(50));
+            Duration.ofMillis(50),
+            simulation.usesFallback());
     return List.of(AgentController.create(settings));
   }
 
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedCallers.java
@@ -0,0 +1,236 @@
+package org.cassiastack.schedule.faults;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.queue.JobPhase;
+import org.cassiastack.queue.QueuedJob;
+import org.cassiastack.queue.QueuedJobId;
+import org.cassiastack.queue.StepSpec;
+import org.cassiastack.request.AnswerCode;
+import org.cassiastack.request.RequestAnswer;
+import org.cassiastack.request.RequestAnswered;
+import org.cassiastack.request.RequestPosted;
+import org.cassiastack.request.SubmitJob;
+import org.cassiastack.runs.Fences;
+import org.cassiastack.runs.RunId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Callers that send jobs which need not be stored to the entries, and send them again after no
+ * definite answer. They check that each request gets one answer by its deadline, and that no task
+ * of a refused job is started.
+ */
+final class SimulatedCallers {
+  private static final int RESEND_MILLIS = 1_300;
+  private static final int TIMEOUT_MILLIS = 2_500;
+
+  /** Maximum delay of an answer after the deadline: an entry handles deadlines on its ticks. */
+  private static final int MAX_DELAY_MILLIS = 50;
+
+  /** Request ids of callers; those of the simulation itself are lower. */
+  private long lastRequestId = 1L << 40;
+
+  private final QueueSimulation simulation;
+  private final Map<Long, Request> requests = new HashMap<>();
+  private final Map<QueuedJobId, Call> calls = new LinkedHashMap<>();
+  private final Set<QueuedJobId> startedJobs = new HashSet<>();
+
+  /** First start in each term of a leader of a job that arrived after its election. */
+  private final Map<Long, Long> firstStarts = new HashMap<>();
+
+  private boolean calling;
+  private int engagements;
+  private int startsByFallback;
+
+  SimulatedCallers(QueueSimulation simulation) {
+    this.simulation = simulation;
+  }
+
+  /** Sends jobs at a fixed interval from now on. */
+  void begin(int intervalMillis) {
+    calling = true;
+    callPeriodically(intervalMillis);
+  }
+
+  void end() {
+    calling = false;
+  }
+
+  private void callPeriodically(int intervalMillis) {
+    simulation.runAfter(
+        intervalMillis,
+        () -> {
+          if (calling) {
+            call();
+            callPeriodically(intervalMillis);
+          }
+        });
+  }
+
+  private void call() {
+    QueuedJobId id = new QueuedJobId(simulation.random().nextLong());
+    int tasks = 1 + simulation.random().nextInt(2);
+    StepSpec step =
+        StepSpec.plain(tasks, QueueSimulation.TASK_MILLI_CPU, 64, Duration.ofMillis(80));
+    Call c = new Call(new QueuedJob(id, "spec", List.of(step), false), simulation.millis());
+    calls.put(id, c);
+    simulation.runChecker().submitted(id, false);
+    send(c);
+  }
+
+  private void send(Call c) {
+    List<SimulatedNode> ready =
+        simulation.entries().stream().filter(e -> e.isUp() && !e.isPaused()).toList();
+    SimulatedNode entry = ready.get(simulation.random().nextInt(ready.size()));
+    long left = c.arrivedAt + TIMEOUT_MILLIS - simulation.millis();
+    c.domain = ((SimulatedEntry) entry).domain();
+    c.attempts++;
+    lastRequestId++;
+    long id = lastRequestId;
+    Request r = new Request(c, entry, entry.interruptions());
+    requests.put(id, r);
+    Duration timeout = Duration.ofMillis(left);
+    SubmitJob s = SubmitJob.of(id, QueueSimulation.address(c.job.id()), c.job, timeout);
+    simulation.runAfter(left + MAX_DELAY_MILLIS, () -> checkAnswered(id, r));
+    entry.on(new RequestPosted(s, simulation.now().plus(timeout)));
+  }
+
+  private void checkAnswered(long id, Request r) {
+    if (requests.containsKey(id) && r.interruptions == r.entry.interruptions()) {
+      throw new AssertionError(
+          simulation + " no answer by the deadline at " + r.entry.node + " to " + r.call);
+    }
+  }
+
+  void answered(RequestAnswered a) {
+    if (a.requestId() <= 1L << 40) {
+      return;
+    }
+    Request r = requests.remove(a.requestId());
+    assertThat(r).as(simulation + " second answer " + a).isNotNull();
+    Call c = r.call;
+    c.answer = a.answer();
+    c.answeredAt = simulation.millis();
+    if (a.answer().code() == AnswerCode.UNANSWERED) {
+      sendLater(c);
+    } else if (a.answer().code() != AnswerCode.ACCEPTED) {
+      boolean untrue = c.attempts == 1 && startedJobs.contains(c.job.id());
+      assertThat(untrue).as(simulation + " refused after a start: " + c).isFalse();
+      c.refused = true;
+    }
+  }
+
+  private void sendLater(Call c) {
+    if (c.answeredAt + RESEND_MILLIS < c.arrivedAt + TIMEOUT_MILLIS) {
+      simulation.runAfter(RESEND_MILLIS, () -> send(c));
+    }
+  }
+
+  /** Handles the loss of an entry: the connections of its callers break. */
+  void entryLost(SimulatedNode entry) {
+    requests
+        .values()
+        .removeIf(
+            r -> {
+              if (r.entry != entry) {
+                return false;
+              }
+              r.call.answeredAt = simulation.millis();
+              sendLater(r.call);
+              return true;
+            });
+  }
+
+  void started(RunId run, long fence) {
+    Call c = calls.get(run.task().job());
+    if (c == null) {
+      return;
+    }
+    assertThat(c.refused).as(simulation + " start of a refused job " + c).isFalse();
+    startedJobs.add(c.job.id());
+    startsByFallback += Fences.isFallback(fence) ? 1 : 0;
+    for (SimulatedNode m : simulation.members()) {
+      LedgerObserver o = ((SimulatedMember) m).observer();
+      boolean isOfTerm = o.ledTerm() > 0 && fence == 2 * o.ledTerm();
+      if (isOfTerm && !simulation.instantAt(c.arrivedAt).isBefore(o.electedAt())) {
+        firstStarts.putIfAbsent(o.ledTerm(), simulation.millis());
+      }
+    }
+  }
+
+  void engaged() {
+    engagements++;
+  }
+
+  int engagements() {
+    return engagements;
+  }
+
+  int startsByFallback() {
+    return startsByFallback;
+  }
+
+  /** Returns when a leader first started a job that arrived after its election, or null. */
+  @Nullable Long firstStartOf(long term) {
+    return firstStarts.get(term);
+  }
+
+  /** Returns the share of jobs that were served of those that arrived in an interval. */
+  double servedShare(long fromMillis, long toMillis, @Nullable FailureDomain domain) {
+    List<Call> some =
+        calls.values().stream()
+            .filter(c -> c.arrivedAt >= fromMillis && c.arrivedAt < toMillis)
+            .filter(c -> domain == null || domain.equals(c.domain))
+            .toList();
+    return (double) some.stream().filter(Call::isServed).count() / some.size();
+  }
+
+  /** Returns the number of answers of each code to jobs that arrived in an interval. */
+  Map<String, Integer> answers(long fromMillis, long toMillis) {
+    Map<String, Integer> counts = new LinkedHashMap<>();
+    calls.values().stream()
+        .filter(c -> c.arrivedAt >= fromMillis && c.arrivedAt < toMillis)
+        .forEach(c -> counts.merge(c.outcome(), 1, Integer::sum));
+    return counts;
+  }
+
+  private static final class Call {
+    final QueuedJob job;
+    final long arrivedAt;
+    @Nullable FailureDomain domain;
+    @Nullable RequestAnswer answer;
+    long answeredAt;
+    int attempts;
+    boolean refused;
+
+    Call(QueuedJob job, long arrivedAt) {
+      this.job = job;
+      this.arrivedAt = arrivedAt;
+    }
+
+    boolean isServed() {
+      RequestAnswer a = answer;
+      return a != null && a.code() == AnswerCode.ACCEPTED && a.phase() == JobPhase.COMPLETED;
+    }
+
+    String outcome() {
+      RequestAnswer a = answer;
+      return a == null ? "none" : isServed() ? "served" : a.code().name();
+    }
+
+    @Override
+    public String toString() {
+      return job.id() + " of " + arrivedAt + " ms, attempts=" + attempts + " " + outcome();
+    }
+  }
+
+  private record Request(Call call, SimulatedNode entry, int interruptions) {}
+}
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedMember.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedMember.java
@@ -59,7 +59,7 @@
         RaftController.create(settings, disk.recover(), memberRandom),
         observer,
         LeaderController.create(
-            node, QueueSimulation.SCHEDULE_SETTINGS, simulation.codec(), () -> uuid(memberRandom)),
+            node, simulation.scheduleSettings(), simulation.codec(), () -> uuid(memberRandom)),
         LeaderRequestController.create());
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNetwork.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNetwork.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.cassiastack.controller.Event;
@@ -13,12 +14,15 @@
 
 /** The connections between simulated processes. A link can be cut or slow in one direction. */
 final class SimulatedNetwork {
-  private static final int DISCONNECT_MILLIS = 900;
+  static final int DISCONNECT_MILLIS = 900;
+
+  private static final int CONNECT_MILLIS = 5;
 
   private final QueueSimulation simulation;
   private final Map<NodeId, SimulatedNode> nodes;
   private final Set<Link> cutLinks = new HashSet<>();
   private final Set<Link> connectedLinks = new HashSet<>();
+  private final Set<Link> dialedLinks = new HashSet<>();
   private final Map<Link, Integer> linkDelays = new HashMap<>();
   private final Map<Link, Long> lastDelivery = new HashMap<>();
 
@@ -33,6 +37,42 @@
     simulation.runAfter(DISCONNECT_MILLIS, () -> disconnectIfCut(from, to));
   }
 
+  /** Cuts the links between two groups in both directions, and repairs them after some time. */
+  void separate(List<SimulatedNode> some, List<SimulatedNode> others, long millis) {
+    for (SimulatedNode a : some) {
+      for (SimulatedNode b : others) {
+        cutLink(a, b);
+        cutLink(b, a);
+        simulation.runAfter(Math.max(millis, DISCONNECT_MILLIS + 1), () -> repair(a, b));
+      }
+    }
+  }
+
+  private void repair(SimulatedNode a, SimulatedNode b) {
+    cutLinks.remove(new Link(a.node, b.node));
+    cutLinks.remove(new Link(b.node, a.node));
+    connect(a, b);
+  }
+
+  /** Connects a process to fallback dispatchers until it hangs up. */
+  void dial(SimulatedNode from, List<NodeId> targets) {
+    for (NodeId to : targets) {
+      if (!to.equals(from.node) && dialedLinks.add(new Link(from.node, to))) {
+        simulation.runAfter(CONNECT_MILLIS, () -> connect(from, nodes.get(to)));
+      }
+    }
+  }
+
+  /** Closes the connections that only the process has dialed. */
+  void hangUp(SimulatedNode from) {
+    for (SimulatedNode to : nodes.values()) {
+      boolean wasDialed = dialedLinks.remove(new Link(from.node, to.node));
+      if (wasDialed && !dialedLinks.contains(new Link(to.node, from.node))) {
+        disconnect(from, to);
+      }
+    }
+  }
+
   /** Delays the messages of one direction of a link from now on; 0 removes the delay. */
   void slowLink(SimulatedNode from, SimulatedNode to, int millis) {
     linkDelays.put(new Link(from.node, to.node), millis);
@@ -81,12 +121,13 @@
   }
 
   private void connect(SimulatedNode a, SimulatedNode b) {
-    boolean disconnected = a == b || !a.isUp() || !b.isUp();
+    boolean disconnected = a == b || !a.isUp() || !b.isUp() || a.isPaused() || b.isPaused();
     Link forward = new Link(a.node, b.node);
     Link backward = new Link(b.node, a.node);
     boolean hasMember = a instanceof SimulatedMember || b instanceof SimulatedMember;
+    boolean isDialed = dialedLinks.contains(forward) || dialedLinks.contains(backward);
     if (disconnected
-        || !hasMember
+        || !(hasMember || isDialed)
         || cutLinks.contains(forward)
         || cutLinks.contains(backward)
         || !connectedLinks.add(forward)) {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
@@ -23,6 +23,7 @@
   private boolean up;
   private boolean paused;
   private int incarnation;
+  private int interruptions;
 
   SimulatedNode(QueueSimulation simulation, String name) {
     this.simulation = simulation;
@@ -49,6 +50,8 @@
   }
 
   final void kill() {
+    interruptions++;
+    simulation.network().hangUp(this);
     up = false;
     controllers = List.of();
     simulation.network().disconnectFromAll(this);
@@ -62,7 +65,38 @@
     return incarnation;
   }
 
+  final boolean isPaused() {
+    return paused;
+  }
+
+  /** Returns how often the process was killed or paused. */
+  final int interruptions() {
+    return interruptions;
+  }
+
+  /** Pauses the process; its peers close the connections if that takes long. */
+  final void freeze(long millis) {
+    if (!up || paused) {
+      return;
+    }
+    pause();
+    int frozenIncarnation = incarnation;
+    if (millis > SimulatedNetwork.DISCONNECT_MILLIS) {
+      simulation.runAfter(
+          SimulatedNetwork.DISCONNECT_MILLIS, () -> simulation.network().disconnectFromAll(this));
+    }
+    simulation.runAfter(
+        millis,
+        () -> {
+          if (incarnation == frozenIncarnation && up) {
+            resume();
+            simulation.network().connectToAll(this);
+          }
+        });
+  }
+
   final void pause() {
+    interruptions++;
     paused = true;
   }
 
