Fallback: a dispatcher without agents takes no jobs

Entries send jobs to the first connected dispatcher of the directory, while agents stay at the one that grants them leases. After a pause of 1 s of the first dispatcher its agents were at the next one, and it engaged again 450 ms later: the domain's jobs then waited there until their callers gave up. It now answers NOT_LEADER while it has no agent, after a pause or more than 300 ms after its engagement, so that entries go to the next one.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/FallbackController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/FallbackController.java
@@ -36,8 +36,8 @@
  * leader has chosen as a fallback dispatcher.
  *
  * <ol>
- *   <li>It engages when it has heard no leader for {@link FallbackTargets#ENGAGE_DELAY} and the last leader's
- *       directory names it.
+ *   <li>It engages when it has heard no leader for {@link FallbackTargets#ENGAGE_DELAY} and the
+ *       last leader's directory names it.
  *   <li>It steps down when it hears a leader, and then gives all its jobs up to the leader.
  *   <li>It steps down after a pause of its process too, because messages of a leader may be
  *       waiting, and engages again once those have been handled.
@@ -47,8 +47,9 @@
  */
 public final class FallbackController implements Controller {
   /**
-   * Last part of {@link FallbackTargets#ENGAGE_DELAY}, at whose beginning and end the process must have run, so
-   * that messages of a leader that arrived during a pause are handled before it engages.
+   * Last part of {@link FallbackTargets#ENGAGE_DELAY}, at whose beginning and end the process must
+   * have run, so that messages of a leader that arrived during a pause are handled before it
+   * engages.
    */
   private static final Duration CONFIRM_DELAY = Duration.ofMillis(50);
 
@@ -58,6 +59,13 @@
    */
   private static final Duration MAX_TURN_GAP = FallbackTargets.ENGAGE_DELAY;
 
+  /**
+   * Time after the engagement in which jobs are taken although no agent has come yet. The agents
+   * turn to a dispatcher at most one notice (200 ms) later than the entries, and ask it every 100
+   * ms.
+   */
+  private static final Duration WORKER_WAIT = Duration.ofMillis(300);
+
   private final NodeId self;
   private final ScheduleSettings settings;
   private final LeaderTracker leaders = LeaderTracker.create();
@@ -72,6 +80,13 @@
   private @Nullable FallbackTerm term;
   private Instant engagedAt = Instant.MIN;
   private Instant lastTurnAt = Instant.MIN;
+
+  /**
+   * Whether the dispatch was interrupted since a leader was last heard. The agents may have gone to
+   * another dispatcher, and stay there.
+   */
+  private boolean interrupted;
+
   private long engagements;
 
   private FallbackController(NodeId self, ScheduleSettings settings) {
@@ -138,7 +153,9 @@
     if (term != null || silentAt != null) {
       return now;
     }
-    return position() < 0 ? Instant.MAX : heardAt.plus(FallbackTargets.ENGAGE_DELAY).minus(CONFIRM_DELAY);
+    return position() < 0
+        ? Instant.MAX
+        : heardAt.plus(FallbackTargets.ENGAGE_DELAY).minus(CONFIRM_DELAY);
   }
 
   private void onReceived(Received r, Instant now, List<Effect> effects) {
@@ -154,6 +171,7 @@
     if (ofLeader || r.from().equals(leaders.leader())) {
       heardAt = now;
       silentAt = null;
+      interrupted = false;
       stepDown("leader_heard", "leader=" + r.from() + " term=" + leaders.term(), now, effects);
     }
     if (r.message() instanceof AgentReport report) {
@@ -201,8 +219,12 @@
       handle(t, from, request, now, effects);
       return;
     } else if (t != null && s != null && request instanceof FallbackSubmit f) {
+      String outcome = "older_configuration";
       if (f.submission().job().durable()) {
         refusal = AnswerCode.NO_LEADER;
+        outcome = "durable";
+      } else if (!t.hasWorkers() && !mayAgentsCome(now)) {
+        outcome = "no_workers";
       } else if (f.configurationVersion() <= s.configuration().version()) {
         handle(t, from, f.submission(), now, effects);
         return;
@@ -214,12 +236,19 @@
               + s.configuration().version()
               + " wanted="
               + f.configurationVersion();
-      String outcome = refusal == AnswerCode.NO_LEADER ? "durable" : "older_configuration";
       effects.add(Decision.of("fallback_job_refused", f.submission().job().id(), outcome, inputs));
     }
     effects.add(new Send(from, new LeaderReply(request.requestId(), RequestAnswer.of(refusal), 0)));
   }
 
+  /**
+   * Returns whether agents are expected that have not come yet. Without agents, jobs would wait
+   * here until their callers give up, while another dispatcher has the agents.
+   */
+  private boolean mayAgentsCome(Instant now) {
+    return !interrupted && now.isBefore(engagedAt.plus(WORKER_WAIT));
+  }
+
   private static void handle(
       FallbackTerm t, NodeId from, LeaderRequest request, Instant now, List<Effect> effects) {
     t.onRequest(from, request, now);
@@ -230,7 +259,9 @@
     FallbackState s = state;
     int position = position();
     Duration silence = Duration.between(heardAt, now);
-    if (s == null || position < 0 || silence.compareTo(FallbackTargets.ENGAGE_DELAY.minus(CONFIRM_DELAY)) < 0) {
+    if (s == null
+        || position < 0
+        || silence.compareTo(FallbackTargets.ENGAGE_DELAY.minus(CONFIRM_DELAY)) < 0) {
       silentAt = null;
       return;
     }
@@ -293,6 +324,7 @@
   private void onPaused(String outcome, String inputs, Instant now, List<Effect> effects) {
     silentAt = null;
     heardAt = position() < 0 ? heardAt : now;
+    interrupted |= term != null;
     stepDown(outcome, inputs, now, effects);
     lastTurnAt = now;
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
@@ -132,6 +132,11 @@
     return dispatch.takeEffects();
   }
 
+  /** Returns whether an agent holds a lease of this dispatcher and has listed its runs. */
+  public boolean hasWorkers() {
+    return dispatch.fleet.hasLeasedWorker();
+  }
+
   /** Returns the number of callers that wait for the end of their job. */
   public int waitingCallers() {
     return dispatch.requests.waitingCallers();
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -64,6 +64,11 @@
     return capacityIncreases;
   }
 
+  /** Returns whether any agent with a lease is synced. */
+  boolean hasLeasedWorker() {
+    return workers.values().stream().anyMatch(w -> w.synced && !w.leasedAt.equals(Instant.MIN));
+  }
+
   /** Returns whether an agent has accepted this leader's fence and reported complete run lists. */
   boolean isSynced(NodeId agent) {
     WorkerState w = workers.get(agent);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackControllerTest.java
@@ -226,6 +226,35 @@
     assertThat(decisions).extracting(Decision::event).contains("fallback_job_refused");
   }
 
+  /**
+   * Guards against jobs that wait at a dispatcher whose agents have gone to the next one during its
+   * pause, and stay there.
+   */
+  @Test
+  void takes_no_job_after_a_pause_until_an_agent_has_come() {
+    engage();
+    report(FENCE);
+    now = now.plusSeconds(1);
+    on(new Tick());
+    wait(Duration.ofMillis(600));
+    boolean engagedAgain = fallback.isEngaged();
+    sends.clear();
+    submit(false, 1);
+
+    assertThat(engagedAgain).isTrue();
+    assertThat(answers()).containsExactly(AnswerCode.NOT_LEADER);
+  }
+
+  /** Guards against jobs that wait at a dispatcher that the agents cannot reach. */
+  @Test
+  void takes_no_job_when_no_agent_has_come_within_300_ms() {
+    engage();
+    wait(Duration.ofMillis(320));
+    submit(false, 1);
+
+    assertThat(answers()).containsExactly(AnswerCode.NOT_LEADER);
+  }
+
   @Test
   void takes_neither_durable_jobs_nor_queries() {
     engage();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FallbackServiceProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FallbackServiceProperties.java
@@ -121,6 +121,11 @@
     }
   }
 
+  @Test
+  void jobs_are_served_after_a_fallback_dispatcher_was_frozen() {
+    assertServedAfterLossOfDispatcher(e -> e.freeze(1_000));
+  }
+
   @Test
   void jobs_are_served_after_a_fallback_dispatcher_was_killed() {
     assertServedAfterLossOfDispatcher(SimulatedEntry::crash);
