Fallback: jobs without agents are given back after 300 ms

Where only entries lose the leader, the agents stay with it. A dispatcher that engaged there kept the jobs of its first 300 ms until their callers gave up, while they were refused after 0.7 s at most without fallback. It now answers NOT_LEADER to them if no agent has ever come, which is true because no run was ordered. The entry tries the next dispatcher, or refuses the job.

FallbackControllerTest and FallbackServiceProperties test it; the property now also leaves calls of minions unanswered and lets runs fail.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/FallbackController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/FallbackController.java
@@ -131,6 +131,7 @@
         engageIfSilent(now, effects);
       } else {
         t.tick(now);
+        refuseWithoutWorkers(t, now, effects);
       }
     }
     return effects;
@@ -241,6 +242,22 @@
     effects.add(new Send(from, new LeaderReply(request.requestId(), RequestAnswer.of(refusal), 0)));
   }
 
+  /**
+   * Refuses the jobs that were taken in the expectation of agents when none has come: another
+   * dispatcher may have them, or the leader that this process does not hear.
+   */
+  private void refuseWithoutWorkers(FallbackTerm t, Instant now, List<Effect> effects) {
+    FallbackState s = state;
+    if (s == null || t.waitingCallers() == 0 || t.hasHadWorkers() || mayAgentsCome(now)) {
+      return;
+    }
+    String inputs = "jobs=" + t.waitingCallers() + " engaged=" + engagedAt;
+    effects.add(Decision.of("fallback_jobs_returned", t.fence(), "no_workers", inputs));
+    effects.addAll(t.refuseAll());
+    // No run was ordered, so the same run numbers can be used.
+    term = FallbackTerm.start(s, settings, Math.max(0, position()), engagements, now);
+  }
+
   /**
    * Returns whether agents are expected that have not come yet. Without agents, jobs would wait
    * here until their callers give up, while another dispatcher has the agents.
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
@@ -9,6 +9,7 @@
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.LedgerSnapshot;
+import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.LeaderRequest;
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
@@ -132,6 +133,11 @@
     return dispatch.takeEffects();
   }
 
+  /** Returns whether an agent has ever reported to this dispatcher and got a lease. */
+  public boolean hasHadWorkers() {
+    return !dispatch.fleet.workers().isEmpty();
+  }
+
   /** Returns whether an agent holds a lease of this dispatcher and has listed its runs. */
   public boolean hasWorkers() {
     return dispatch.fleet.hasLeasedWorker();
@@ -147,10 +153,19 @@
    * leases and orders, to which this dispatcher may not be entitled any more.
    */
   public List<Effect> handOver() {
-    dispatch.requests.handOver();
+    dispatch.requests.giveUp(AnswerCode.HANDED_OVER);
     return dispatch.takeEffects().stream().filter(e -> !isLeaseOrOrder(e)).toList();
   }
 
+  /**
+   * Returns the answers that no job has been taken. Only a dispatch to which no agent ever came may
+   * give them, and it is not used any more afterwards.
+   */
+  public List<Effect> refuseAll() {
+    dispatch.requests.giveUp(AnswerCode.NOT_LEADER);
+    return dispatch.takeEffects();
+  }
+
   private static boolean isLeaseOrOrder(Effect e) {
     return e instanceof Send s
         && (s.message() instanceof AgentLease || s.message() instanceof RunOrders);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -371,9 +371,9 @@
     return callers.size();
   }
 
-  /** Gives all jobs up to the leader. */
-  void handOver() {
-    callers.values().forEach(c -> answer(c, AnswerCode.HANDED_OVER));
+  /** Gives all jobs up with the given answer; nothing of them may be ordered any more. */
+  void giveUp(AnswerCode code) {
+    callers.values().forEach(c -> answer(c, code));
     callers.clear();
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackControllerTest.java
@@ -255,6 +255,21 @@
     assertThat(answers()).containsExactly(AnswerCode.NOT_LEADER);
   }
 
+  /**
+   * Guards against jobs that wait until their callers give up where only entries have lost the
+   * leader, but the agents have not.
+   */
+  @Test
+  void gives_jobs_back_when_no_agent_has_come_within_300_ms() {
+    engage();
+    submit(false, 1);
+    List<AnswerCode> early = answers();
+    wait(Duration.ofMillis(340));
+
+    assertThat(early).isEmpty();
+    assertThat(answers()).containsExactly(AnswerCode.NOT_LEADER);
+  }
+
   @Test
   void takes_neither_durable_jobs_nor_queries() {
     engage();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FallbackServiceProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FallbackServiceProperties.java
@@ -32,10 +32,12 @@
     QueueSimulation simulation = start(seed);
     Random random = new Random(seed + 1);
 
+    simulation.injectMinionFaults(random.nextInt(3) * 4, random.nextInt(3) * 3);
     for (int i = 0; i < 8; i++) {
       injectFault(simulation, random);
       simulation.run(300 + random.nextInt(1_500));
     }
+    simulation.injectMinionFaults(0, 0);
     simulation.run(8_000);
     long settledAt = simulation.millis();
     simulation.run(1_500);
@@ -152,6 +154,27 @@
     }
   }
 
+  /**
+   * Guards against jobs that wait at dispatchers without agents: without fallback, such a job is
+   * refused after 0.7 s at most, and its caller can go on.
+   */
+  @Test
+  void no_job_is_left_unanswered_where_only_entries_have_lost_the_leader() {
+    for (long seed = 1; seed <= 3; seed++) {
+      QueueSimulation simulation = start(seed);
+      long lostAt = simulation.millis();
+
+      simulation.network().separate(simulation.members(), simulation.entries(), 4_000);
+      simulation.run(5_000);
+      simulation.callers().end();
+      simulation.run(3_000);
+
+      assertThat(simulation.callers().answers(lostAt + ENGAGED_MILLIS, lostAt + 4_000))
+          .as(simulation.toString())
+          .doesNotContainKeys("UNANSWERED", "none");
+    }
+  }
+
   private static QueueSimulation start(long seed) {
     QueueSimulation simulation = QueueSimulation.withFallback(seed);
     simulation.run(START_MILLIS);
