--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueSimulation.java
@@ -40,17 +40,13 @@
 import org.cassiastack.schedule.ScheduleSettings;
 import org.jspecify.annotations.Nullable;
 
-/**
- * Simulates control members, agents with minions, and an entry on a faulty network. With fallback
- * dispatchers there are several entries, and two failure domains.
- */
+/** Simulates control members, agents with minions, and entries on a faulty network. */
 final class QueueSimulation {
   static final int MAX_ATTEMPTS = 3;
   static final long TASK_MILLI_CPU = 2_000;
   static final int MEMBERS = 3;
   static final int AGENTS = 4;
-  static final int FALLBACK_AGENTS = 6;
-  static final int FALLBACK_ENTRIES = 6;
+  static final int FALLBACK_NODES = 6;
   private static final int FALLBACK_DOMAINS = 2;
   private static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
   static final Duration LEASE = Duration.ofSeconds(1);
@@ -88,10 +84,10 @@
       add(new SimulatedMember(this, "m" + i));
     }
     int domains = fallback ? FALLBACK_DOMAINS : 3;
-    for (int i = 0; i < (fallback ? FALLBACK_AGENTS : AGENTS); i++) {
+    for (int i = 0; i < (fallback ? FALLBACK_NODES : AGENTS); i++) {
       add(new SimulatedAgent(this, "a" + i, "domain" + i % domains, 0.98 + 0.01 * (i % 4)));
     }
-    for (int i = 0; i < (fallback ? FALLBACK_ENTRIES : 1); i++) {
+    for (int i = 0; i < (fallback ? FALLBACK_NODES : 1); i++) {
       add(new SimulatedEntry(this, "e" + i, "domain" + i % domains));
     }
     nodes.values().forEach(SimulatedNode::start);
