--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/FallbackController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/FallbackController.java
@@ -21,6 +21,7 @@
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.CancelJob;
 import org.cassiastack.request.FallbackSubmit;
+import org.cassiastack.request.FallbackTargets;
 import org.cassiastack.request.LeaderNotice;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.LeaderRequest;
@@ -35,8 +36,8 @@
  * leader has chosen as a fallback dispatcher.
  *
  * <ol>
- *   <li>It engages when it has heard no leader for {@link #ENGAGE_DELAY} and the last leader's
- *       directory names it.
+ *   <li>It engages when it has heard no leader for {@link FallbackTargets#ENGAGE_DELAY} and the
+ *       last leader's directory names it.
  *   <li>It steps down when it hears a leader, and then gives all its jobs up to the leader.
  *   <li>It steps down after a pause of its process too, because messages of a leader may be
  *       waiting, and engages again once those have been handled.
@@ -45,12 +46,10 @@
  * @since 0.4
  */
 public final class FallbackController implements Controller {
-  /** Time without a message of a leader after which the dispatcher engages. */
-  public static final Duration ENGAGE_DELAY = Duration.ofMillis(450);
-
   /**
-   * Last part of {@link #ENGAGE_DELAY}, at whose beginning and end the process must have run, so
-   * that messages of a leader that arrived during a pause are handled before it engages.
+   * Last part of {@link FallbackTargets#ENGAGE_DELAY}, at whose beginning and end the process must
+   * have run, so that messages of a leader that arrived during a pause are handled before it
+   * engages.
    */
   private static final Duration CONFIRM_DELAY = Duration.ofMillis(50);
 
@@ -58,7 +57,14 @@
    * Maximum time between two turns of an engaged dispatcher. After a longer one the process may
    * have been paused.
    */
-  private static final Duration MAX_TURN_GAP = ENGAGE_DELAY;
+  private static final Duration MAX_TURN_GAP = FallbackTargets.ENGAGE_DELAY;
+
+  /**
+   * Time after the engagement in which jobs are taken although no agent has come yet. The agents
+   * turn to a dispatcher at most one notice (200 ms) later than the entries, and ask it every 100
+   * ms.
+   */
+  private static final Duration WORKER_WAIT = Duration.ofMillis(300);
 
   private final NodeId self;
   private final ScheduleSettings settings;
@@ -74,6 +80,13 @@
   private @Nullable FallbackTerm term;
   private Instant engagedAt = Instant.MIN;
   private Instant lastTurnAt = Instant.MIN;
+
+  /**
+   * Whether the dispatch was interrupted since a leader was last heard. The agents may have gone to
+   * another dispatcher, and stay there.
+   */
+  private boolean interrupted;
+
   private long engagements;
 
   private FallbackController(NodeId self, ScheduleSettings settings) {
@@ -118,6 +131,7 @@
         engageIfSilent(now, effects);
       } else {
         t.tick(now);
+        refuseWithoutWorkers(t, now, effects);
       }
     }
     return effects;
@@ -140,7 +154,9 @@
     if (term != null || silentAt != null) {
       return now;
     }
-    return position() < 0 ? Instant.MAX : heardAt.plus(ENGAGE_DELAY).minus(CONFIRM_DELAY);
+    return position() < 0
+        ? Instant.MAX
+        : heardAt.plus(FallbackTargets.ENGAGE_DELAY).minus(CONFIRM_DELAY);
   }
 
   private void onReceived(Received r, Instant now, List<Effect> effects) {
@@ -156,6 +172,7 @@
     if (ofLeader || r.from().equals(leaders.leader())) {
       heardAt = now;
       silentAt = null;
+      interrupted = false;
       stepDown("leader_heard", "leader=" + r.from() + " term=" + leaders.term(), now, effects);
     }
     if (r.message() instanceof AgentReport report) {
@@ -203,8 +220,12 @@
       handle(t, from, request, now, effects);
       return;
     } else if (t != null && s != null && request instanceof FallbackSubmit f) {
+      String outcome = "older_configuration";
       if (f.submission().job().durable()) {
         refusal = AnswerCode.NO_LEADER;
+        outcome = "durable";
+      } else if (!t.hasWorkers() && !mayAgentsCome(now)) {
+        outcome = "no_workers";
       } else if (f.configurationVersion() <= s.configuration().version()) {
         handle(t, from, f.submission(), now, effects);
         return;
@@ -216,12 +237,35 @@
               + s.configuration().version()
               + " wanted="
               + f.configurationVersion();
-      String outcome = refusal == AnswerCode.NO_LEADER ? "durable" : "older_configuration";
       effects.add(Decision.of("fallback_job_refused", f.submission().job().id(), outcome, inputs));
     }
     effects.add(new Send(from, new LeaderReply(request.requestId(), RequestAnswer.of(refusal), 0)));
   }
 
+  /**
+   * Refuses the jobs that were taken in the expectation of agents when none has come: another
+   * dispatcher may have them, or the leader that this process does not hear.
+   */
+  private void refuseWithoutWorkers(FallbackTerm t, Instant now, List<Effect> effects) {
+    FallbackState s = state;
+    if (s == null || t.waitingCallers() == 0 || t.hasHadWorkers() || mayAgentsCome(now)) {
+      return;
+    }
+    String inputs = "jobs=" + t.waitingCallers() + " engaged=" + engagedAt;
+    effects.add(Decision.of("fallback_jobs_returned", t.fence(), "no_workers", inputs));
+    effects.addAll(t.refuseAll());
+    // No run was ordered, so the same run numbers can be used.
+    term = FallbackTerm.start(s, settings, Math.max(0, position()), engagements, now);
+  }
+
+  /**
+   * Returns whether agents are expected that have not come yet. Without agents, jobs would wait
+   * here until their callers give up, while another dispatcher has the agents.
+   */
+  private boolean mayAgentsCome(Instant now) {
+    return !interrupted && now.isBefore(engagedAt.plus(WORKER_WAIT));
+  }
+
   private static void handle(
       FallbackTerm t, NodeId from, LeaderRequest request, Instant now, List<Effect> effects) {
     t.onRequest(from, request, now);
@@ -232,7 +276,9 @@
     FallbackState s = state;
     int position = position();
     Duration silence = Duration.between(heardAt, now);
-    if (s == null || position < 0 || silence.compareTo(ENGAGE_DELAY.minus(CONFIRM_DELAY)) < 0) {
+    if (s == null
+        || position < 0
+        || silence.compareTo(FallbackTargets.ENGAGE_DELAY.minus(CONFIRM_DELAY)) < 0) {
       silentAt = null;
       return;
     }
@@ -295,6 +341,7 @@
   private void onPaused(String outcome, String inputs, Instant now, List<Effect> effects) {
     silentAt = null;
     heardAt = position() < 0 ? heardAt : now;
+    interrupted |= term != null;
     stepDown(outcome, inputs, now, effects);
     lastTurnAt = now;
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackControllerTest.java
@@ -226,6 +226,50 @@
     assertThat(decisions).extracting(Decision::event).contains("fallback_job_refused");
   }
 
+  /**
+   * Guards against jobs that wait at a dispatcher whose agents have gone to the next one during its
+   * pause, and stay there.
+   */
+  @Test
+  void takes_no_job_after_a_pause_until_an_agent_has_come() {
+    engage();
+    report(FENCE);
+    now = now.plusSeconds(1);
+    on(new Tick());
+    wait(Duration.ofMillis(600));
+    boolean engagedAgain = fallback.isEngaged();
+    sends.clear();
+    submit(false, 1);
+
+    assertThat(engagedAgain).isTrue();
+    assertThat(answers()).containsExactly(AnswerCode.NOT_LEADER);
+  }
+
+  /** Guards against jobs that wait at a dispatcher that the agents cannot reach. */
+  @Test
+  void takes_no_job_when_no_agent_has_come_within_300_ms() {
+    engage();
+    wait(Duration.ofMillis(320));
+    submit(false, 1);
+
+    assertThat(answers()).containsExactly(AnswerCode.NOT_LEADER);
+  }
+
+  /**
+   * Guards against jobs that wait until their callers give up where only entries have lost the
+   * leader, but the agents have not.
+   */
+  @Test
+  void gives_jobs_back_when_no_agent_has_come_within_300_ms() {
+    engage();
+    submit(false, 1);
+    List<AnswerCode> early = answers();
+    wait(Duration.ofMillis(340));
+
+    assertThat(early).isEmpty();
+    assertThat(answers()).containsExactly(AnswerCode.NOT_LEADER);
+  }
+
   @Test
   void takes_neither_durable_jobs_nor_queries() {
     engage();
