Admission: a job is useless once its caller's timeout has passed

Cause: the end of usefulness was three times the objective, which for a long job is later than its caller waits. Change: the caller's timeout ends usefulness, so the job is refused as not run once it can only end later.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
@@ -31,7 +31,10 @@
   /** End of the objective: a job that ends later is late. */
   final Instant dueAt;
 
-  /** A job that ends after this time is useless to its caller. */
+  /**
+   * A job that ends after this time is useless to its caller. The caller of a long job stops
+   * waiting before the multiple of the objective has passed.
+   */
   final Instant uselessAt;
 
   /**
@@ -66,7 +69,8 @@
     }
     Duration objective = objective();
     this.dueAt = requestedAt.plus(objective);
-    this.uselessAt = requestedAt.plus(objective.multipliedBy(MAX_USEFUL_OBJECTIVES));
+    Instant end = requestedAt.plus(objective.multipliedBy(MAX_USEFUL_OBJECTIVES));
+    this.uselessAt = callerTimeoutAt.isBefore(end) ? callerTimeoutAt : end;
   }
 
   boolean isDone() {
