Tests: the load simulation is split

Change: the counts of answers are a class of their own, and what only PlacementLoad uses lies there. No check is changed.

--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderBacklogLoadTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderBacklogLoadTest.java
@@ -32,10 +32,10 @@
 
     simulation.pauseLeader(ELECTION);
     simulation.run(ELECTION.plus(RECOVERY));
-    simulation.resetCounts();
+    simulation.counts().reset();
     simulation.run(MEASUREMENT);
 
-    assertThat(simulation.onTimeShare()).isGreaterThan(0.8);
+    assertThat(simulation.counts().onTimeShare()).isGreaterThan(0.8);
   }
 
   @Test
@@ -46,8 +46,8 @@
     simulation.pauseLeader(ELECTION);
     simulation.run(ELECTION.plus(RECOVERY).plus(MEASUREMENT));
 
-    assertThat(simulation.answers(AnswerCode.OVERLOADED)).isPositive();
-    assertThat(simulation.unansweredUnstartedJobs()).isZero();
+    assertThat(simulation.counts().answers(AnswerCode.OVERLOADED)).isPositive();
+    assertThat(simulation.counts().unansweredUnstartedJobs()).isZero();
   }
 
   private void submitFor(Duration time) {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadSimulation.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LoadSimulation.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.Collections;
-import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -61,7 +60,7 @@
   static final ServiceName SERVICE = new ServiceName("ice");
   static final long TASK_MILLI_CPU = 3_000;
   private static final NodeId SELF = new NodeId("10.0.0.1");
-  private static final NodeId ENTRY = new NodeId("10.0.0.1/entry");
+  static final NodeId ENTRY = new NodeId("10.0.0.1/entry");
   private static final Pattern OBJECTIVE_PATTERN = Pattern.compile("objective=(\\S+)");
   private static final int DEFAULT_SLOTS = 6;
   private static final Duration NETWORK_DELAY = Duration.ofMillis(1);
@@ -85,12 +84,9 @@
   private final Random random;
   private long lastCommitIndex;
   private long lastRequestId;
-  private int submittedJobs;
-  private int jobsOnTime;
-  private int unansweredUnstartedJobs;
+  private final AnswerCounts counts = new AnswerCounts();
   private Duration lastObjective = Duration.ZERO;
   private final Set<QueuedJobId> startedJobs = new HashSet<>();
-  private final Map<AnswerCode, Integer> answers = new EnumMap<>(AnswerCode.class);
 
   private Consumer<Decision> decisions = d -> {};
 
@@ -192,14 +188,9 @@
     scheduler.runFor(time);
   }
 
-  /** Returns the share of the submitted jobs that were completed within their objective. */
-  double onTimeShare() {
-    return (double) jobsOnTime / submittedJobs;
-  }
-
-  /** Returns the number of jobs that were answered with a code. */
-  int answers(AnswerCode code) {
-    return answers.getOrDefault(code, 0);
+  /** Returns the counts of the jobs that {@link #submitEvery} has submitted. */
+  AnswerCounts counts() {
+    return counts;
   }
 
   /** Returns the objective that the leader computed for the last admitted job. */
@@ -207,19 +198,6 @@
     return lastObjective;
   }
 
-  /** Returns the number of callers that got no answer from the leader although no task started. */
-  int unansweredUnstartedJobs() {
-    return unansweredUnstartedJobs;
-  }
-
-  /** Resets the counts of jobs and answers. */
-  void resetCounts() {
-    submittedJobs = 0;
-    jobsOnTime = 0;
-    unansweredUnstartedJobs = 0;
-    answers.clear();
-  }
-
   Instant now() {
     return scheduler.now();
   }
@@ -237,6 +215,10 @@
     return random.nextDouble();
   }
 
+  Random randomSource() {
+    return random;
+  }
+
   /** Returns whether a run was ordered for a job. */
   boolean hasStarted(QueuedJobId job) {
     return startedJobs.contains(job);
@@ -330,7 +312,7 @@
   }
 
   private void submitJob(int tasks, Duration runTime) {
-    submittedJobs++;
+    counts.onSubmitted();
     StepSpec step = StepSpec.plain(tasks, TASK_MILLI_CPU, 64, runTime);
     Duration objective =
         Duration.ofNanos((long) (runTime.toNanos() * STRETCH)).plus(TARGET_LATENCY);
@@ -339,7 +321,13 @@
         (task, labels) ->
             Duration.ofNanos(
                 (long) (runTime.toNanos() * (1 + RUN_TIME_SPREAD * (2 * random() - 1))));
-    submit(ENTRY, "/q/", step, objective, work, (id, code) -> count(id, code, dueAt));
+    submit(
+        ENTRY,
+        "/q/",
+        step,
+        objective,
+        work,
+        (id, code) -> counts.add(code, hasStarted(id), !now().isAfter(dueAt)));
   }
 
   /**
@@ -368,57 +356,14 @@
     handleAtEntry(entry, new RequestPosted(submit, now().plus(timeout)));
   }
 
-  /** Replaces the queues by one for each kind of load. */
-  void configure(List<LoadKind> kinds) {
-    List<org.cassiastack.queue.Queue> queues = kinds.stream().map(k -> k.queue(SERVICE)).toList();
-    QueueConfiguration c = new QueueConfiguration(2, queues, Payload.ofText("document"));
-    on(new Received(ENTRY, new StoreConfiguration(0, c)));
-  }
-
-  /** Adds a worker with a number of slots in a rack. */
-  SimulatedWorker addWorker(int slots, double speed, String rack) {
-    Resources capacity = new Resources(slots * TASK_MILLI_CPU, 8_000, 0);
-    return addWorker(
-        new SimulatedWorker.Kind(new FailureDomain("a"), capacity, List.of(rack), speed));
-  }
-
-  private SimulatedWorker addWorker(SimulatedWorker.Kind kind) {
+  /** Adds a worker. */
+  SimulatedWorker addWorker(SimulatedWorker.Kind kind) {
     NodeId node = new NodeId("10.0.1." + workers.size() + "/agent");
     SimulatedWorker worker = new SimulatedWorker(this, node, kind);
     workers.put(node, worker);
     return worker;
   }
 
-  /** Submits jobs of a kind at random times with exponentially distributed intervals. */
-  void submitKindEvery(Duration mean, LoadKind kind, LoadKind.Counts counts, Duration during) {
-    Duration interval = Duration.ofNanos((long) (-Math.log(random.nextDouble()) * mean.toNanos()));
-    if (interval.compareTo(during) < 0) {
-      scheduler.runAfter(
-          interval,
-          () -> {
-            submitKind(kind, counts);
-            submitKindEvery(mean, kind, counts, during.minus(interval));
-          });
-    }
-  }
-
-  private void submitKind(LoadKind kind, LoadKind.Counts counts) {
-    counts.submitted++;
-    StepSpec step = kind.step(TASK_MILLI_CPU, random);
-    Duration objective = kind.objective();
-    Instant dueAt = now().plus(objective);
-    String rack = step.dataRack();
-    TaskWork work =
-        (task, labels) -> kind.drawRunTime(random, !rack.isEmpty() && !labels.contains(rack));
-    submit(
-        ENTRY,
-        kind.pathPrefix(),
-        step,
-        objective,
-        work,
-        (id, code) -> counts.add(code, dueAt, now()));
-  }
-
   private void recordAnswer(RequestAnswered a) {
     Submission s = submissions.remove(a.requestId());
     if (s != null) {
@@ -426,13 +371,6 @@
     }
   }
 
-  private void count(QueuedJobId job, AnswerCode code, Instant dueAt) {
-    answers.merge(code, 1, Integer::sum);
-    boolean unansweredUnstarted = code == AnswerCode.UNANSWERED && !startedJobs.contains(job);
-    unansweredUnstartedJobs += unansweredUnstarted ? 1 : 0;
-    jobsOnTime += code == AnswerCode.ACCEPTED && !now().isAfter(dueAt) ? 1 : 0;
-  }
-
   private void tick() {
     on(new LeaseExtended(1, now().plusSeconds(1)));
     on(new Tick());
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/PlacementLoad.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/PlacementLoad.java
@@ -5,6 +5,15 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Random;
+import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.Payload;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.queue.Queue;
+import org.cassiastack.queue.QueueConfiguration;
+import org.cassiastack.queue.Resources;
+import org.cassiastack.queue.StepSpec;
+import org.cassiastack.request.StoreConfiguration;
 
 /**
  * The three kinds of jobs of the deployments under hard load, on workers of different speeds, in
@@ -75,13 +84,13 @@
             foundSlow.add(new FoundSlow(d.subject(), s.now()));
           }
         });
-    s.configure(kinds);
+    configure(s, kinds);
     double capacity = 0;
     List<SimulatedWorker> workers = new ArrayList<>();
     for (int i = 0; i < WORKERS; i++) {
       double speed = speeds.get(i % speeds.size());
       int slots = SLOTS[i / speeds.size() % SLOTS.length];
-      workers.add(s.addWorker(slots, speed, "rack-" + i / WORKERS_PER_RACK));
+      workers.add(addWorker(s, slots, speed, "rack-" + i / WORKERS_PER_RACK));
       capacity += slots * speed;
     }
     s.run(START_UP);
@@ -110,7 +119,7 @@
     for (LoadKind k : kinds) {
       LoadKind.Counts counts = new LoadKind.Counts(k.objective());
       Duration mean = Duration.ofNanos((long) (NANOS_PER_SECOND / (RATES[k.priority()] * scale)));
-      s.submitKindEvery(mean, k, counts, during);
+      submitKindEvery(s, mean, k, counts, during);
       all.add(counts);
     }
     return all;
@@ -158,4 +167,53 @@
    * @param at when the leader found it slow
    */
   record FoundSlow(String agent, Instant at) {}
+
+  /** Submits jobs of a kind at random times with exponentially distributed intervals. */
+  private static void submitKindEvery(
+      LoadSimulation simulation,
+      Duration mean,
+      LoadKind kind,
+      LoadKind.Counts counts,
+      Duration during) {
+    Duration interval = Duration.ofNanos((long) (-Math.log(simulation.random()) * mean.toNanos()));
+    if (interval.compareTo(during) < 0) {
+      simulation.runAfter(
+          interval,
+          () -> {
+            submitKind(simulation, kind, counts);
+            submitKindEvery(simulation, mean, kind, counts, during.minus(interval));
+          });
+    }
+  }
+
+  private static void submitKind(LoadSimulation simulation, LoadKind kind, LoadKind.Counts counts) {
+    counts.submitted++;
+    Random random = simulation.randomSource();
+    StepSpec step = kind.step(LoadSimulation.TASK_MILLI_CPU, random);
+    Instant dueAt = simulation.now().plus(kind.objective());
+    String rack = step.dataRack();
+    TaskWork work =
+        (task, labels) -> kind.drawRunTime(random, !rack.isEmpty() && !labels.contains(rack));
+    simulation.submit(
+        LoadSimulation.ENTRY,
+        kind.pathPrefix(),
+        step,
+        kind.objective(),
+        work,
+        (id, code) -> counts.add(code, dueAt, simulation.now()));
+  }
+
+  /** Replaces the queues by one for each kind of load. */
+  private static void configure(LoadSimulation simulation, List<LoadKind> kinds) {
+    List<Queue> queues = kinds.stream().map(k -> k.queue(LoadSimulation.SERVICE)).toList();
+    QueueConfiguration c = new QueueConfiguration(2, queues, Payload.ofText("document"));
+    simulation.on(new Received(LoadSimulation.ENTRY, new StoreConfiguration(0, c)));
+  }
+
+  private static SimulatedWorker addWorker(
+      LoadSimulation simulation, int slots, double speed, String rack) {
+    Resources capacity = new Resources(slots * LoadSimulation.TASK_MILLI_CPU, 8_000, 0);
+    return simulation.addWorker(
+        new SimulatedWorker.Kind(new FailureDomain("a"), capacity, List.of(rack), speed));
+  }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/SlowWorkerLoadTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/SlowWorkerLoadTest.java
@@ -43,6 +43,6 @@
     simulation.run(WARM_UP);
     simulation.slowDown(0, slowness);
     simulation.run(DURATION);
-    return simulation.onTimeShare();
+    return simulation.counts().onTimeShare();
   }
 }
