--- a/review/stand-ins/review2/Deployment.java
+++ b/review/stand-ins/review2/Deployment.java
@@ -8,7 +8,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -94,7 +93,7 @@
   Process start(String role, Machine machine) throws IOException {
     Path settings = folder.resolve(role + "-" + machine.ip + ".ini");
     Files.writeString(settings, render(role, machine));
-    ProcessBuilder builder = new ProcessBuilder(Arrays.asList((command(role)).split(" ")));
+    ProcessBuilder builder = new ProcessBuilder(command(role).split(" "));
     Map<String, String> environment = builder.environment();
     environment.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
     environment.put("CASSIASTACK_NODE_FILE", settings.toString());
--- a/review/stand-ins/review2/HeartbeatOfUnknownService.java
+++ b/review/stand-ins/review2/HeartbeatOfUnknownService.java
@@ -1,8 +1,8 @@
 package review2;
 
 /**
- * One heartbeat of another writer reaches each agent: it names a service that the configuration does
- * not have. A job that is stored afterwards is never run, though all minions are idle.
+ * One heartbeat of another writer reaches each agent: it names a service that the configuration
+ * does not have. A job that is stored afterwards is never run, though all minions are idle.
  */
 public final class HeartbeatOfUnknownService {
   private static final int FINISH_MILLIS = 14_000;
--- a/review/stand-ins/review2/Minion.java
+++ b/review/stand-ins/review2/Minion.java
@@ -17,9 +17,9 @@
 import java.util.regex.Pattern;
 
 /**
- * A stand-in minion: runs tasks as ordered, under a lease, lists runs and ends, and announces itself
- * to its agent. A task of step N runs for the N-th of the milliseconds in the spec "ms=A,B,...", and
- * then ends as done, or as failed if the spec begins with "fail".
+ * A stand-in minion: runs tasks as ordered, under a lease, lists runs and ends, and announces
+ * itself to its agent. A task of step N runs for the N-th of the milliseconds in the spec
+ * "ms=A,B,...", and then ends as done, or as failed if the spec begins with "fail".
  */
 final class Minion implements AutoCloseable {
   private static final long MAX_LEASE_MILLIS = 1_000;
@@ -169,6 +169,10 @@
     int status;
     String answer;
     synchronized (this) {
+      if (down) {
+        exchange.close();
+        return;
+      }
       String reason = "";
       if (expected != null && !expected.equals(id)) {
         status = 421;
--- a/review/stand-ins/review2/PendingAfterCrash.java
+++ b/review/stand-ins/review2/PendingAfterCrash.java
@@ -4,8 +4,8 @@
 import java.util.List;
 
 /**
- * One of seven minions is lost for good. Stored jobs that were about to start there wait for room on
- * the others, and the count of jobs that have not started leaves them out.
+ * One of seven minions is lost for good. Stored jobs that were about to start there wait for room
+ * on the others, and the count of jobs that have not started leaves them out.
  */
 public final class PendingAfterCrash {
   private static final int MINIONS = 7;
@@ -22,15 +22,15 @@
     s.start(1, MINIONS, -1);
     Deployment.Machine entry = s.edges.get(0);
     // One job takes all of the room of each minion but one.
-    List<String> long1 = new ArrayList<>();
+    List<String> longJobs = new ArrayList<>();
     for (int i = 0; i < MINIONS - 1; i++) {
-      long1.add(submit(s, entry, Scenario.step(1, Scenario.MILLI_CPU, 40_000, false)));
+      longJobs.add(submit(s, entry, Scenario.step(1, Scenario.MILLI_CPU, 40_000, false)));
     }
     Scenario.sleep(1_500);
     Minion free = null;
     for (Minion m : s.minions) {
       boolean used =
-          long1.stream()
+          longJobs.stream()
               .flatMap(j -> s.runs.ofJob(j).stream())
               .anyMatch(r -> r.minion.equals(m.id));
       free = used ? free : m;
--- a/review/stand-ins/review2/PoisonEjectsAllMinions.java
+++ b/review/stand-ins/review2/PoisonEjectsAllMinions.java
@@ -5,9 +5,9 @@
 import java.util.concurrent.FutureTask;
 
 /**
- * Three of 39 jobs can never be done, whose tasks fail on every minion. The leader ejects all minions
- * of the service for minutes: a job that is stored afterwards is not run, though all minions are
- * sound and idle.
+ * Three of 39 jobs can never be done; their tasks fail on every minion. The leader ejects all
+ * minions of the service for minutes: a job that is stored afterwards is not run, though all
+ * minions are sound and idle.
  */
 public final class PoisonEjectsAllMinions {
   private static final int GOOD_JOBS = 36;
