--- a/review/stand-ins/review2/Deployment.java
+++ b/review/stand-ins/review2/Deployment.java
@@ -89,10 +89,19 @@
     machines.forEach(m -> seeds.add(m.ip + ":" + controlPort()));
   }
 
-  /** Starts a role on a machine for the first time. */
+  /** Starts a role on a machine with the settings of the first start of the whole system. */
   Process start(String role, Machine machine) throws IOException {
+    return start(role, machine, true);
+  }
+
+  /**
+   * Starts a role on a machine.
+   *
+   * @param first whether the whole system starts for the first time
+   */
+  Process start(String role, Machine machine, boolean first) throws IOException {
     Path settings = folder.resolve(role + "-" + machine.ip + ".ini");
-    Files.writeString(settings, render(role, machine));
+    Files.writeString(settings, render(role, machine, first));
     ProcessBuilder builder = new ProcessBuilder(command(role).split(" "));
     Map<String, String> environment = builder.environment();
     environment.keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
@@ -120,7 +129,7 @@
     return command;
   }
 
-  private String render(String role, Machine machine) {
+  private String render(String role, Machine machine, boolean first) {
     Map<String, String> values = new HashMap<>();
     values.put("NodeName", role + "-" + machine.ip);
     values.put("Ip", machine.ip);
@@ -131,7 +140,7 @@
     values.put("Listen.Control", machine.ip + ":" + controlPort());
     values.put("InnerPortRange", machine.inner + "," + (machine.inner + INNER_PORTS - 1));
     values.put("Seeds", String.join(",", seeds));
-    values.put("Bootstrap", "true");
+    values.put("Bootstrap", Boolean.toString(first));
     values.put("Tolerate.Machines", "1");
     values.put("app", role.equals("agent") ? machine.ip + ":" + appPort() : "");
     values.put("Limits.CpuShare", "0.75");
--- a/review/stand-ins/review2/Minion.java
+++ b/review/stand-ins/review2/Minion.java
@@ -129,7 +129,7 @@
         body = announcement(service, sequence, born);
       }
       Http.Answer answer = Http.call(agent, "PUT", "/instances/" + id, "agent", "", body, 1_000);
-      if (answer.status() != 200) {
+      if (answer.status() != 200 && !down) {
         record.line("HEARTBEAT %s seq %d: %s", id, sequence, answer);
       }
       sleep(HEARTBEAT_MILLIS);
--- a/review/stand-ins/review2/Scenario.java
+++ b/review/stand-ins/review2/Scenario.java
@@ -32,6 +32,7 @@
   final List<Deployment.Machine> controls = new ArrayList<>();
   final List<Deployment.Machine> edges = new ArrayList<>();
   final List<Deployment.Machine> sides = new ArrayList<>();
+  final List<Process> controlProcesses = new ArrayList<>();
   final List<Minion> minions = new ArrayList<>();
   final List<AutoCloseable> others = new ArrayList<>();
   private final Map<Deployment.Machine, Process> entries = new HashMap<>();
@@ -119,6 +120,15 @@
    * minion each, waits until they are ready, and stores the first configuration.
    */
   void start(int disklessEdges, int sideCount, int shiftedEdge) throws Exception {
+    startProcesses(disklessEdges, sideCount, shiftedEdge);
+    await("all entries are ready", 30, () -> edges.stream().allMatch(this::isReady));
+    await("the configuration is acknowledged", 20, () -> putConfiguration(1));
+    // Twice the heartbeat interval: by then every minion has announced itself to its agent.
+    sleep(4_000);
+  }
+
+  /** Starts the processes and the minions for the first time. */
+  void startProcesses(int disklessEdges, int sideCount, int shiftedEdge) throws Exception {
     String[] zones = {"almaty-a", "almaty-b", "almaty-c"};
     for (int i = 0; i < 3; i++) {
       controls.add(machine(1, i + 1, zones[i], true, deployment.innerPort()));
@@ -133,7 +143,7 @@
     }
     deployment.setSeeds(controls);
     for (Deployment.Machine m : controls) {
-      deployment.start("control", m);
+      controlProcesses.add(deployment.start("control", m));
       deployment.start("entry", m);
     }
     for (Deployment.Machine m : edges) {
@@ -155,10 +165,6 @@
               runs,
               record));
     }
-    await("all entries are ready", 30, () -> edges.stream().allMatch(this::isReady));
-    await("the configuration is acknowledged", 20, () -> putConfiguration(1));
-    // Twice the heartbeat interval: by then every minion has announced itself to its agent.
-    sleep(4_000);
   }
 
   private Deployment.Machine machine(int part, int number, String zone, boolean disk, int inner) {
@@ -175,7 +181,12 @@
     return Http.call(ready, "GET", "/ready", "platform", "", "", 1_000).status() == 200;
   }
 
-  private boolean putConfiguration(int version) {
+  boolean putConfiguration(int version) {
+    return putConfiguration(version, controls.get(0));
+  }
+
+  /** Sends the configuration to a control machine; returns whether it was acknowledged. */
+  boolean putConfiguration(int version, Deployment.Machine to) {
     String body =
         "{\"Version\":"
             + version
@@ -192,10 +203,17 @@
             + "\"ColdStartS\":0.0,\"ColdPerS\":0.0,\"EnforcesCapacity\":false,\"Standby\":false}],"
             + "\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":262144,"
             + "\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}}";
-    InetSocketAddress control =
-        Deployment.address(controls.get(0).ip(), deployment.controlPort());
+    InetSocketAddress control = Deployment.address(to.ip(), deployment.controlPort());
     Http.Answer answer = Http.call(control, "PUT", "/config", "control", "", body, 1_000);
-    record.line("PUT /config version %d: %s", version, answer);
+    record.line("PUT /config version %d at %s: %s", version, to.ip(), answer);
+    return answer.status() == 200;
+  }
+
+  /** Reads the configuration from a control machine; returns whether it came. */
+  boolean readConfiguration(Deployment.Machine from) {
+    InetSocketAddress control = Deployment.address(from.ip(), deployment.controlPort());
+    Http.Answer answer = Http.call(control, "GET", "/config", "control", "", "", 1_000);
+    record.line("GET /config at %s: %s", from.ip(), answer);
     return answer.status() == 200;
   }
 
@@ -284,10 +302,10 @@
 
   @Override
   public void close() throws Exception {
-    deployment.close();
     for (Minion m : minions) {
       m.close();
     }
+    deployment.close();
     for (AutoCloseable o : others) {
       o.close();
     }
