--- a/review/stand-ins/review2/ResentToCutOffEntry.java
+++ b/review/stand-ins/review2/ResentToCutOffEntry.java
@@ -13,7 +13,7 @@
   private static final int DEADLINE_MILLIS = 5_000;
   private static final int TASK_MILLIS = 4_000;
   private static final int RESEND_MILLIS = 1_300;
-  private static final int RESTART_MILLIS = 300;
+  private static final int RESTART_MILLIS = 100;
   private static final int CUT_MILLIS = 5_000;
 
   private ResentToCutOffEntry() {}
