--- a/review/stand-ins/review2/PendingAfterCrash.java
+++ b/review/stand-ins/review2/PendingAfterCrash.java
@@ -4,11 +4,11 @@
 import java.util.List;
 
 /**
- * One of seven minions is lost for good. Stored jobs that were about to start there wait for room
+ * One of eight minions is lost for good. Stored jobs that were about to start there wait for room
  * on the others, and the count of jobs that have not started leaves them out.
  */
 public final class PendingAfterCrash {
-  private static final int MINIONS = 7;
+  private static final int MINIONS = 8;
   private static final int WAITING_JOBS = 5;
   private static final int VISIBLE_MILLIS = 5_500;
 
--- a/review/stand-ins/review2/ResentToCutOffEntry.java
+++ b/review/stand-ins/review2/ResentToCutOffEntry.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.FutureTask;
+import java.util.concurrent.atomic.AtomicReference;
 
 /**
  * An entry and an agent are cut off from the control machines, and another entry is killed while it
@@ -36,8 +37,14 @@
     Scenario.sleep(1_000);
     String job = s.newJobId();
     String body = Scenario.chain(true, 1_000, TASK_MILLIS);
+    AtomicReference<Double> brokenAt = new AtomicReference<>(0.0);
     FutureTask<Http.Answer> first =
-        Scenario.inBackground(() -> s.client(killed, "POST", job, body, DEADLINE_MILLIS));
+        Scenario.inBackground(
+            () -> {
+              Http.Answer answer = s.client(killed, "POST", job, body, DEADLINE_MILLIS);
+              brokenAt.set(s.record.now());
+              return answer;
+            });
     s.await("the job has begun", 2, () -> !s.runs.ofJob(job).isEmpty());
     if (trouble) {
       s.killEntry(killed);
@@ -45,7 +52,8 @@
       s.deployment.start("entry", killed);
     }
     if (first.get().status() == 0) {
-      Scenario.sleep(RESEND_MILLIS - (trouble ? RESTART_MILLIS : 0));
+      double resendAt = brokenAt.get() + RESEND_MILLIS / 1e3;
+      s.await("the time to send the job again has come", 2, () -> s.record.now() > resendAt);
       FutureTask<Http.Answer> second =
           Scenario.inBackground(() -> s.client(cutOff, "POST", job, body, DEADLINE_MILLIS));
       long left = CUT_MILLIS - Math.round(1_000 * (s.record.now() - cutAt));
--- a/review/stand-ins/review2/Scenario.java
+++ b/review/stand-ins/review2/Scenario.java
@@ -121,8 +121,8 @@
    */
   void start(int disklessEdges, int sideCount, int shiftedEdge) throws Exception {
     startProcesses(disklessEdges, sideCount, shiftedEdge);
-    await("all entries are ready", 30, () -> edges.stream().allMatch(this::isReady));
-    await("the configuration is acknowledged", 20, () -> putConfiguration(1));
+    await("all entries are ready", 30, () -> edges.stream().allMatch(this::isReady) || pause());
+    await("the configuration is acknowledged", 20, () -> putConfiguration(1) || pause());
     // Twice the heartbeat interval: by then every minion has announced itself to its agent.
     sleep(4_000);
   }
@@ -284,10 +284,20 @@
       if (record.now() > until) {
         throw new IllegalStateException("not within " + seconds + " s: " + what);
       }
-      sleep(200);
+      sleep(10);
     }
   }
 
+  /** Waits between two attempts of a client or the platform; returns false. */
+  private static boolean pause() {
+    try {
+      Thread.sleep(200);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return false;
+  }
+
   static void sleep(long millis) throws InterruptedException {
     Thread.sleep(millis);
   }
