Give a job up before its lost caller may send it again

The leader kept the jobs of a lost entry for 1.37 s, and for good if a process of the same name connected before, but callers send a job again after 1.3 s; the entry that gets it may hand it to a fallback dispatcher, which cannot know of the first run. Connections of callers that are reset, frozen entries, and agents that are cut off had the same effect. Callers saw one whole answer; that a task had run twice at the same time, only the minions could tell.

A dispatcher, the leader or a fallback dispatcher, now keeps such a job only while the entry that took it confirms that a caller waits. It sends a probe with its own time to the entries every 150 ms, and all times count from the sending of the last probe that was answered for the job. After 712 ms without a confirmation the job is given up. No task starts without a confirmation in the last 300 ms. The lease of an agent ends, with drift and stop graces, before any job of its runs may be sent again, and is not extended while it has runs of jobs that its holder does not know. An entry drops a job whose caller's connection is lost. CallerLease divides the resend delay; where the parts do not fit, fallback dispatchers are off and fallback_off is logged. The probe takes the place of the notice that leaders sent to entries every 200 ms.

Changed tests: FakeAgent ignored a lease without time left, unlike AgentController; it takes its fence now. The test of the notice every 200 ms asks for probes in its place, and the tests of lost entries in FallbackLeaderTest are replaced by LostCallerTest, which holds the limit for entries that stay away, for those that come back and for agents' leases.

--- a/cassiastack-core/src/main/java/org/cassiastack/request/FallbackRoute.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/FallbackRoute.java
@@ -25,11 +25,19 @@
   /** Returns whether a request that was sent to nobody may still find a fallback dispatcher. */
   boolean mayFindDispatcher(PendingRequest pending, Instant now);
 
-  /** Returns a request as it is sent to a fallback dispatcher. */
-  LeaderRequest toFallback(LeaderRequest request);
+  /**
+   * Returns a request as it is sent to a fallback dispatcher.
+   *
+   * @param probeSentAt when the last probe of the dispatcher was sent, or null
+   */
+  LeaderRequest toFallback(LeaderRequest request, @Nullable Instant probeSentAt);
 
-  /** Returns a request as it is sent to a leader after it was sent to another dispatcher. */
-  LeaderRequest resubmission(LeaderRequest request);
+  /**
+   * Returns a request as it is sent to a leader after it was sent to another dispatcher.
+   *
+   * @param probeSentAt when the last probe of the leader was sent, or null
+   */
+  LeaderRequest resubmission(LeaderRequest request, @Nullable Instant probeSentAt);
 
   /** Returns whether no answer can come any more to a request that was sent. */
   boolean isAnswerLost(PendingRequest pending, Instant now);
@@ -60,12 +68,12 @@
     }
 
     @Override
-    public LeaderRequest toFallback(LeaderRequest request) {
+    public LeaderRequest toFallback(LeaderRequest request, @Nullable Instant probeSentAt) {
       return request;
     }
 
     @Override
-    public LeaderRequest resubmission(LeaderRequest request) {
+    public LeaderRequest resubmission(LeaderRequest request, @Nullable Instant probeSentAt) {
       return request;
     }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/request/LeaderOrFallbackRoute.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/LeaderOrFallbackRoute.java
@@ -205,15 +205,15 @@
   }
 
   @Override
-  public LeaderRequest toFallback(LeaderRequest request) {
+  public LeaderRequest toFallback(LeaderRequest request, @Nullable Instant probeSentAt) {
     return request instanceof SubmitJob s
-        ? new FallbackSubmit(s, targets.configurationVersion())
+        ? new FallbackSubmit(s, targets.configurationVersion(), probeSentAt)
         : request;
   }
 
   @Override
-  public LeaderRequest resubmission(LeaderRequest request) {
-    return request instanceof SubmitJob s ? new ResubmitJob(s) : request;
+  public LeaderRequest resubmission(LeaderRequest request, @Nullable Instant probeSentAt) {
+    return request instanceof SubmitJob s ? new ResubmitJob(s, probeSentAt) : request;
   }
 
   @Override
--- a/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
@@ -17,6 +17,7 @@
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
+import org.cassiastack.queue.QueuedJobId;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -44,6 +45,8 @@
  *       ResubmitJob}. When the connection to the fallback dispatcher is lost, or the leader that
  *       has the job stays silent until its runs have ended, it gets {@link AnswerCode#UNANSWERED}
  *       at once.
+ *   <li>To the {@link CallerProbe} of a dispatcher it answers which of the jobs that need not be
+ *       stored are still awaited. A job whose caller is gone is not sent any more.
  * </ol>
  *
  * @since 0.2
@@ -76,6 +79,7 @@
   private @Nullable Instant leaderlessSince;
 
   private final FallbackRoute fallback;
+  private final CallerProbes probes = new CallerProbes();
 
   private LeaderRequestController(FallbackRoute fallback) {
     this.fallback = fallback;
@@ -102,6 +106,7 @@
         onLeaderChanged(LeaderViewChanged.Cause.NOTICE, now, effects);
       }
     } else if (event instanceof PeerDisconnected d) {
+      probes.onDisconnected(d.peer());
       onDisconnected(d.peer(), now, effects);
     }
     if (fallback.on(event, tracker, now, effects)) {
@@ -113,6 +118,10 @@
       onCall(new PendingRequest(firstRequest(o), o, now, o.deadline()), now, effects);
     } else if (event instanceof Received r && r.message() instanceof LeaderReply a) {
       onReply(r.from(), a, now, effects);
+    } else if (event instanceof Received r && r.message() instanceof CallerProbe p) {
+      probes.onProbe(r.from(), p, now);
+    } else if (event instanceof RequestAbandoned a) {
+      onAbandoned(a.requestId(), effects);
     } else if (event instanceof PeerConnected) {
       sendUnsent("dispatcher_connected", now, effects);
     } else if (event instanceof Tick) {
@@ -123,7 +132,32 @@
 
   @Override
   public Instant nextTickAt(Instant now) {
-    return pendingRequests.isEmpty() ? fallback.nextTickAt() : now;
+    return pendingRequests.isEmpty() && !probes.areArriving() ? fallback.nextTickAt() : now;
+  }
+
+  /** Drops a job that nobody waits for; other requests take effect without their caller. */
+  private void onAbandoned(long requestId, List<Effect> effects) {
+    PendingRequest pending = pendingRequests.get(requestId);
+    if (pending != null && pending.request instanceof SubmitJob s && !s.job().durable()) {
+      pendingRequests.remove(requestId);
+      effects.add(Decision.of("caller_gone", s.job().id(), "dropped", pending.describe()));
+    }
+  }
+
+  private void answerProbes(Instant now, List<Effect> effects) {
+    for (NodeId dispatcher : probes.takeSettled(now)) {
+      List<QueuedJobId> awaited = new ArrayList<>();
+      for (PendingRequest pending : pendingRequests.values()) {
+        boolean isAwaited = pending.isAt(dispatcher) && now.isBefore(pending.deadline);
+        if (isAwaited && pending.request instanceof SubmitJob s && !s.job().durable()) {
+          awaited.add(s.job().id());
+        }
+      }
+      Instant sentAt = probes.lastOf(dispatcher);
+      if (!awaited.isEmpty() && sentAt != null) {
+        effects.add(new Send(dispatcher, new AwaitedJobs(sentAt, awaited)));
+      }
+    }
   }
 
   private void onDisconnected(NodeId peer, Instant now, List<Effect> effects) {
@@ -256,6 +290,7 @@
   }
 
   private void onTick(Instant now, List<Effect> effects) {
+    answerProbes(now, effects);
     for (Iterator<PendingRequest> i = pendingRequests.values().iterator(); i.hasNext(); ) {
       PendingRequest pending = i.next();
       boolean leaderTimedOut =
@@ -289,7 +324,9 @@
       String inputs = "dispatcher=" + dispatcher + " " + pending.describe();
       effects.add(Decision.of("request_sent_to_fallback", id, "sent", inputs));
       pending.onSentToFallback(dispatcher);
-      effects.add(new Send(dispatcher, fallback.toFallback(pending.requestToSend(now))));
+      LeaderRequest request =
+          fallback.toFallback(pending.requestToSend(now), probes.lastOf(dispatcher));
+      effects.add(new Send(dispatcher, request));
       return;
     }
     NodeId leader = leaderToSendTo(pending);
@@ -299,11 +336,19 @@
         effects.add(Decision.of("request_sent_again", pending.request.requestId(), reason, inputs));
       }
       pending.onSent(leader, tracker.term(), now);
-      LeaderRequest request = pending.requestToSend(now);
-      effects.add(
-          new Send(
-              leader, pending.hasEarlierDispatcher() ? fallback.resubmission(request) : request));
+      effects.add(new Send(leader, toLeader(pending, leader, now)));
+    }
+  }
+
+  private LeaderRequest toLeader(PendingRequest pending, NodeId leader, Instant now) {
+    LeaderRequest request = pending.requestToSend(now);
+    Instant probeSentAt = probes.lastOf(leader);
+    if (pending.hasEarlierDispatcher()) {
+      return fallback.resubmission(request, probeSentAt);
     }
+    return probeSentAt != null && request instanceof SubmitJob s && !s.job().durable()
+        ? new AwaitedSubmit(s, probeSentAt)
+        : request;
   }
 
   /** Returns the leader that the request may be sent to, or null. */
--- a/cassiastack-core/src/main/java/org/cassiastack/request/PendingRequest.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/PendingRequest.java
@@ -52,6 +52,11 @@
     this.deadline = deadline;
   }
 
+  /** Returns whether the request was sent to a dispatcher last and is not answered. */
+  boolean isAt(NodeId dispatcher) {
+    return dispatcher.equals(fallback == null ? leader : fallback);
+  }
+
   /** Returns the inputs of a decision about the request. */
   String describe() {
     return "sends=" + sendCount + " since=" + receivedAt;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/FallbackController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/FallbackController.java
@@ -19,6 +19,7 @@
 import org.cassiastack.protocol.Send;
 import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.AskJob;
+import org.cassiastack.request.AwaitedJobs;
 import org.cassiastack.request.CancelJob;
 import org.cassiastack.request.FallbackSubmit;
 import org.cassiastack.request.FallbackTargets;
@@ -181,6 +182,11 @@
         t.onReport(r.from(), report, now);
         effects.addAll(t.takeEffects());
       }
+    } else if (r.message() instanceof AwaitedJobs answer) {
+      FallbackTerm t = term;
+      if (t != null) {
+        t.onAwaitedJobs(r.from(), answer, now);
+      }
     } else if (r.message() instanceof LeaderRequest request) {
       onRequest(r.from(), request, now, effects);
     }
@@ -227,7 +233,7 @@
       } else if (!t.hasWorkers() && !mayAgentsCome(now)) {
         outcome = "no_workers";
       } else if (f.configurationVersion() <= s.configuration().version()) {
-        handle(t, from, f.submission(), now, effects);
+        handle(t, from, f, now, effects);
         return;
       }
       String inputs =
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/LeaderController.java
@@ -3,9 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.UUID;
@@ -33,6 +31,8 @@
 import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.LedgerCodec;
 import org.cassiastack.request.AnswerCode;
+import org.cassiastack.request.AwaitedJobs;
+import org.cassiastack.request.FallbackSubmit;
 import org.cassiastack.request.LeaderNotice;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.LeaderRequest;
@@ -55,20 +55,6 @@
   /** How often the leader notice is sent again, for processes that missed the last change. */
   private static final Duration NOTICE_INTERVAL = Duration.ofMillis(500);
 
-  /**
-   * How often the leader notice is sent to entries that may dispatch themselves when they hear no
-   * leader.
-   */
-  private static final Duration OFFER_NOTICE_INTERVAL = Duration.ofMillis(200);
-
-  /**
-   * Time after the lease expiry timeout for which the jobs of a lost process are kept. An entry
-   * that has lost its leader gives its jobs up after that timeout, and their callers, who wait for
-   * 1.3 s, may then send them to a fallback dispatcher. A caller whose entry has ended sends them
-   * to this leader instead, and joins them if they are kept for as long.
-   */
-  private static final Duration LOST_CALLER_MARGIN = Duration.ofMillis(200);
-
   private final NodeId self;
   private final ScheduleSettings settings;
   private final LedgerCodec codec;
@@ -77,10 +63,6 @@
   private final Set<NodeId> peers = new TreeSet<>(NodeId.BY_NAME);
   private final FallbackAnnouncer fallback = new FallbackAnnouncer();
 
-  /** Processes to which the connection was lost a short time ago. */
-  private final Map<NodeId, Instant> lostPeers = new HashMap<>();
-
-  private Instant nextOfferNoticeAt = Instant.MIN;
   private LeaderNotice notice = new LeaderNotice(0, null, List.of());
   private Instant nextNoticeAt = Instant.MIN;
   private @Nullable LeaderTerm term;
@@ -130,13 +112,15 @@
       updateNotice(new LeaderNotice(notice.term(), notice.leader(), m.nodes()), effects);
     } else if (event instanceof PeerConnected p) {
       peers.add(p.peer());
-      lostPeers.remove(p.peer());
       effects.add(new Send(p.peer(), notice));
       fallback.sendDirectory(p.peer(), effects);
     } else if (event instanceof PeerDisconnected p) {
       peers.remove(p.peer());
+      LeaderTerm t = term;
+      if (t != null) {
+        t.onDisconnected(p.peer());
+      }
       if (settings.fallback()) {
-        lostPeers.put(p.peer(), now);
         fallback.onDisconnected(p.peer(), now);
       }
     } else if (event instanceof Received r && r.message() instanceof FallbackOffer offer) {
@@ -174,7 +158,8 @@
   private void handleLeaderEvent(Event event, Instant now, List<Effect> effects) {
     LeaderTerm t = term;
     if (event instanceof Received r && r.message() instanceof LeaderRequest request) {
-      if (t == null || !t.holdsLeadership(now)) {
+      boolean isForFallback = request instanceof FallbackSubmit;
+      if (t == null || !t.holdsLeadership(now) || isForFallback) {
         LeaderReply reply =
             new LeaderReply(request.requestId(), RequestAnswer.of(AnswerCode.NOT_LEADER), 0);
         effects.add(new Send(r.from(), reply));
@@ -187,6 +172,10 @@
       if (t != null) {
         t.onReport(r.from(), report, now);
       }
+    } else if (event instanceof Received r && r.message() instanceof AwaitedJobs answer) {
+      if (t != null) {
+        t.onAwaitedJobs(r.from(), answer, now);
+      }
     } else if (event instanceof ClockLeaped c) {
       if (t != null) {
         t.onClockLeaped(c.by());
@@ -198,12 +187,8 @@
       }
     } else if (event instanceof Tick) {
       if (t != null) {
-        stopJobsOfLostPeers(t, now);
         t.tick(!fallback.mayHoldAgents(now), now);
-        if (!now.isBefore(nextOfferNoticeAt)) {
-          nextOfferNoticeAt = now.plus(OFFER_NOTICE_INTERVAL);
-          fallback.entries().forEach(e -> effects.add(new Send(e, notice)));
-        }
+        probeCallers(t, now);
       }
       if (!now.isBefore(nextNoticeAt)) {
         nextNoticeAt = now.plus(NOTICE_INTERVAL);
@@ -212,18 +197,11 @@
     }
   }
 
-  private void stopJobsOfLostPeers(LeaderTerm t, Instant now) {
-    Duration limit = settings.leaseExpiryTimeout().plus(LOST_CALLER_MARGIN);
-    lostPeers
-        .entrySet()
-        .removeIf(
-            e -> {
-              boolean expired = now.isAfter(e.getValue().plus(limit));
-              if (expired) {
-                t.onCallersLost(e.getKey(), now);
-              }
-              return expired;
-            });
+  /** Probes also show entries that this leader is there. */
+  private void probeCallers(LeaderTerm t, Instant now) {
+    if (settings.fallback()) {
+      t.probeCallers(fallback.entries(), now);
+    }
   }
 
   private void onCommandCommitted(CommandCommitted c, Instant now) {
@@ -250,6 +228,10 @@
       }
       term = t;
       fallback.reset();
+      // The entries send their jobs with the notice that follows; those can start if the entries
+      // have got a probe before.
+      probeCallers(t, now);
+      effects.addAll(t.takeEffects());
     }
     updateNotice(new LeaderNotice(l.term(), l.leader(), notice.members()), effects);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/ScheduleSettings.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/ScheduleSettings.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.cassiastack.runs.MinionClockDrift;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Settings of the leader's scheduling.
@@ -12,7 +13,8 @@
  *     end its runs
  * @param retention how long the phase of an ended job can be queried
  * @param remoteFactor factor by which a task runs longer on a rack that does not hold its data
- * @param fallback whether entries dispatch jobs that need not be stored while no leader is heard
+ * @param callerLease how long jobs that need not be stored outlast their callers, where entries
+ *     dispatch such jobs while no leader is heard; null where they do not
  * @since 0.2
  */
 public record ScheduleSettings(
@@ -20,14 +22,14 @@
     Duration leaseExpiryMargin,
     Duration retention,
     double remoteFactor,
-    boolean fallback) {
+    @Nullable CallerLease callerLease) {
   /** The remote factor where none is given. */
   public static final double DEFAULT_REMOTE_FACTOR = 1.5;
 
   /** Creates settings without fallback dispatchers. */
   public ScheduleSettings(
       Duration lease, Duration leaseExpiryMargin, Duration retention, double remoteFactor) {
-    this(lease, leaseExpiryMargin, retention, remoteFactor, false);
+    this(lease, leaseExpiryMargin, retention, remoteFactor, null);
   }
 
   /** Returns settings with the default remote factor. */
@@ -36,9 +38,22 @@
     return new ScheduleSettings(lease, leaseExpiryMargin, retention, DEFAULT_REMOTE_FACTOR);
   }
 
-  /** Returns a copy with fallback dispatchers on or off. */
-  public ScheduleSettings withFallback(boolean on) {
-    return new ScheduleSettings(lease, leaseExpiryMargin, retention, remoteFactor, on);
+  /**
+   * Returns a copy with fallback dispatchers, or without if the resend delay is too short for them.
+   *
+   * @param resendDelay time after the loss of its connection at which a caller sends a job again
+   */
+  public ScheduleSettings withFallback(Duration resendDelay) {
+    CallerLease callerLease =
+        resendDelay.compareTo(leaseExpiryTimeout()) > 0
+            ? CallerLease.of(resendDelay, lease, leaseExpiryMargin)
+            : null;
+    return new ScheduleSettings(lease, leaseExpiryMargin, retention, remoteFactor, callerLease);
+  }
+
+  /** Returns whether entries dispatch jobs that need not be stored while no leader is heard. */
+  public boolean fallback() {
+    return callerLease != null;
   }
 
   /**
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -40,6 +40,7 @@
   private final JobLedger ledger;
   private final Consumer<Decision> decisions;
   private final Placer placer;
+  private final CallerLeases callerLeases;
   private long candidatesExamined;
 
   /**
@@ -53,8 +54,10 @@
       Fleet fleet,
       JobLedger ledger,
       Consumer<Decision> decisions,
-      Placer placer) {
+      Placer placer,
+      CallerLeases callerLeases) {
     this.placer = placer;
+    this.callerLeases = callerLeases;
     this.decisions = decisions;
     this.liveJobs = liveJobs;
     this.fleet = fleet;
@@ -85,6 +88,9 @@
     RoundWorkers workers = new RoundWorkers(liveJobs.ready.minNeed(), now);
     ReadySteps steps = liveJobs.ready.inOrder(s -> workers.of(s).mayFit(s.spec.need()));
     for (LiveStep s = steps.next(); s != null; s = steps.next()) {
+      if (!callerLeases.mayStart(s.job, now)) {
+        continue;
+      }
       if (!placeStep(s, workers.of(s), firstRun, now)) {
         steps.skipDemand();
       }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
@@ -10,6 +10,7 @@
 import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.LedgerSnapshot;
 import org.cassiastack.request.AnswerCode;
+import org.cassiastack.request.AwaitedJobs;
 import org.cassiastack.request.LeaderRequest;
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
@@ -78,7 +79,7 @@
   /** Handles a request about a job that is not durable. */
   public void onRequest(NodeId from, LeaderRequest request, Instant now) {
     lastTurnAt = now;
-    dispatch.requests.handle(from, request, now);
+    dispatch.onRequest(from, request, now);
   }
 
   /**
@@ -93,13 +94,20 @@
     }
     WorkerState w = dispatch.fleet.applyReport(agent, report, fence, now);
     if (w != null) {
-      dispatch.grantLease(agent, w, report);
+      dispatch.grantLease(agent, w, report, now);
     }
   }
 
   /** Stops the jobs of a process to which the connection was lost. */
   public void onDisconnected(NodeId peer, Instant now) {
-    dispatch.requests.callersLost(peer, now);
+    dispatch.requests.callers.giveUpAllOf(peer, now);
+    dispatch.prober.onDisconnected(peer);
+  }
+
+  /** Handles the answer of an entry to a probe. */
+  public void onAwaitedJobs(NodeId entry, AwaitedJobs answer, Instant now) {
+    lastTurnAt = now;
+    dispatch.onAwaitedJobs(entry, answer, now);
   }
 
   /** Moves the times from which the leases of agents are counted. */
@@ -113,6 +121,7 @@
   public void tick(Instant now) {
     lastTurnAt = now;
     dispatch.tick(true, true, now);
+    dispatch.probeCallers(List.of(), now);
   }
 
   /** Places waiting tasks and returns the effects since the last call. */
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -273,13 +273,18 @@
     }
   }
 
-  /** Marks the runs of a job as unwanted; their stops are ordered at the next tick. */
-  void markRunsUnwanted(LiveJob job) {
+  /**
+   * Marks the runs of a job as unwanted; their stops are ordered at the next tick.
+   *
+   * @param lastConfirmed when the last probe was sent that was answered for the job, if its caller
+   *     may send it again; null otherwise
+   */
+  void markRunsUnwanted(LiveJob job, @Nullable Instant lastConfirmed) {
     for (WorkerState w : workers.values()) {
       for (Run r : w.runs.values()) {
         LiveStep step = r.step;
         if (step != null && step.job == job) {
-          r.step = null;
+          r.giveUp(lastConfirmed);
         }
       }
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -12,6 +13,8 @@
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.JobPhase;
+import org.cassiastack.request.AwaitedJobs;
+import org.cassiastack.request.LeaderRequest;
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.MinionIncarnation;
@@ -27,8 +30,9 @@
   final Fleet fleet;
   final HeldJobs held;
   final LeaderRequestHandler requests;
+  final CallerProber prober = new CallerProber();
+  private final CallerLeases callerLeases;
   private final long fence;
-  private final ScheduleSettings settings;
   private final RunEventHandler runEvents;
   private final Dispatcher dispatcher;
   private List<Effect> effects = new ArrayList<>();
@@ -49,7 +53,6 @@
       LedgerChanges changes,
       BooleanSupplier capacityKnown) {
     this.fence = fence;
-    this.settings = settings;
     Consumer<Decision> decisions = d -> effects.add(d);
     this.runEvents =
         new RunEventHandler(
@@ -60,6 +63,7 @@
             id -> ledger.live(id) != null,
             this::medianSpeed);
     this.fleet = new Fleet(settings, runEvents);
+    this.callerLeases = CallerLeases.of(settings, ledger::contains);
     this.held = new HeldJobs(settings.leaseExpiryTimeout());
     this.requests =
         new LeaderRequestHandler(
@@ -72,14 +76,16 @@
             decisions,
             (to, reply) -> effects.add(new Send(to, reply)),
             capacityKnown,
-            settings.fallback());
+            settings.fallback(),
+            callerLeases);
     this.dispatcher =
         new Dispatcher(
             liveJobs,
             fleet,
             ledger,
             decisions,
-            FastestFit.withRemoteFactor(settings.remoteFactor()));
+            FastestFit.withRemoteFactor(settings.remoteFactor()),
+            callerLeases);
   }
 
   void addEffect(Effect effect) {
@@ -120,15 +126,42 @@
     effects.add(dispatcher.takeStats());
   }
 
+  /**
+   * Handles a request of a process, and asks the process at once which callers wait if it has
+   * submitted a job that cannot start otherwise.
+   */
+  void onRequest(NodeId from, LeaderRequest request, Instant now) {
+    LiveJob job = requests.handle(from, request, now);
+    if (job != null && job.confirmedAt != null) {
+      prober.onSubmitted(from, callerLeases.mayStart(job, now), now, effects);
+    }
+  }
+
+  /** Handles the answer to a probe. */
+  void onAwaitedJobs(NodeId from, AwaitedJobs answer, Instant now) {
+    if (requests.callers.onConfirmed(from, answer, now)) {
+      dispatcher.forceNextRound();
+    }
+  }
+
+  /** Asks the entries that submit jobs, and others, which callers wait, if that is due. */
+  void probeCallers(Collection<NodeId> others, Instant now) {
+    prober.probeAll(others, now, effects);
+  }
+
   /** Grants the agent of a worker the lease that its last report asked for. */
-  void grantLease(NodeId agent, WorkerState w, AgentReport report) {
+  void grantLease(NodeId agent, WorkerState w, AgentReport report, Instant now) {
     MinionProfile m = w.minion;
     MinionIncarnation incarnation = m == null ? null : m.life();
     effects.add(
         new Send(
             agent,
             new AgentLease(
-                fence, report.sentAt(), settings.lease(), incarnation, w.acknowledgedThrough())));
+                fence,
+                report.sentAt(),
+                callerLeases.agentLease(w, report, fence, now),
+                incarnation,
+                w.acknowledgedThrough())));
   }
 
   /** Puts the steps of jobs that are held no longer into the ready queue. */
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.HashMap;
 import java.util.Locale;
-import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.cassiastack.decision.Decision;
@@ -22,12 +20,10 @@
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.AskQueueConfiguration;
 import org.cassiastack.request.CancelJob;
-import org.cassiastack.request.FallbackSubmit;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.LeaderRequest;
 import org.cassiastack.request.QueueAddress;
 import org.cassiastack.request.RequestAnswer;
-import org.cassiastack.request.ResubmitJob;
 import org.cassiastack.request.StoreConfiguration;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.request.SwitchDomain;
@@ -52,8 +48,7 @@
   /** Whether jobs that were refused or run by another dispatcher may come to this one. */
   private final boolean fallback;
 
-  /** Callers that wait for a job to be accepted or, if the job is not durable, to end. */
-  private final Map<QueuedJobId, Caller> callers = new HashMap<>();
+  final WaitingCallers callers;
 
   private final RecentAnswers recentAnswers = RecentAnswers.ofEnds();
 
@@ -79,7 +74,8 @@
       Consumer<Decision> decisions,
       ReplySender replies,
       BooleanSupplier capacityKnown,
-      boolean fallback) {
+      boolean fallback,
+      CallerLeases callerLeases) {
     this.term = term;
     this.held = held;
     this.fallback = fallback;
@@ -91,6 +87,7 @@
     this.replies = replies;
     this.capacityKnown = capacityKnown;
     this.stopped = new StoppedJobs(liveJobs, held, fleet);
+    this.callers = new WaitingCallers(liveJobs, stopped, callerLeases, decisions);
     this.queries = new JobQueries(ledger, liveJobs);
     this.delays = new QueueingDelays(ledger, liveJobs, fleet, capacityKnown);
     this.domainOrders = new DomainOrders(term, commits, decisions, this::answer);
@@ -100,15 +97,17 @@
    * Handles a request. A change of the ledger, such as the acceptance of a durable job, is answered
    * when it is committed, a job that is not durable when it has ended, and any other request or a
    * refused one at once.
+   *
+   * @return the job that the process waits for because of the request, or null
    */
-  void handle(NodeId from, LeaderRequest request, Instant now) {
+  @Nullable LiveJob handle(NodeId from, LeaderRequest request, Instant now) {
     Caller caller = new Caller(from, request.requestId());
-    if (request instanceof SubmitJob s) {
-      submit(caller, s, stopped.mayHaveRun(s.job().id(), now), now);
-    } else if (request instanceof ResubmitJob r) {
-      submit(caller, r.submission(), true, now);
-    } else if (request instanceof FallbackSubmit) {
-      answer(caller, AnswerCode.NOT_LEADER);
+    Submission submission = Submission.of(request);
+    if (submission != null) {
+      QueuedJobId id = submission.request().job().id();
+      boolean mayHaveRun = submission.wasElsewhere() || stopped.mayHaveRun(id, now);
+      submit(caller, submission.request(), mayHaveRun, now);
+      return callers.onSubmitted(caller, submission, now);
     } else if (request instanceof AskJob a) {
       answer(caller, queries.query(a.address()));
     } else if (request instanceof CancelJob c) {
@@ -124,6 +123,7 @@
       Payload document = c == null ? null : c.document();
       answer(caller, RequestAnswer.configuration(document, domainOrders.number()));
     }
+    return null;
   }
 
   /**
@@ -189,7 +189,8 @@
     callers.put(s.job().id(), caller);
     activate(job, now);
     liveJobs.markStarted(job);
-    addDecision("job_admitted", s.job().id(), "resubmitted", "waited=" + s.waitTime());
+    String inputs = "waited=" + s.waitTime() + describe(caller);
+    addDecision("job_admitted", s.job().id(), "resubmitted", inputs);
   }
 
   private void admit(Caller caller, SubmitJob s, Queue queue, Instant now) {
@@ -216,7 +217,8 @@
       return;
     }
     String objective = " objective=" + Duration.between(job.requestedAt, job.dueAt);
-    addDecision("job_admitted", s.job().id(), durable ? "kept" : "not_kept", inputs + objective);
+    String outcome = durable ? "kept" : "not_kept";
+    addDecision("job_admitted", s.job().id(), outcome, inputs + objective + describe(caller));
     callers.put(s.job().id(), caller);
     if (!durable) {
       activate(job, now);
@@ -226,6 +228,10 @@
     commits.addJob(a, at -> onAccepted(job, at));
   }
 
+  private String describe(Caller caller) {
+    return " entry=" + caller.node() + " dispatcher=" + (term == 0 ? "fallback" : "leader");
+  }
+
   private void onAccepted(LiveJob job, Instant now) {
     QueuedJobId id = job.job.id();
     Caller caller = callers.remove(id);
@@ -323,7 +329,7 @@
     held.remove(job);
     liveJobs.remove(job);
     if (failed) {
-      fleet.markRunsUnwanted(job);
+      fleet.markRunsUnwanted(job, null);
     }
     answerJobEnd(job.job.id(), phase, now);
   }
@@ -349,9 +355,10 @@
     for (LiveJob job : liveJobs.tooLateToStart(now)) {
       refuseOvertaken(job, now);
     }
+    callers.giveUpLost(now);
     for (LiveJob job : liveJobs.callerTimedOut(now)) {
       QueuedJobId id = job.job.id();
-      stopped.stop(id);
+      stopped.giveUp(job);
       callers.remove(id);
       if (job.started) {
         // A repeated request may still arrive. It must not be refused, because a refusal states
@@ -361,20 +368,14 @@
     }
   }
 
-  /** Stops the jobs whose ends a process waits for, because the process cannot be reached. */
-  void callersLost(NodeId node, Instant now) {
-    stopped.stopJobsOf(node, callers, now);
-  }
-
   /** Returns the number of callers that wait for an answer. */
   int waitingCallers() {
-    return callers.size();
+    return callers.count();
   }
 
   /** Gives all jobs up with the given answer; nothing of them may be ordered any more. */
   void giveUp(AnswerCode code) {
-    callers.values().forEach(c -> answer(c, code));
-    callers.clear();
+    callers.removeAll(c -> answer(c, code));
   }
 
   private void addDecision(String event, Object subject, String outcome, String inputs) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -14,6 +15,7 @@
 import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.LedgerCodec;
 import org.cassiastack.queue.LedgerJob;
+import org.cassiastack.request.AwaitedJobs;
 import org.cassiastack.request.LeaderRequest;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.Fences;
@@ -161,6 +163,7 @@
     startedAt = startedAt.plus(leap);
     dispatch.fleet.onClockLeaped(leap);
     dispatch.held.onClockLeaped(leap);
+    dispatch.liveJobs.all().forEach(j -> j.onClockLeaped(leap));
   }
 
   /** Returns whether the leadership lease is valid, so that no other member can be leader. */
@@ -197,9 +200,19 @@
     }
   }
 
-  /** Stops the jobs that a process waits for that has been unreachable for too long. */
-  public void onCallersLost(NodeId node, Instant now) {
-    dispatch.requests.callersLost(node, now);
+  /** Asks the entries that submit jobs, and others, which callers wait, if that is due. */
+  public void probeCallers(Collection<NodeId> others, Instant now) {
+    dispatch.probeCallers(others, now);
+  }
+
+  /** Handles the answer of an entry to a probe. */
+  public void onAwaitedJobs(NodeId entry, AwaitedJobs answer, Instant now) {
+    dispatch.onAwaitedJobs(entry, answer, now);
+  }
+
+  /** Forgets that a process is connected. */
+  public void onDisconnected(NodeId peer) {
+    dispatch.prober.onDisconnected(peer);
   }
 
   /**
@@ -234,7 +247,7 @@
       removeAgent(agent, "idle", "minion=" + report.minion());
       return;
     }
-    dispatch.grantLease(agent, w, report);
+    dispatch.grantLease(agent, w, report, now);
   }
 
   /**
@@ -283,7 +296,7 @@
    * refused one at once.
    */
   public void onRequest(NodeId from, LeaderRequest request, Instant now) {
-    dispatch.requests.handle(from, request, now);
+    dispatch.onRequest(from, request, now);
   }
 
   /**
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
@@ -8,6 +8,7 @@
 import org.cassiastack.queue.QueuedJob;
 import org.cassiastack.queue.QueuedTaskId;
 import org.cassiastack.queue.StepSpec;
+import org.jspecify.annotations.Nullable;
 
 /** The leader's state of a job that has not ended. */
 final class LiveJob {
@@ -43,6 +44,15 @@
    */
   final Instant callerTimeoutAt;
 
+  /**
+   * When the last probe was sent that showed that a caller waits; {@link Instant#MIN} before the
+   * first, null if callers are not probed for this job.
+   */
+  @Nullable Instant confirmedAt;
+
+  /** When the job is given up unless it is confirmed before. */
+  Instant keptUntil = Instant.MAX;
+
   /** Whether any task may have been started, as far as this leader knows. */
   boolean started;
 
@@ -73,6 +83,18 @@
     this.uselessAt = callerTimeoutAt.isBefore(end) ? callerTimeoutAt : end;
   }
 
+  void keepUntil(Instant time) {
+    keptUntil = time.isAfter(keptUntil) ? time : keptUntil;
+  }
+
+  /**
+   * Moves the time at which the job is given up: a leap of the clock is no silence of its entry.
+   */
+  void onClockLeaped(Duration leap) {
+    boolean isLimited = !keptUntil.equals(Instant.MAX) && !keptUntil.equals(Instant.MIN);
+    keptUntil = isLimited ? keptUntil.plus(leap) : keptUntil;
+  }
+
   boolean isDone() {
     return steps.stream().allMatch(LiveStep::isDone);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJobs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJobs.java
@@ -1,6 +1,7 @@
 package org.cassiastack.schedule.internal;
 
 import java.time.Instant;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -151,6 +152,10 @@
     return tooLate;
   }
 
+  Collection<LiveJob> all() {
+    return jobs.values();
+  }
+
   /** Returns the jobs whose caller has stopped waiting. */
   List<LiveJob> callerTimedOut(Instant now) {
     return jobs.values().stream().filter(j -> now.isAfter(j.callerTimeoutAt)).toList();
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
@@ -33,6 +33,12 @@
   /** Whether the run was found at an agent and its job was not known then. */
   boolean isOfUnknownJob;
 
+  /**
+   * When the last probe was sent that was answered for the job, if the job was given up because its
+   * caller may send it again; null for other runs that are no longer needed.
+   */
+  private @Nullable Instant lastConfirmedAt;
+
   /** Whether the run is being stopped so that its task can start on another worker. */
   boolean isMoving;
 
@@ -103,6 +109,29 @@
     return claimed;
   }
 
+  /**
+   * Records that the job was given up.
+   *
+   * @param lastConfirmed when the last probe was sent that was answered for the job, or null if its
+   *     caller will not send it again
+   */
+  void giveUp(@Nullable Instant lastConfirmed) {
+    step = null;
+    lastConfirmedAt = lastConfirmed;
+  }
+
+  /**
+   * Returns when the last probe was sent that was answered for the job of this run; {@link
+   * Instant#MIN} if none is known to have been, null if the run need not end with its caller.
+   */
+  @Nullable Instant confirmedAt() {
+    LiveStep s = step;
+    if (s != null) {
+      return s.job.confirmedAt;
+    }
+    return isOfUnknownJob ? Instant.MIN : lastConfirmedAt;
+  }
+
   /** Returns whether the run has to be stopped. */
   boolean isUnwanted() {
     return step == null || isMoving;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/StoppedJobs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/StoppedJobs.java
@@ -1,12 +1,10 @@
 package org.cassiastack.schedule.internal;
 
 import java.time.Instant;
-import java.util.List;
-import java.util.Map;
-import org.cassiastack.model.NodeId;
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.RequestAnswer;
+import org.jspecify.annotations.Nullable;
 
 /** Stops jobs before their end. */
 final class StoppedJobs {
@@ -23,38 +21,32 @@
     this.fleet = fleet;
   }
 
-  /** Removes a live job and stops its runs. */
+  /** Removes a live job that its caller will not send again, and stops its runs. */
   void stop(QueuedJobId id) {
     LiveJob job = liveJobs.find(id);
     if (job != null) {
-      held.remove(job);
-      liveJobs.remove(job);
-      if (job.started) {
-        fleet.markRunsUnwanted(job);
-      }
+      remove(job, null);
     }
   }
 
-  /**
-   * Stops the jobs that are not durable and whose ends a process waits for. Its callers may send
-   * them to another dispatcher.
-   */
-  void stopJobsOf(NodeId node, Map<QueuedJobId, Caller> callers, Instant now) {
-    List<QueuedJobId> waitedFor =
-        callers.entrySet().stream()
-            .filter(e -> e.getValue().node().equals(node))
-            .map(Map.Entry::getKey)
-            .toList();
-    for (QueuedJobId id : waitedFor) {
-      LiveJob job = liveJobs.find(id);
-      if (job == null || job.job.durable()) {
-        continue;
-      }
-      callers.remove(id);
-      stop(id);
-      if (job.started) {
-        ofLostCallers.add(id, RequestAnswer.of(AnswerCode.UNANSWERED), now);
-      }
+  /** Removes a live job that its caller may send again, and stops its runs before. */
+  void giveUp(LiveJob job) {
+    remove(job, job.confirmedAt);
+  }
+
+  /** Gives up a live job whose caller may be lost, and may send it again before long. */
+  void giveUpLost(LiveJob job, Instant now) {
+    giveUp(job);
+    if (job.started) {
+      ofLostCallers.add(job.job.id(), RequestAnswer.of(AnswerCode.UNANSWERED), now);
+    }
+  }
+
+  private void remove(LiveJob job, @Nullable Instant lastConfirmed) {
+    held.remove(job);
+    liveJobs.remove(job);
+    if (job.started) {
+      fleet.markRunsUnwanted(job, lastConfirmed);
     }
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackControllerTest.java
@@ -13,6 +13,7 @@
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.queue.JobPhase;
+import org.cassiastack.queue.QueuedTaskId;
 import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.CancelJob;
@@ -197,6 +198,46 @@
     assertThat(sent(RunOrders.class)).anyMatch(o -> o.stops().contains(run));
   }
 
+  /**
+   * Guards against a run beside that of a leader, to which a lost caller has sent the job again.
+   */
+  @Test
+  void stops_the_jobs_of_an_entry_that_does_not_confirm_them() {
+    engage();
+    report(FENCE);
+    submit(false, 1);
+    RunId run = started().get(0);
+    reportFor(900);
+    boolean stoppedEarly = sent(RunOrders.class).stream().anyMatch(o -> !o.stops().isEmpty());
+
+    callerWaits = false;
+    reportFor(900);
+
+    assertThat(stoppedEarly).isFalse();
+    assertThat(sent(RunOrders.class)).anyMatch(o -> o.stops().contains(run));
+  }
+
+  private void reportFor(int millis) {
+    for (int i = 0; i < millis / 100; i++) {
+      wait(Duration.ofMillis(100));
+      report(FENCE);
+    }
+  }
+
+  @Test
+  void extends_no_lease_of_an_agent_with_runs_of_another_dispatcher() {
+    engage();
+    running.put(new RunId(new QueuedTaskId(ID, 0, 0, 0), 4_511), true);
+
+    report(FENCE - 1);
+    report(FENCE);
+
+    assertThat(sent(AgentLease.class))
+        .hasSize(2)
+        .extracting(AgentLease::duration)
+        .containsOnly(Duration.ZERO);
+  }
+
   @Test
   void refuses_nothing_of_a_job_that_it_has_stopped_and_runs_it_again() {
     engage();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedEntry.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedEntry.java
@@ -43,6 +43,26 @@
     simulation.callers().entryLost(this);
   }
 
+  /**
+   * Ends the process without a sign to other processes: they notice after a time-out, its callers
+   * at once.
+   */
+  void losePower() {
+    if (!isUp() || isPaused()) {
+      return;
+    }
+    int lost = incarnation();
+    pause();
+    simulation.callers().entryLost(this);
+    simulation.runAfter(
+        SimulatedNetwork.DISCONNECT_MILLIS,
+        () -> {
+          if (incarnation() == lost) {
+            kill();
+          }
+        });
+  }
+
   FailureDomain domain() {
     return domain;
   }
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/LeaderClient.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/LeaderClient.java
@@ -19,6 +19,7 @@
 import org.cassiastack.request.DomainOrder;
 import org.cassiastack.request.DomainRevision;
 import org.cassiastack.request.LeaderRequest;
+import org.cassiastack.request.RequestAbandoned;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.RequestAnswered;
 import org.cassiastack.request.RequestPosted;
@@ -55,7 +56,7 @@
    *
    * @param requestFactory creates the request from the request id that is passed to it
    * @param timeout time within which an answer is useful
-   * @return the answer, which arrives exactly once
+   * @return the answer, which arrives exactly once; a cancellation says that nobody waits for it
    */
   public Mono<RequestAnswer> request(LongFunction<LeaderRequest> requestFactory, Duration timeout) {
     return post(id -> new RequestPosted(requestFactory.apply(id), time.now().plus(timeout)));
@@ -88,10 +89,17 @@
         sink -> {
           long requestId = lastRequestId.incrementAndGet();
           pendingRequests.put(requestId, sink);
+          sink.onCancel(() -> abandon(requestId));
           events.accept(eventFactory.apply(requestId));
         });
   }
 
+  private void abandon(long requestId) {
+    if (pendingRequests.remove(requestId) != null) {
+      events.accept(new RequestAbandoned(requestId));
+    }
+  }
+
   /** Returns a filter chain whose last step sends a caller's request to the leader. */
   public FilterChain<CallerRequest, RequestAnswer> chain(
       List<RequestFilter<CallerRequest, RequestAnswer>> filters) {
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/codec/MessageType.java
@@ -30,6 +30,9 @@
 import org.cassiastack.protocol.Welcome;
 import org.cassiastack.request.AskJob;
 import org.cassiastack.request.AskQueueConfiguration;
+import org.cassiastack.request.AwaitedJobs;
+import org.cassiastack.request.AwaitedSubmit;
+import org.cassiastack.request.CallerProbe;
 import org.cassiastack.request.CancelJob;
 import org.cassiastack.request.FallbackSubmit;
 import org.cassiastack.request.LeaderNotice;
@@ -142,7 +145,13 @@
   /** Entry to fallback dispatcher: a job that was sent to no other process. */
   FALLBACK_SUBMIT(103, FallbackSubmit.class),
   /** Entry to leader: a job that was sent to another dispatcher before. */
-  RESUBMIT_JOB(104, ResubmitJob.class);
+  RESUBMIT_JOB(104, ResubmitJob.class),
+  /** Dispatcher to entry: request for the jobs that callers wait for. */
+  CALLER_PROBE(105, CallerProbe.class),
+  /** Entry to dispatcher: the jobs that callers wait for. */
+  AWAITED_JOBS(106, AwaitedJobs.class),
+  /** Entry to leader: a job whose caller waits. */
+  AWAITED_SUBMIT(107, AwaitedSubmit.class);
 
   private static final Map<Class<?>, MessageType> BY_CLASS = new HashMap<>();
   private static final Map<Integer, MessageType> BY_NUMBER = new HashMap<>();
