Hand the waiting callers to the handler of requests

JobDispatch holds the callers and the stopped jobs, so that answers to probes and lost connections do not go through LeaderRequestHandler. No change of behaviour.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
@@ -100,8 +100,8 @@
 
   /** Stops the jobs of a process to which the connection was lost. */
   public void onDisconnected(NodeId peer, Instant now) {
-    dispatch.requests.callers.giveUpAllOf(peer, now);
-    dispatch.prober.onDisconnected(peer);
+    dispatch.giveUpAllOf(peer, now);
+    dispatch.onDisconnected(peer);
   }
 
   /** Handles the answer of an entry to a probe. */
@@ -154,7 +154,7 @@
 
   /** Returns the number of callers that wait for the end of their job. */
   public int waitingCallers() {
-    return dispatch.requests.waitingCallers();
+    return dispatch.waitingCallers();
   }
 
   /**
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
@@ -30,8 +30,9 @@
   final Fleet fleet;
   final HeldJobs held;
   final LeaderRequestHandler requests;
-  final CallerProber prober = new CallerProber();
+  private final CallerProber prober = new CallerProber();
   private final CallerLeases callerLeases;
+  private final WaitingCallers callers;
   private final long fence;
   private final RunEventHandler runEvents;
   private final Dispatcher dispatcher;
@@ -65,6 +66,8 @@
     this.fleet = new Fleet(settings, runEvents);
     this.callerLeases = CallerLeases.of(settings, ledger::contains);
     this.held = new HeldJobs(settings.leaseExpiryTimeout());
+    StoppedJobs stopped = new StoppedJobs(liveJobs, held, fleet);
+    this.callers = new WaitingCallers(liveJobs, stopped, callerLeases, decisions);
     this.requests =
         new LeaderRequestHandler(
             replyTerm,
@@ -77,7 +80,8 @@
             (to, reply) -> effects.add(new Send(to, reply)),
             capacityKnown,
             settings.fallback(),
-            callerLeases);
+            stopped,
+            callers);
     this.dispatcher =
         new Dispatcher(
             liveJobs,
@@ -139,7 +143,7 @@
 
   /** Handles the answer to a probe. */
   void onAwaitedJobs(NodeId from, AwaitedJobs answer, Instant now) {
-    if (requests.callers.onConfirmed(from, answer, now)) {
+    if (callers.onConfirmed(from, answer, now)) {
       dispatcher.forceNextRound();
     }
   }
@@ -149,6 +153,21 @@
     prober.probeAll(others, now, effects);
   }
 
+  /** Returns the number of callers that wait for an answer. */
+  int waitingCallers() {
+    return callers.count();
+  }
+
+  /** Gives up the jobs that are not durable and whose ends a process waits for. */
+  void giveUpAllOf(NodeId node, Instant now) {
+    callers.giveUpAllOf(node, now);
+  }
+
+  /** Sends no probes to a process any more until it connects again. */
+  void onDisconnected(NodeId peer) {
+    prober.onDisconnected(peer);
+  }
+
   /** Grants the agent of a worker the lease that its last report asked for. */
   void grantLease(NodeId agent, WorkerState w, AgentReport report, Instant now) {
     MinionProfile m = w.minion;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -48,7 +48,7 @@
   /** Whether jobs that were refused or run by another dispatcher may come to this one. */
   private final boolean fallback;
 
-  final WaitingCallers callers;
+  private final WaitingCallers callers;
 
   private final RecentAnswers recentAnswers = RecentAnswers.ofEnds();
 
@@ -75,7 +75,8 @@
       ReplySender replies,
       BooleanSupplier capacityKnown,
       boolean fallback,
-      CallerLeases callerLeases) {
+      StoppedJobs stopped,
+      WaitingCallers callers) {
     this.term = term;
     this.held = held;
     this.fallback = fallback;
@@ -86,8 +87,8 @@
     this.decisions = decisions;
     this.replies = replies;
     this.capacityKnown = capacityKnown;
-    this.stopped = new StoppedJobs(liveJobs, held, fleet);
-    this.callers = new WaitingCallers(liveJobs, stopped, callerLeases, decisions);
+    this.stopped = stopped;
+    this.callers = callers;
     this.queries = new JobQueries(ledger, liveJobs);
     this.delays = new QueueingDelays(ledger, liveJobs, fleet, capacityKnown);
     this.domainOrders = new DomainOrders(term, commits, decisions, this::answer);
@@ -368,11 +369,6 @@
     }
   }
 
-  /** Returns the number of callers that wait for an answer. */
-  int waitingCallers() {
-    return callers.count();
-  }
-
   /** Gives all jobs up with the given answer; nothing of them may be ordered any more. */
   void giveUp(AnswerCode code) {
     callers.removeAll(c -> answer(c, code));
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -210,9 +210,9 @@
     dispatch.onAwaitedJobs(entry, answer, now);
   }
 
-  /** Forgets that a process is connected. */
+  /** Handles the loss of the connection to a process, whose jobs are kept while confirmed. */
   public void onDisconnected(NodeId peer) {
-    dispatch.prober.onDisconnected(peer);
+    dispatch.onDisconnected(peer);
   }
 
   /**
