Log what an agent and a leader count on when a minion restarts

An agent logs the incarnation that it adopts with what was open at the former one, and the expiry of the runs of a silent minion. run_gone names its cause and the incarnation. The lines are written for failures and restarts only. The timing of hold calls moves to a class of its own, without a change of behaviour.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -79,6 +79,7 @@
   @Override
   public List<Effect> on(Event event, Instant now) {
     List<Effect> effects = new ArrayList<>();
+    MinionProfile former = minion.profile();
     if (event instanceof MinionAnnounced a) {
       if (minion.onAnnounced(a, now)) {
         reportDue = true;
@@ -107,12 +108,36 @@
       totalLeap = totalLeap.plus(c.by());
       minion.onClockLeaped(c.by());
     } else if (event instanceof Tick) {
-      reportDue |= minion.onTick(now) || !now.isBefore(reportedAt.plus(REPORT_INTERVAL));
+      boolean runsExpired = minion.onTick(now);
+      if (runsExpired) {
+        String inputs = "unresolved=" + minion.unresolved().size() + " fence=" + fence;
+        Object life = former == null ? "none" : former.life();
+        effects.add(Decision.of("minion_runs_expired", life, "silent", inputs));
+      }
+      reportDue |= runsExpired || !now.isBefore(reportedAt.plus(REPORT_INTERVAL));
       reportDue |= holders.onTick(fallbackDomain(now), now, effects);
     }
+    logNewIncarnation(former, effects);
     return effects;
   }
 
+  private void logNewIncarnation(@Nullable MinionProfile former, List<Effect> effects) {
+    MinionProfile p = minion.profile();
+    if (p == null || (former != null && former.life().equals(p.life()))) {
+      return;
+    }
+    boolean sameIdentity = former != null && former.life().id().equals(p.life().id());
+    String outcome = sameIdentity ? "same_identity" : "new_identity";
+    String inputs =
+        "former="
+            + (former == null ? "none" : former.life())
+            + " fence="
+            + fence
+            + " "
+            + minion.formerExpectations();
+    effects.add(Decision.of("minion_adopted", p.life(), outcome, inputs));
+  }
+
   /** Sends the calls and the report that are due after all events of the turn. */
   @Override
   public List<Effect> endTurn(Instant now) {
--- /dev/null
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/HoldCalls.java
@@ -0,0 +1,114 @@
+package org.cassiastack.agent;
+
+import java.time.Duration;
+import java.time.Instant;
+
+/** When hold calls are sent to a minion, and for how long an answer confirms its incarnation. */
+final class HoldCalls {
+  /**
+   * How long an answered hold call confirms the incarnation of the minion, counted from the sending
+   * of the call: two waits and a margin. A process takes longer than that to restart.
+   */
+  private static final Duration VERIFICATION_VALIDITY = Duration.ofMillis(450);
+
+  /**
+   * Delay before the next hold call while the minion lists ended runs that the leader has yet to
+   * acknowledge.
+   */
+  private static final Duration UNACKNOWLEDGED_DELAY = Duration.ofMillis(30);
+
+  /** Delay before the next hold call after a failed call, counted from the next tick. */
+  private static final Duration RETRY_DELAY = Duration.ofMillis(50);
+
+  private long lastNumber;
+  private boolean inFlight;
+  private Instant sentAt = Instant.MIN;
+
+  /** When the last call was sent that the current incarnation of the minion has answered. */
+  private Instant verifiedAt = Instant.MIN;
+
+  /** Earliest time of the next call; {@link Instant#MAX} between a failure and the next tick. */
+  private Instant nextAt = Instant.MIN;
+
+  /** Returns the number of the next call. */
+  long nextNumber() {
+    return lastNumber + 1;
+  }
+
+  /** Returns whether a call has neither been answered nor failed. */
+  boolean isInFlight() {
+    return inFlight;
+  }
+
+  /** Returns whether an outcome is that of the call in flight. */
+  boolean isAwaited(long number) {
+    return inFlight && number == lastNumber;
+  }
+
+  /**
+   * Returns whether calls are known to reach the incarnation that they are meant for. After a time
+   * without answers, the minion may have restarted under the same identity, and the new incarnation
+   * would accept calls that are meant for the previous one.
+   */
+  boolean isVerified(Instant now) {
+    return !now.isAfter(verifiedAt.plus(VERIFICATION_VALIDITY));
+  }
+
+  /** Makes the next call due at once; the incarnation is unconfirmed until it is answered. */
+  void verifyAgain() {
+    verifiedAt = Instant.MIN;
+    inFlight = false;
+    lastNumber++;
+    nextAt = Instant.MIN;
+  }
+
+  /** Makes the next call due as soon as no call is in flight. */
+  void makeDue() {
+    nextAt = Instant.MIN;
+  }
+
+  /**
+   * Records the answer to the call in flight.
+   *
+   * @param awaitsAcknowledgement whether the minion lists ends that cannot be acknowledged yet
+   */
+  void answered(boolean awaitsAcknowledgement, Instant now) {
+    inFlight = false;
+    verifiedAt = sentAt;
+    nextAt = awaitsAcknowledgement ? now.plus(UNACKNOWLEDGED_DELAY) : Instant.MIN;
+  }
+
+  /** Records that the call in flight has failed. */
+  void failed() {
+    inFlight = false;
+    verifiedAt = Instant.MIN;
+    nextAt = Instant.MAX;
+  }
+
+  /** Sets the time of the next call after a failed one. */
+  void onTick(Instant now) {
+    if (nextAt.equals(Instant.MAX)) {
+      nextAt = now.plus(RETRY_DELAY);
+    }
+  }
+
+  /** Returns when a call or a tick is due; {@link Instant#MAX} while a call is in flight. */
+  Instant nextTickAt(Instant now) {
+    if (inFlight) {
+      return Instant.MAX;
+    }
+    return nextAt.equals(Instant.MAX) ? now : nextAt;
+  }
+
+  boolean isDue(Instant now) {
+    return !inFlight && !now.isBefore(nextAt);
+  }
+
+  /** Records that a call is sent; returns its number. */
+  long send(Instant now) {
+    inFlight = true;
+    sentAt = now;
+    lastNumber++;
+    return lastNumber;
+  }
+}
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -19,21 +19,6 @@
    */
   private static final Duration HOLD_MAX_WAIT = Duration.ofMillis(200);
 
-  /**
-   * How long an answered hold call confirms the incarnation of the minion, counted from the sending
-   * of the call: two waits and a margin. A process takes longer than that to restart.
-   */
-  private static final Duration VERIFICATION_VALIDITY = Duration.ofMillis(450);
-
-  /**
-   * Delay before the next hold call while the minion lists ended runs that the leader has yet to
-   * acknowledge.
-   */
-  private static final Duration UNACKNOWLEDGED_DELAY = Duration.ofMillis(30);
-
-  /** Delay before the next hold call after a failed call, counted from the next tick. */
-  private static final Duration RETRY_DELAY = Duration.ofMillis(50);
-
   /**
    * A minion that has not answered for this long, in addition to {@link #HOLD_MAX_WAIT}, is
    * unreachable and gets no more work.
@@ -42,6 +27,7 @@
 
   private final AgentSettings settings;
   private final MinionClock clock = new MinionClock();
+  private final HoldCalls holds = new HoldCalls();
   private final PendingStarts starts = new PendingStarts();
   private final RevokedRuns revoked = new RevokedRuns();
   private @Nullable MinionProfile profile;
@@ -65,18 +51,8 @@
   /** What the last hold call has acknowledged. */
   private long acknowledgedByHold;
 
-  private long lastHoldNumber;
-  private boolean holdInFlight;
-
-  /** When the last hold call was sent that the current incarnation of the minion has answered. */
-  private Instant verifiedAt = Instant.MIN;
-
-  private Instant holdSentAt = Instant.MIN;
-
-  /**
-   * Earliest time of the next hold call; {@link Instant#MAX} between a failure and the next tick.
-   */
-  private Instant nextHold = Instant.MIN;
+  /** What was open when the current incarnation began, for the log. */
+  private String formerExpectations = "";
 
   private Instant answeredAt = Instant.MIN;
   private Instant listedAt = Instant.MIN;
@@ -92,6 +68,14 @@
     return profile;
   }
 
+  /**
+   * Returns what was open at the former incarnation of the minion when the current one took its
+   * place, as key=value pairs for the log.
+   */
+  String formerExpectations() {
+    return formerExpectations;
+  }
+
   boolean isIncarnation(MinionIncarnation minionIncarnation) {
     MinionProfile p = profile;
     return p != null && p.life().equals(minionIncarnation);
@@ -134,7 +118,7 @@
       return applyAnnouncement(a);
     }
     successor = a;
-    verifyAgain();
+    holds.verifyAgain();
     return false;
   }
 
@@ -152,14 +136,6 @@
     return !a.profile().equals(previous);
   }
 
-  /** Makes the next hold call due at once, and sends no starts until it is answered. */
-  private void verifyAgain() {
-    verifiedAt = Instant.MIN;
-    holdInFlight = false;
-    lastHoldNumber++;
-    nextHold = Instant.MIN;
-  }
-
   /**
    * Handles the end of the minion and all its runs; returns whether the profile changes. A minion
    * announces that it drains before it leaves. Otherwise the call may be one of a former
@@ -172,7 +148,7 @@
       return false;
     }
     if (!p.draining()) {
-      verifyAgain();
+      holds.verifyAgain();
       return false;
     }
     lists = RunLists.EMPTY;
@@ -188,7 +164,7 @@
         && isIncarnation(minionIncarnation)
         && newAcknowledgedThrough > acknowledgedThrough) {
       acknowledgedThrough = newAcknowledgedThrough;
-      nextHold = Instant.MIN;
+      holds.makeDue();
     }
   }
 
@@ -226,22 +202,20 @@
 
   /** Handles the outcome of a start call; returns whether the agent should report to the leader. */
   boolean onStartAnswered(StartAnswered a) {
-    return starts.onStartAnswered(a, lastHoldNumber + 1);
+    return starts.onStartAnswered(a, holds.nextNumber());
   }
 
   /** Handles the outcome of a stop call, which may resolve a start that was revoked. */
   void onStopAnswered(StopAnswered a) {
-    starts.onStopAnswered(a, lastHoldNumber + 1);
+    starts.onStopAnswered(a, holds.nextNumber());
     revoked.onStopAnswered(a);
   }
 
   /** Handles the minion's run lists; returns whether the agent should report to the leader. */
   boolean onHoldAnswered(HoldAnswered h, Instant now) {
-    if (h.number() != lastHoldNumber || !holdInFlight) {
+    if (!holds.isAwaited(h.number())) {
       return false;
     }
-    holdInFlight = false;
-    verifiedAt = holdSentAt;
     hasAnswered = true;
     successor = null;
     answeredAt = now;
@@ -255,18 +229,16 @@
     revoked.onLists(lists, starts.runs());
     boolean nothingToAcknowledge =
         lists.ended().isEmpty() || acknowledgedThrough > acknowledgedByHold;
-    nextHold = nothingToAcknowledge ? Instant.MIN : now.plus(UNACKNOWLEDGED_DELAY);
+    holds.answered(!nothingToAcknowledge, now);
     return changed || !lists.allEndsListed();
   }
 
   /** Handles a hold call without a valid answer; returns whether the profile changes. */
   boolean onHoldFailed(long number) {
-    if (number != lastHoldNumber || !holdInFlight) {
+    if (!holds.isAwaited(number)) {
       return false;
     }
-    holdInFlight = false;
-    verifiedAt = Instant.MIN;
-    nextHold = Instant.MAX;
+    holds.failed();
     MinionAnnounced announced = successor;
     successor = null;
     return announced != null && applyAnnouncement(announced);
@@ -285,9 +257,7 @@
 
   /** Advances time; returns whether all runs are now known to have expired. */
   boolean onTick(Instant now) {
-    if (nextHold.equals(Instant.MAX)) {
-      nextHold = now.plus(RETRY_DELAY);
-    }
+    holds.onTick(now);
     if (mayHaveRuns() && !isReachable(now) && now.isAfter(runsExpireAt)) {
       lists = lists.withoutRuns();
       starts.onDeadlinesPassed();
@@ -302,8 +272,7 @@
     if (profile == null) {
       return Instant.MAX;
     }
-    Instant at = nextHold.equals(Instant.MAX) ? now : nextHold;
-    at = holdInFlight ? Instant.MAX : at;
+    Instant at = holds.nextTickAt(now);
     Instant stopAt = revoked.nextCallAt();
     at = stopAt.isBefore(at) ? stopAt : at;
     Instant expiry = runsExpireAt.isBefore(unreachableAt()) ? unreachableAt() : runsExpireAt;
@@ -326,12 +295,10 @@
       starts.sendDueCalls(p.life(), fence, until, now, effects);
       revoked.sendDueCalls(p.life(), starts.runs(), fence, now, effects);
     }
-    if (holdInFlight || now.isBefore(nextHold)) {
+    if (!holds.isDue(now)) {
       return;
     }
-    holdInFlight = true;
-    lastHoldNumber++;
-    holdSentAt = now;
+    long number = holds.send(now);
     long leaseDeadlineMillis =
         now.isBefore(until) && clock.isKnown() ? leaseDeadlineMillis(until, now) : 0;
     boolean unacknowledged =
@@ -340,7 +307,7 @@
     acknowledgedByHold = verified ? acknowledgedThrough : 0;
     effects.add(
         new CallHold(
-            lastHoldNumber,
+            number,
             p.life(),
             fence,
             acknowledgedByHold,
@@ -348,13 +315,9 @@
             verified && !unacknowledged ? HOLD_MAX_WAIT : Duration.ZERO));
   }
 
-  /**
-   * Returns whether calls are known to reach the incarnation that they are meant for. After a time
-   * without answers, the minion may have restarted under the same identity, and the new incarnation
-   * would accept calls that are meant for the previous one.
-   */
+  /** Returns whether calls are known to reach the incarnation that they are meant for. */
   boolean isVerified(Instant now) {
-    return !now.isAfter(verifiedAt.plus(VERIFICATION_VALIDITY));
+    return holds.isVerified(now);
   }
 
   /**
@@ -378,6 +341,7 @@
    * then revoked.
    */
   private void beginIncarnation(boolean sameIdentity) {
+    formerExpectations = expectations();
     lists = RunLists.EMPTY;
     if (sameIdentity) {
       starts.revokeAll();
@@ -391,7 +355,18 @@
     acknowledgedWhenListed = 0;
     successor = null;
     hasAnswered = false;
-    verifyAgain();
+    holds.verifyAgain();
     runsExpireAt = Instant.MIN;
   }
+
+  private String expectations() {
+    return "hold_unanswered="
+        + holds.isInFlight()
+        + " running="
+        + lists.running().size()
+        + " unresolved="
+        + starts.runs().size()
+        + " runs_until="
+        + (runsExpireAt.equals(Instant.MIN) ? "none" : runsExpireAt);
+  }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -186,7 +186,7 @@
     int runCount = w.runs.size();
     boolean wasSynced = w.synced;
     if (former != null && !former.life().equals(m.life())) {
-      loseRuns(w, now);
+      loseRuns(w, RunLoss.NEW_INCARNATION, now);
       w.resetForNewMinion();
     }
     w.minion = m;
@@ -318,15 +318,15 @@
     if (!w.leasedAt.equals(Instant.MIN)
         && now.isAfter(w.leasedAt.plus(settings.leaseExpiryTimeout()))) {
       w.leasedAt = Instant.MIN;
-      loseRuns(w, now);
+      loseRuns(w, RunLoss.LEASE_EXPIRED, now);
     }
   }
 
-  private void loseRuns(WorkerState w, Instant now) {
+  private void loseRuns(WorkerState w, RunLoss loss, Instant now) {
     for (RunId id : List.copyOf(w.runs.keySet())) {
       Run run = w.remove(id);
       if (run != null) {
-        listener.runLost(w, run, now);
+        listener.runLost(w, run, loss, now);
       }
     }
   }
@@ -371,7 +371,7 @@
     for (Run run : List.copyOf(w.runs.values())) {
       if (!listed.contains(run.id) && run.orderNumber <= processedOrdersThrough) {
         w.remove(run.id);
-        listener.runLost(w, run, now);
+        listener.runLost(w, run, RunLoss.NOT_LISTED, now);
       }
     }
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
@@ -101,8 +101,17 @@
   }
 
   @Override
-  public void runLost(WorkerState w, Run run, Instant now) {
-    String inputs = "agent=" + w.agent + " ordered_ago=" + Duration.between(run.orderedAt, now);
+  public void runLost(WorkerState w, Run run, RunLoss loss, Instant now) {
+    MinionProfile m = w.minion;
+    String inputs =
+        "agent="
+            + w.agent
+            + " ordered_ago="
+            + Duration.between(run.orderedAt, now)
+            + " cause="
+            + loss.logValue()
+            + " life="
+            + (m == null ? null : m.life());
     decisions.accept(Decision.of("run_gone", run.id, "not_there", inputs));
     LiveStep step = run.step;
     if (step != null && liveJobs.findStep(run.id.task()) == step) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunListener.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunListener.java
@@ -19,7 +19,7 @@
    * Called when a run does not exist and cannot start any more: it never started, its minion
    * restarted, or its lease expired.
    */
-  void runLost(WorkerState worker, Run run, Instant now);
+  void runLost(WorkerState worker, Run run, RunLoss loss, Instant now);
 
   /**
    * Called when a report names a run that this leader has no record of.
