Tests: tell by the order which dispatcher has started a run

The callers of the simulation took the fence of a start call for that of the dispatcher that ordered the run. The fence of a call may also differ between the incarnations of a minion. The fence of the order that reached the agent now decides.

--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
@@ -134,7 +134,7 @@
     running.put(run, incarnationNumber);
     startMillis.put(run, simulation.millis());
     simulation.runChecker().started(this, run);
-    simulation.callers().started(run, c.fence());
+    simulation.callers().started(run);
     long runMillis = simulation.runModel().millisOf(run);
     simulation.runAfter(runMillis, () -> finish(run, startIncarnation));
     return StartAnswered.Outcome.STARTED;
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedCallers.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedCallers.java
@@ -22,6 +22,7 @@
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.runs.Fences;
 import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunOrders;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -51,6 +52,9 @@
   /** First start in each term of a leader of a job that arrived after its election. */
   private final Map<Long, Long> firstStarts = new HashMap<>();
 
+  /** Fence of the dispatcher that has ordered each run. */
+  private final Map<RunId, Long> orderFences = new HashMap<>();
+
   private boolean calling;
   private int engagements;
   private int startsByFallback;
@@ -216,11 +220,17 @@
             });
   }
 
-  void started(RunId run, long fence) {
+  /** Records orders that reach an agent. */
+  void ordered(RunOrders orders) {
+    orders.starts().forEach(o -> orderFences.put(o.run(), orders.fence()));
+  }
+
+  void started(RunId run) {
     Call c = calls.get(run.task().job());
     if (c == null) {
       return;
     }
+    long fence = orderFences.getOrDefault(run, 0L);
     assertThat(c.refused).as(simulation + " start of a refused job " + c).isFalse();
     startedJobs.add(c.job.id());
     startsByFallback += Fences.isFallback(fence) ? 1 : 0;
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNetwork.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNetwork.java
@@ -11,6 +11,7 @@
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
+import org.cassiastack.runs.RunOrders;
 
 /** The connections between simulated processes. A link can be cut or slow in one direction. */
 final class SimulatedNetwork {
@@ -115,6 +116,9 @@
         at - simulation.millis(),
         () -> {
           if (!cutLinks.contains(link) && connectedLinks.contains(link)) {
+            if (s.message() instanceof RunOrders o) {
+              simulation.callers().ordered(o);
+            }
             to.on(new Received(from.node, s.message()), incarnation);
           }
         });
