Tests: let late calls reach the next incarnation of a minion

The simulation of the queue dropped a late call when the minion restarted, and each call to a minion that was down. The users' protocol allows both to be carried out by the next incarnation.

--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
@@ -177,6 +177,11 @@
     return !ended.isEmpty();
   }
 
+  /** Returns whether the minion has active runs. */
+  boolean isBusy() {
+    return !running.isEmpty();
+  }
+
   int incarnationNumber() {
     return incarnationNumber;
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueFaultProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueFaultProperties.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.function.BiConsumer;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
@@ -40,6 +41,12 @@
   }
 
   static void runSimulation(QueueSimulation simulation, Random random) {
+    runSimulation(simulation, random, QueueFaultProperties::injectFault);
+  }
+
+  /** Runs jobs beside the faults of an injector, and checks how the jobs end. */
+  static void runSimulation(
+      QueueSimulation simulation, Random random, BiConsumer<QueueSimulation, Random> faults) {
     simulation.run(START_MILLIS);
     simulation.configure(1);
     simulation.run(200);
@@ -47,7 +54,7 @@
     List<QueuedJobId> jobs = new ArrayList<>();
 
     for (int i = 0; i < 25; i++) {
-      injectFault(simulation, random);
+      faults.accept(simulation, random);
       for (int j = 0; j < 4; j++) {
         jobs.add(simulation.submit(1 + random.nextInt(4), random.nextInt(4) == 0));
         simulation.submitNonDurable(1 + random.nextInt(4));
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobProperties.java
@@ -153,7 +153,8 @@
     assertThat(simulation.runChecker().startsOf(job)).isEqualTo(2);
   }
 
-  private static QueueSimulation start(long seed) {
+  /** Starts a simulation with fallback dispatchers, long runs and patient callers. */
+  static QueueSimulation start(long seed) {
     QueueSimulation simulation = QueueSimulation.withFallback(seed);
     simulation.callers().setProfile(CALLERS);
     simulation.runModel().lengthenRuns(RUN_TIME_FACTOR);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedAgent.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedAgent.java
@@ -55,6 +55,7 @@
     int incarnation = incarnation();
     if (effect instanceof CallStart c) {
       call(
+          c,
           () -> minion.start(c),
           outcome -> on(new StartAnswered(c.order().run(), outcome), incarnation),
           () ->
@@ -63,6 +64,7 @@
                   incarnation));
     } else if (effect instanceof CallStop c) {
       call(
+          c,
           () -> {
             minion.stop(c);
             return true;
@@ -76,10 +78,12 @@
           waitMillis,
           () -> {
             if (minion.incarnationNumber() != calledIncarnation) {
+              takeLate(c, () -> minion.hold(c));
               on(new HoldFailed(c.number()), incarnation);
               return;
             }
             call(
+                c,
                 () -> minion.hold(c),
                 answer -> on(answer == null ? new HoldFailed(c.number()) : answer, incarnation),
                 () -> on(new HoldFailed(c.number()), incarnation));
@@ -87,15 +91,19 @@
     }
   }
 
-  private <T> void call(Call<T> call, Answer<T> answer, Runnable unanswered) {
+  private <T> void call(Effect effect, Call<T> call, Answer<T> answer, Runnable unanswered) {
     int calledIncarnation = minion.incarnationNumber();
     simulation.runAfter(
         1,
         () -> {
           if (!minion.isUp() || minion.incarnationNumber() != calledIncarnation) {
+            takeLate(effect, call);
             simulation.runAfter(1, unanswered);
+          } else if (simulation.runModel().lateCalls().holdsBack(effect)) {
+            takeLate(effect, call);
+            simulation.runAfter(CALL_TIMEOUT_MILLIS, unanswered);
           } else if (simulation.runModel().leavesCallUnanswered()) {
-            if (simulation.random().nextBoolean()) {
+            if (!takeLate(effect, call) && simulation.random().nextBoolean()) {
               callLater(call);
             }
             simulation.runAfter(CALL_TIMEOUT_MILLIS, unanswered);
@@ -110,6 +118,11 @@
         });
   }
 
+  /** Returns whether a call without an answer may be carried out by a later incarnation. */
+  private <T> boolean takeLate(Effect effect, Call<T> call) {
+    return simulation.runModel().lateCalls().take(effect, minion, call::run);
+  }
+
   /** Makes the minion perform a call after a random delay, unless the minion restarts first. */
   private <T> void callLater(Call<T> call) {
     int arrivalIncarnation = minion.incarnationNumber();
