--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/HeldBackCalls.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/HeldBackCalls.java
@@ -7,7 +7,7 @@
 
 /** Holds chosen calls back until a test lets the minions carry them out. */
 final class HeldBackCalls implements LateCalls {
-  private final Queue<Runnable> executions = new ArrayDeque<>();
+  private final Queue<HeldCall> heldCalls = new ArrayDeque<>();
   private Predicate<Effect> filter = call -> false;
   private int remaining;
 
@@ -30,12 +30,17 @@
 
   /** Returns the number of calls that are held back. */
   int count() {
-    return executions.size();
+    return heldCalls.size();
+  }
+
+  /** Returns the minion of the call that has been held back for the longest time. */
+  FakeMinion firstMinion() {
+    return heldCalls.element().minion;
   }
 
   /** Makes the minion carry out the call that has been held back for the longest time. */
   void releaseFirst() {
-    executions.remove().run();
+    heldCalls.remove().execution.run();
   }
 
   @Override
@@ -49,6 +54,8 @@
       return false;
     }
     remaining--;
-    return executions.add(execution);
+    return heldCalls.add(new HeldCall(minion, execution));
   }
+
+  private record HeldCall(FakeMinion minion, Runnable execution) {}
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RestartedMinionSeeds.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RestartedMinionSeeds.java
@@ -16,6 +16,7 @@
  */
 final class RestartedMinionSeeds {
   private static final String HELD = "none";
+  private static final int MAX_SHOWN_LENGTH = 1_000;
   private static final Map<String, String> VIOLATIONS =
       Map.of(
           "is already running", "two runs at once",
@@ -57,7 +58,9 @@
               .map(Map.Entry::getValue)
               .findFirst()
               .orElse("other");
-      System.out.println("seed " + seed + " failed, " + kind + ": " + text);
+      String line = text.replaceAll("\\s+", " ");
+      String shown = line.substring(0, Math.min(MAX_SHOWN_LENGTH, line.length()));
+      System.out.println("seed " + seed + " failed, " + kind + ": " + shown);
       return kind;
     }
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RestartedMinionTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RestartedMinionTest.java
@@ -10,6 +10,7 @@
 import org.cassiastack.controller.Effect;
 import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.QueuedJobId;
+import org.cassiastack.runs.MinionIncarnation;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -139,6 +140,35 @@
     assertThat(simulation.phase(job)).isEqualTo(JobPhase.COMPLETED);
   }
 
+  /** Guards against the fault of seed 295 of {@link QueueSeeds}. */
+  @Test
+  void a_start_that_is_called_again_stays_unresolved_until_the_restarted_minion_has_answered() {
+    calls.holdBackNext(CallStart.class::isInstance);
+    QueuedJobId job = simulation.submit(1, false);
+    runUntil(() -> calls.count() == 1);
+    SimulatedAgent agent = agentOf(calls.firstMinion());
+    agent.pause();
+    simulation.crashMinion(agent);
+    runUntil(() -> agent.minion().isUp());
+    MinionIncarnation restarted = agent.minion().incarnation();
+    calls.holdBackNext(
+        call -> call instanceof CallHold h && h.minionIncarnation().equals(restarted));
+
+    agent.resume();
+    simulation.run(SETTLE_MILLIS);
+
+    assertThat(simulation.phase(job)).isEqualTo(JobPhase.COMPLETED);
+    assertThat(calls.count()).isEqualTo(2);
+  }
+
+  private SimulatedAgent agentOf(FakeMinion minion) {
+    return simulation.agents().stream()
+        .map(SimulatedAgent.class::cast)
+        .filter(a -> a.minion() == minion)
+        .findFirst()
+        .orElseThrow();
+  }
+
   private static Predicate<Effect> holdsOf(SimulatedAgent agent) {
     return call ->
         call instanceof CallHold h
