--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
@@ -52,6 +52,7 @@
   private int leaseExpiries;
   private boolean leaseExpired;
   private boolean draining;
+  private boolean calledInTime;
 
   /** Value of {@link #leaseExpiries} at the end of each run that is not yet acknowledged. */
   private final Map<EndedRun, Integer> leaseExpiriesAtEnd = new HashMap<>();
@@ -91,6 +92,7 @@
   /** Loses all runs and restarts after a delay as a new incarnation with the same identity. */
   void crash() {
     draining = false;
+    calledInTime = false;
     running.keySet().forEach(r -> simulation.runChecker().runLost(this, r));
     running.clear();
     highestRunNumbers.clear();
@@ -177,6 +179,16 @@
     return !ended.isEmpty();
   }
 
+  /** Records that this incarnation has carried out a call that its agent made to it. */
+  void recordTimelyCall() {
+    calledInTime = true;
+  }
+
+  /** Returns whether this incarnation has carried out a call that its agent made to it. */
+  boolean isCalledInTime() {
+    return calledInTime;
+  }
+
   /** Returns whether the minion has active runs. */
   boolean isBusy() {
     return !running.isEmpty();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RestartedMinionProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RestartedMinionProperties.java
@@ -29,4 +29,10 @@
   void no_task_has_two_runs_while_late_calls_come_beside_a_loss_of_the_leader(@ForAll long seed) {
     RestartedMinionFaults.LEADER_LOST.play(seed);
   }
+
+  @Property(tries = 25, shrinking = ShrinkingMode.OFF, seed = "48")
+  void no_task_has_two_runs_while_late_hold_calls_reach_a_restarted_minion_of_a_dispatcher(
+      @ForAll long seed) {
+    RestartedMinionFaults.DISPATCHERS_LATE_HOLDS.play(seed);
+  }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RestartedMinionSeeds.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RestartedMinionSeeds.java
@@ -24,6 +24,7 @@
           "no free capacity", "over capacity",
           "as often as allowed", "start after the last permitted failure",
           "ms: starts of", "start before the acknowledgement of an end",
+          "start of a refused job", "start of a refused job",
           "ms: job", "job without its end");
 
   private RestartedMinionSeeds() {}
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedAgent.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedAgent.java
@@ -109,6 +109,7 @@
             simulation.runAfter(CALL_TIMEOUT_MILLIS, unanswered);
           } else {
             T result = call.run();
+            minion.recordTimelyCall();
             simulation.runAfter(
                 1,
                 minion.incarnationNumber() == calledIncarnation
