Tests: beside a change of the leader, the agent has heard of the restart

The late start came before the agent had heard of the new incarnation, and after the lease of the former one; no report can keep the task from starting elsewhere then. It now comes after the announcement and before the first answer. The test fails as before.

--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RestartedMinionTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/RestartedMinionTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
@@ -116,6 +117,7 @@
     assertThat(simulation.phase(job)).isEqualTo(JobPhase.COMPLETED);
   }
 
+  /** The report of the agent names the new incarnation under the fence of the former leader. */
   @Test
   void a_new_leader_does_not_start_a_task_that_a_late_start_runs_before_the_first_answer() {
     simulation.runModel().fixRunTime(2_500);
@@ -123,19 +125,24 @@
     QueuedJobId job = simulation.submit(1, false);
     runUntil(() -> anyBusy());
     SimulatedAgent agent = busyAgent();
-    simulation.run(200);
     SimulatedMember lost = simulation.leader();
+    // The minion is up again just before its next announcement.
+    runUntil(() -> simulation.millis() % 500 == 350);
     simulation.crashMinion(agent);
     simulation.losePower(lost);
-    calls.holdBack(holdsOf(agent));
-    runUntil(() -> simulation.leader() != lost && agent.minion().isUp());
+    MinionIncarnation restarted = agent.minion().incarnation();
+    List<Effect> callsToRestarted = new ArrayList<>();
+    calls.holdBack(call -> holdsOf(agent).test(call) && addIfTo(restarted, call, callsToRestarted));
+    runUntil(() -> simulation.leader() != lost);
 
+    boolean heardOfRestart = !callsToRestarted.isEmpty();
     calls.releaseFirst();
     boolean startedLate = agent.minion().isBusy();
     simulation.run(700);
     calls.holdBackNoMore();
     simulation.run(SETTLE_MILLIS);
 
+    assertThat(heardOfRestart).isTrue();
     assertThat(startedLate).isTrue();
     assertThat(simulation.phase(job)).isEqualTo(JobPhase.COMPLETED);
   }
@@ -175,6 +182,14 @@
             && h.minionIncarnation().id().equals(agent.minion().incarnation().id());
   }
 
+  /** Adds a hold call to a list if it is made to an incarnation; returns true. */
+  private static boolean addIfTo(MinionIncarnation to, Effect call, List<Effect> list) {
+    if (((CallHold) call).minionIncarnation().equals(to)) {
+      list.add(call);
+    }
+    return true;
+  }
+
   private boolean anyBusy() {
     return simulation.agents().stream().anyMatch(a -> ((SimulatedAgent) a).minion().isBusy());
   }
