Fence off calls that were made for a former incarnation of a minion

What callers saw: their answers, complete and in time; that a task had run twice, only the minions could tell.

Cause: a minion that restarts under its id has seen no fence, and carries out calls that its agent made for the former incarnation, with the fence that the calls to the new one have as well. A late hold call kept runs alive beyond their lease, a late acknowledgement made it forget ends nobody had read, and a late start ran a task again. The agent reported complete lists for an incarnation that had not answered, and the leader lost all runs when a report named another incarnation, also one under another fence.

Change: the agent's calls carry a fence of their own, at least that of the holder, which rises with each incarnation, holder, failed hold call and restart of the agent. Once the minion has answered a call, no earlier one has an effect. Lists count as complete after the first answer; runs found then are stopped; no run starts under a lease that ends before a deadline which may have been inherited; starts with an unanswered call stay unresolved over a restart; the leader loses runs by complete lists only.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -61,6 +61,10 @@
   private long fence;
   private long processedOrdersThrough;
   private Instant leaseUntil = Instant.MIN;
+
+  /** Duration of the last lease, which the next one is likely to have. */
+  private Duration leaseDuration = Duration.ZERO;
+
   private Instant reportedAt = Instant.MIN;
   private boolean reportDue;
   private Duration totalLeap = Duration.ZERO;
@@ -90,13 +94,13 @@
     } else if (event instanceof MinionLeft l) {
       reportDue |= minion.onLeft(l.minion());
     } else if (event instanceof StartAnswered s) {
-      reportDue |= minion.onStartAnswered(s);
+      reportDue |= minion.onStartAnswered(s, now);
     } else if (event instanceof StopAnswered s) {
       minion.onStopAnswered(s);
     } else if (event instanceof HoldAnswered h) {
-      reportDue |= minion.onHoldAnswered(h, now) || isReportOld(now);
+      reportDue |= minion.onHoldAnswered(h, leaseUntil, now) || isReportOld(now);
     } else if (event instanceof HoldFailed h) {
-      reportDue |= minion.onHoldFailed(h.number());
+      reportDue |= minion.onHoldFailed(h, now);
     } else if (event instanceof Received r) {
       onReceived(r, now, effects);
     } else if (event instanceof PeerDisconnected d && tracker.onDisconnect(d.peer())) {
@@ -129,12 +133,9 @@
     boolean sameIdentity = former != null && former.life().id().equals(p.life().id());
     String outcome = sameIdentity ? "same_identity" : "new_identity";
     String inputs =
-        "former="
-            + (former == null ? "none" : former.life())
-            + " fence="
-            + fence
-            + " "
-            + minion.formerExpectations();
+        former == null
+            ? "former=none"
+            : "former=" + former.life() + " " + minion.formerExpectations();
     effects.add(Decision.of("minion_adopted", p.life(), outcome, inputs));
   }
 
@@ -142,7 +143,7 @@
   @Override
   public List<Effect> endTurn(Instant now) {
     List<Effect> effects = new ArrayList<>();
-    minion.sendDueCalls(fence, leaseUntil, now, effects);
+    minion.sendDueCalls(leaseUntil, now, effects);
     report(now, effects);
     return effects;
   }
@@ -200,12 +201,14 @@
       newFence = true;
     }
     if (newFence) {
+      minion.onHolder(fence, now);
       // Each holder numbers its orders from 1.
       processedOrdersThrough = 0;
       reportDue = true;
     }
     Instant until = l.reportSentAt().plus(l.duration());
     leaseUntil = until.isAfter(leaseUntil) ? until : leaseUntil;
+    leaseDuration = l.duration();
     minion.onAcknowledged(l.minionIncarnation(), l.acknowledgedThrough());
   }
 
@@ -221,14 +224,14 @@
       return;
     }
     for (StartOrder s : o.starts()) {
-      if (!minion.start(s, fence, leaseUntil, now, effects)) {
+      if (!minion.start(s, leaseUntil, now, effects)) {
         String inputs = "fence=" + fence + " lease_left=" + Duration.between(now, leaseUntil);
         effects.add(Decision.of("start_refused", s.run(), startRefusalReason(now), inputs));
         reportDue = true;
       }
     }
     for (RunId s : o.stops()) {
-      minion.stop(s, fence, effects);
+      minion.stop(s, effects);
     }
   }
 
@@ -244,6 +247,11 @@
     return minion.isVerified(now) ? "no_lease" : "minion_silent";
   }
 
+  /** Returns whether the minion answers, and may start runs under the lease for a report. */
+  private boolean isReachable(Instant now) {
+    return minion.isReachable(now) && minion.coversInheritedLease(now.plus(leaseDuration));
+  }
+
   private boolean isReportOld(Instant now) {
     return !now.isBefore(reportedAt.plus(OLD_REPORT_AGE));
   }
@@ -262,7 +270,7 @@
             now,
             fence,
             minion.profile(),
-            minion.isReachable(now),
+            isReachable(now),
             areListsComplete(now),
             processedOrdersThrough,
             minion.listAge(now),
@@ -284,7 +292,7 @@
    * the maximum lease, and the minion takes up to the stop grace to end a run.
    */
   private boolean areListsComplete(Instant now) {
-    return minion.lists().allEndsListed() && haveEarlierCallsExpired(now);
+    return minion.areListsComplete() && haveEarlierCallsExpired(now);
   }
 
   private boolean haveEarlierCallsExpired(Instant now) {
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/CallHold.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/CallHold.java
@@ -11,7 +11,8 @@
  *
  * @param number number of the call; a later call has a higher number
  * @param minionIncarnation incarnation of the minion that the call is for
- * @param fence the highest fence that the agent has seen
+ * @param fence fence of the call, at least that of the holder whom the agent obeys, and higher than
+ *     that of any call to a former incarnation of the minion
  * @param acknowledgedThrough sequence number up to which the minion may drop its ended runs
  * @param deadlineMillis time on the minion's clock until which its runs may continue; 0 leaves the
  *     deadline unchanged
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/CallStart.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/CallStart.java
@@ -10,8 +10,8 @@
  *
  * @param minionIncarnation incarnation of the minion that the call is for
  * @param order the run to start
- * @param fence fence of the leader that ordered the start; in a repeated call the highest fence
- *     that the agent has seen
+ * @param fence fence of the call, at least that of the holder whom the agent obeys, and higher than
+ *     that of any call to a former incarnation of the minion
  * @param deadlineMillis time on the minion's clock after which the run must not start and at which
  *     the lease of the run expires
  * @param timeout how long the agent waits for the answer
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/CallStop.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/CallStop.java
@@ -9,8 +9,8 @@
  *
  * @param minionIncarnation incarnation of the minion that the call is for
  * @param run the run to stop
- * @param fence fence of the leader that ordered the stop, or the highest fence that the agent has
- *     seen if the agent revokes a start
+ * @param fence fence of the call, at least that of the holder whom the agent obeys, and higher than
+ *     that of any call to a former incarnation of the minion
  * @since 0.2
  */
 public record CallStop(MinionIncarnation minionIncarnation, RunId run, long fence)
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionClock.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionClock.java
@@ -46,6 +46,11 @@
     return sampleMillis + elapsed * MIN_RATE_PERCENT / MinionClockDrift.ONE_HUNDRED_PERCENT;
   }
 
+  /** Returns the time that passes while the slowest permitted clock shows a duration. */
+  static Duration longestTimeOf(Duration shown) {
+    return shown.multipliedBy(MinionClockDrift.ONE_HUNDRED_PERCENT).dividedBy(MIN_RATE_PERCENT);
+  }
+
   /** Returns an instant at which the clock has certainly passed a given time. Needs a reading. */
   Instant certainlyPassedAt(long millis) {
     long ahead = Math.max(0, millis - sampleMillis) + 1;
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -25,9 +25,9 @@
    */
   private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(400);
 
-  private final AgentSettings settings;
-  private final MinionClock clock = new MinionClock();
+  private final RunLease lease;
   private final HoldCalls holds = new HoldCalls();
+  private final CallFence fence = new CallFence();
   private final PendingStarts starts = new PendingStarts();
   private final RevokedRuns revoked = new RevokedRuns();
   private @Nullable MinionProfile profile;
@@ -41,6 +41,15 @@
   /** Whether the current incarnation has ever answered a hold call. */
   private boolean hasAnswered;
 
+  /** Whether the current incarnation follows one with the same identity. */
+  private boolean hasFormerIncarnation;
+
+  /**
+   * Whether {@link #lists} are those of the current incarnation: it has answered, or was silent for
+   * so long that it has no runs.
+   */
+  private boolean listsKnown;
+
   private long sequence;
   private RunLists lists = RunLists.EMPTY;
   private long acknowledgedThrough;
@@ -51,27 +60,23 @@
   /** What the last hold call has acknowledged. */
   private long acknowledgedByHold;
 
-  /** What was open when the current incarnation began, for the log. */
+  /** Number of the last hold call before which the fence was raised for unanswered starts. */
+  private long raisedByHold;
+
   private String formerExpectations = "";
 
   private Instant answeredAt = Instant.MIN;
   private Instant listedAt = Instant.MIN;
 
-  /** When all runs of the minion have certainly ended, unless their deadline is extended. */
-  private Instant runsExpireAt = Instant.MIN;
-
   MinionLink(AgentSettings settings) {
-    this.settings = settings;
+    this.lease = new RunLease(settings);
   }
 
   @Nullable MinionProfile profile() {
     return profile;
   }
 
-  /**
-   * Returns what was open at the former incarnation of the minion when the current one took its
-   * place, as key=value pairs for the log.
-   */
+  /** Returns what was open when the current incarnation began, as key=value pairs for the log. */
   String formerExpectations() {
     return formerExpectations;
   }
@@ -115,21 +120,22 @@
       return false;
     }
     if (current == null || current.equals(a.profile().life()) || !isVerified(now)) {
-      return applyAnnouncement(a);
+      return applyAnnouncement(a, now);
     }
     successor = a;
     holds.verifyAgain();
     return false;
   }
 
-  private boolean applyAnnouncement(MinionAnnounced a) {
+  private boolean applyAnnouncement(MinionAnnounced a, Instant now) {
     MinionProfile previous = profile;
     boolean sameIncarnation = previous != null && previous.life().equals(a.profile().life());
     if (sameIncarnation && a.sequence() <= sequence) {
       return false;
     }
     if (!sameIncarnation) {
-      beginIncarnation(previous != null && previous.life().id().equals(a.profile().life().id()));
+      beginIncarnation(
+          previous != null && previous.life().id().equals(a.profile().life().id()), now);
     }
     sequence = a.sequence();
     profile = a.profile();
@@ -152,6 +158,7 @@
       return false;
     }
     lists = RunLists.EMPTY;
+    listsKnown = true;
     starts.clear();
     revoked.clear();
     profile = new MinionProfile(p.life(), p.service(), p.domain(), p.capacity(), p.labels(), true);
@@ -168,24 +175,37 @@
     }
   }
 
+  /** Raises the fence of the calls, because the agent obeys another holder. */
+  void onHolder(long holderFence, Instant now) {
+    fence.onHolder(holderFence, now);
+  }
+
+  /**
+   * Returns whether runs may start under a lease: none may while a deadline that a former
+   * incarnation was given could keep them alive for longer.
+   */
+  boolean coversInheritedLease(Instant leaseUntil) {
+    return lease.coversInherited(leaseUntil);
+  }
+
   /** Adds the call that starts a run; returns false without a call if the run must not start. */
-  boolean start(
-      StartOrder order, long fence, Instant leaseUntil, Instant now, List<Effect> effects) {
+  boolean start(StartOrder order, Instant leaseUntil, Instant now, List<Effect> effects) {
     MinionProfile p = profile;
     Instant until = revoked.capped(leaseUntil);
-    boolean mayStart = now.isBefore(until) && !revoked.contains(order.run());
+    boolean mayStart =
+        now.isBefore(until) && coversInheritedLease(until) && !revoked.contains(order.run());
     if (p == null || p.draining() || !isVerified(now) || !mayStart) {
       return false;
     }
-    long leaseDeadlineMillis = leaseDeadlineMillis(until, now);
-    effects.add(starts.add(p.life(), order, fence, leaseDeadlineMillis));
+    long deadlineMillis = lease.deadlineMillis(until, now);
+    effects.add(starts.add(p.life(), order, fence.value(), deadlineMillis));
     return true;
   }
 
-  void stop(RunId run, long fence, List<Effect> effects) {
+  void stop(RunId run, List<Effect> effects) {
     MinionProfile p = profile;
     if (p != null) {
-      effects.add(new CallStop(p.life(), run, fence));
+      effects.add(new CallStop(p.life(), run, fence.value()));
     }
   }
 
@@ -201,7 +221,8 @@
   }
 
   /** Handles the outcome of a start call; returns whether the agent should report to the leader. */
-  boolean onStartAnswered(StartAnswered a) {
+  boolean onStartAnswered(StartAnswered a, Instant now) {
+    fence.onStartAnswered(a.outcome(), now);
     return starts.onStartAnswered(a, holds.nextNumber());
   }
 
@@ -211,15 +232,24 @@
     revoked.onStopAnswered(a);
   }
 
-  /** Handles the minion's run lists; returns whether the agent should report to the leader. */
-  boolean onHoldAnswered(HoldAnswered h, Instant now) {
+  /**
+   * Handles the minion's run lists; returns whether the agent should report to the leader.
+   *
+   * @param leaseUntil end of the lease of the present holder
+   */
+  boolean onHoldAnswered(HoldAnswered h, Instant leaseUntil, Instant now) {
     if (!holds.isAwaited(h.number())) {
       return false;
     }
+    boolean isFirst = !hasAnswered;
+    if (isFirst || h.number() == raisedByHold) {
+      starts.onFenceSeen();
+    }
     hasAnswered = true;
+    listsKnown = true;
     successor = null;
     answeredAt = now;
-    clock.addSample(h.clockMillis(), now);
+    lease.onAnswered(h.clockMillis(), isFirst, now);
     RunLists former = lists;
     lists = RunLists.of(h);
     listedAt = now;
@@ -227,39 +257,39 @@
     boolean changed = !lists.hasSameRuns(former);
     changed |= starts.onLists(lists, h.number(), h.clockMillis());
     revoked.onLists(lists, starts.runs());
+    if (isFirst && hasFormerIncarnation) {
+      // A former incarnation was told to start them, and its runs count as ended by now.
+      revoked.add(lists, List.of(), leaseUntil);
+    }
     boolean nothingToAcknowledge =
         lists.ended().isEmpty() || acknowledgedThrough > acknowledgedByHold;
     holds.answered(!nothingToAcknowledge, now);
-    return changed || !lists.allEndsListed();
+    return changed || isFirst || !lists.allEndsListed();
   }
 
   /** Handles a hold call without a valid answer; returns whether the profile changes. */
-  boolean onHoldFailed(long number) {
-    if (!holds.isAwaited(number)) {
+  boolean onHoldFailed(HoldFailed h, Instant now) {
+    if (!holds.isAwaited(h.number())) {
       return false;
     }
     holds.failed();
+    fence.onHoldFailed(h.fenced(), now);
     MinionAnnounced announced = successor;
     successor = null;
-    return announced != null && applyAnnouncement(announced);
+    return announced != null && applyAnnouncement(announced, now);
   }
 
-  /**
-   * Moves the time at which the runs have certainly ended, and the last reading of the minion's
-   * clock, which has not leaped.
-   */
+  /** Records that the agent's clock, but not the minion's, has leaped. */
   void onClockLeaped(Duration leap) {
-    clock.onLocalClockLeaped(leap);
-    if (!runsExpireAt.equals(Instant.MIN)) {
-      runsExpireAt = runsExpireAt.plus(leap);
-    }
+    lease.onClockLeaped(leap);
   }
 
   /** Advances time; returns whether all runs are now known to have expired. */
   boolean onTick(Instant now) {
     holds.onTick(now);
-    if (mayHaveRuns() && !isReachable(now) && now.isAfter(runsExpireAt)) {
+    if (mayHaveRuns() && !isReachable(now) && now.isAfter(lease.runsExpireAt())) {
       lists = lists.withoutRuns();
+      listsKnown = true;
       starts.onDeadlinesPassed();
       revoked.onLists(lists, starts.runs());
       return true;
@@ -275,32 +305,46 @@
     Instant at = holds.nextTickAt(now);
     Instant stopAt = revoked.nextCallAt();
     at = stopAt.isBefore(at) ? stopAt : at;
-    Instant expiry = runsExpireAt.isBefore(unreachableAt()) ? unreachableAt() : runsExpireAt;
+    Instant expiry = lease.runsExpireAt();
+    expiry = expiry.isBefore(unreachableAt()) ? unreachableAt() : expiry;
     return mayHaveRuns() && expiry.isBefore(at) ? expiry : at;
   }
 
   /** Returns whether the minion may have runs, as far as its lists and the pending starts tell. */
   private boolean mayHaveRuns() {
-    return lists.mayHaveRuns() || !starts.isEmpty();
+    return !listsKnown || lists.mayHaveRuns() || !starts.isEmpty();
+  }
+
+  /**
+   * Returns whether the lists name every run that may exist, unless calls of an earlier incarnation
+   * of the agent are under way. Those of a minion that has not answered yet may lack runs that it
+   * was told to start in its former incarnation.
+   */
+  boolean areListsComplete() {
+    return listsKnown && lists.allEndsListed();
   }
 
   /** Adds the calls that are due. */
-  void sendDueCalls(long fence, Instant leaseUntil, Instant now, List<Effect> effects) {
+  void sendDueCalls(Instant leaseUntil, Instant now, List<Effect> effects) {
     MinionProfile p = profile;
     if (p == null) {
       return;
     }
     Instant until = revoked.capped(leaseUntil);
     if (successor == null) {
-      starts.sendDueCalls(p.life(), fence, until, now, effects);
-      revoked.sendDueCalls(p.life(), starts.runs(), fence, now, effects);
+      starts.sendDueCalls(p.life(), fence.value(), until, now, effects);
+      revoked.sendDueCalls(p.life(), starts.runs(), fence.value(), now, effects);
     }
     if (!holds.isDue(now)) {
       return;
     }
+    if (starts.needsHigherFence()) {
+      fence.raise(now);
+      raisedByHold = holds.nextNumber();
+    }
     long number = holds.send(now);
-    long leaseDeadlineMillis =
-        now.isBefore(until) && clock.isKnown() ? leaseDeadlineMillis(until, now) : 0;
+    long deadlineMillis =
+        now.isBefore(until) && lease.isClockKnown() ? lease.deadlineMillis(until, now) : 0;
     boolean unacknowledged =
         !lists.ended().isEmpty() && acknowledgedWhenListed == acknowledgedThrough;
     boolean verified = isVerified(now);
@@ -309,9 +353,9 @@
         new CallHold(
             number,
             p.life(),
-            fence,
+            fence.value(),
             acknowledgedByHold,
-            leaseDeadlineMillis,
+            deadlineMillis,
             verified && !unacknowledged ? HOLD_MAX_WAIT : Duration.ZERO));
   }
 
@@ -320,53 +364,35 @@
     return holds.isVerified(now);
   }
 
-  /**
-   * Returns the end of the lease on the minion's clock, at most the maximum lease from now, and
-   * records when the runs under this lease have certainly ended.
-   */
-  private long leaseDeadlineMillis(Instant leaseUntil, Instant now) {
-    Duration remaining = Duration.between(now, leaseUntil);
-    Duration leaseDuration =
-        remaining.compareTo(settings.maxLease()) < 0 ? remaining : settings.maxLease();
-    long deadlineMillis = clock.lowerBoundMillis(now) + leaseDuration.toMillis();
-    Instant certainlyEndedAt =
-        clock.certainlyPassedAt(deadlineMillis).plus(settings.stopGrace().multipliedBy(2));
-    runsExpireAt = certainlyEndedAt.isAfter(runsExpireAt) ? certainlyEndedAt : runsExpireAt;
-    return deadlineMillis;
-  }
-
   /**
    * Begins a new incarnation of the minion. A new incarnation with the same identity as the
    * previous one may accept calls that were sent to the previous one, so the pending starts are
    * then revoked.
    */
-  private void beginIncarnation(boolean sameIdentity) {
+  private void beginIncarnation(boolean sameIdentity, Instant now) {
     formerExpectations = expectations();
+    fence.raise(now);
+    hasFormerIncarnation = sameIdentity;
+    listsKnown = false;
     lists = RunLists.EMPTY;
     if (sameIdentity) {
-      starts.revokeAll();
+      starts.onMinionRestarted();
     } else {
       starts.clear();
     }
     revoked.onLists(lists, starts.runs());
-    clock.reset();
+    lease.beginIncarnation(now);
     sequence = 0;
     acknowledgedThrough = 0;
     acknowledgedWhenListed = 0;
     successor = null;
     hasAnswered = false;
     holds.verifyAgain();
-    runsExpireAt = Instant.MIN;
   }
 
   private String expectations() {
-    return "hold_unanswered="
-        + holds.isInFlight()
-        + " running="
-        + lists.running().size()
-        + " unresolved="
-        + starts.runs().size()
-        + " runs_until="
-        + (runsExpireAt.equals(Instant.MIN) ? "none" : runsExpireAt);
+    return String.format(
+        "hold_unanswered=%s running=%d unresolved=%d runs_until=%s",
+        holds.isInFlight(), lists.running().size(), starts.runs().size(), lease.runsExpireAt());
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -18,12 +19,34 @@
 final class PendingStarts {
   private final Map<RunId, PendingStart> starts = new LinkedHashMap<>();
 
+  /**
+   * Runs that the minion has listed although a call to start them was not answered. After a restart
+   * the minion may carry that call out, until it has seen a higher fence.
+   */
+  private final Set<RunId> unansweredCalls = new LinkedHashSet<>();
+
+  /** Those of {@link #unansweredCalls} that were made to a former incarnation of the minion. */
+  private final Set<RunId> formerCalls = new LinkedHashSet<>();
+
   boolean isEmpty() {
     return starts.isEmpty();
   }
 
   List<RunId> runs() {
-    return List.copyOf(starts.keySet());
+    Set<RunId> runs = new LinkedHashSet<>(starts.keySet());
+    runs.addAll(formerCalls);
+    return List.copyOf(runs);
+  }
+
+  /** Returns whether a higher fence would prevent unanswered calls and no others. */
+  boolean needsHigherFence() {
+    return !unansweredCalls.isEmpty() && starts.values().stream().noneMatch(s -> s.callInFlight);
+  }
+
+  /** Records that the minion has seen a higher fence than that of the unanswered calls. */
+  void onFenceSeen() {
+    unansweredCalls.clear();
+    formerCalls.clear();
   }
 
   /** Adds a start and returns the first start call for it. */
@@ -48,7 +71,7 @@
     s.firstConclusiveHold = nextHold;
     if (s.revoked || a.outcome() == StartAnswered.Outcome.UNANSWERED) {
       s.outcomeUnknown = true;
-    } else if (a.outcome() == StartAnswered.Outcome.REFUSED && !s.outcomeUnknown) {
+    } else if (a.outcome() != StartAnswered.Outcome.STARTED && !s.outcomeUnknown) {
       starts.remove(a.run());
       return true;
     }
@@ -85,6 +108,9 @@
       if (listed.contains(s.order.run())) {
         if (!s.callInFlight) {
           i.remove();
+          if (s.outcomeUnknown) {
+            unansweredCalls.add(s.order.run());
+          }
         }
       } else if (lists.allEndsListed() && s.isProvenAbsentBy(hold, clockMillis)) {
         i.remove();
@@ -122,15 +148,21 @@
     starts.values().removeIf(s -> !s.callInFlight);
   }
 
-  /**
-   * Revokes all starts: the minion has restarted and the new incarnation must not carry out any of
-   * them, or another holder takes the minion over.
-   */
+  /** Revokes all starts, because another holder takes the minion over or the minion restarts. */
   void revokeAll() {
     starts.values().forEach(s -> s.revoked = true);
   }
 
+  /** Handles a restart of the minion, which must not carry out any of the former starts. */
+  void onMinionRestarted() {
+    revokeAll();
+    formerCalls.addAll(unansweredCalls);
+    unansweredCalls.clear();
+  }
+
   void clear() {
     starts.clear();
+    unansweredCalls.clear();
+    formerCalls.clear();
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/StartAnswered.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/StartAnswered.java
@@ -17,6 +17,8 @@
     STARTED,
     /** This call did not start the run. */
     REFUSED,
+    /** This call did not start the run, because the minion has seen a higher fence. */
+    FENCED,
     /** No answer came; the run may have started, or may start until its deadline. */
     UNANSWERED
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/runs/AgentReport.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/runs/AgentReport.java
@@ -20,7 +20,8 @@
  * @param reachable whether the minion answers the agent's calls
  * @param listsComplete whether {@code running}, {@code unresolved} and {@code ended} name every run
  *     that may exist; false after a restart of the agent, while calls of its earlier incarnation
- *     may still be in flight, and while the minion has more ended runs than it lists
+ *     may still be in flight, after a restart of the minion until it has answered, and while the
+ *     minion has more ended runs than it lists
  * @param processedOrdersThrough number of the last {@link RunOrders} that the agent has processed
  * @param listAge age of the minion's run lists when the report was sent
  * @param running runs that the minion is executing
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -186,8 +186,7 @@
     int runCount = w.runs.size();
     boolean wasSynced = w.synced;
     if (former != null && !former.life().equals(m.life())) {
-      loseRuns(w, RunLoss.NEW_INCARNATION, now);
-      w.resetForNewMinion();
+      beginIncarnation(w, now);
     }
     w.minion = m;
     w.leasedAt = now;
@@ -202,6 +201,19 @@
     return w;
   }
 
+  /**
+   * Drops what was ordered for the former incarnation of a minion. Its runs count until complete
+   * lists of the new one lack them: it may still carry out a start that it was sent before.
+   */
+  private void beginIncarnation(WorkerState w, Instant now) {
+    for (RunId unsent : w.resetForNewMinion()) {
+      Run run = w.remove(unsent);
+      if (run != null) {
+        listener.runLost(w, run, RunLoss.NEW_INCARNATION, now);
+      }
+    }
+  }
+
   /**
    * Returns whether an agent obeys this leader, but has more ended runs than it has listed so far.
    */
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunLoss.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunLoss.java
@@ -6,7 +6,7 @@
 enum RunLoss {
   /** The agent has processed the order, and its complete lists do not name the run. */
   NOT_LISTED,
-  /** A report names another incarnation of the minion. */
+  /** The minion restarted before the start was sent. */
   NEW_INCARNATION,
   /** The agent has been silent for longer than its lease. */
   LEASE_EXPIRED;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
@@ -96,12 +96,17 @@
   /**
    * Resets the state for a new incarnation of the minion: ends are numbered from 1 again, and
    * pending orders no longer apply.
+   *
+   * @return the runs whose starts were not sent
    */
-  void resetForNewMinion() {
+  List<RunId> resetForNewMinion() {
+    List<RunId> unsent = pendingStarts.stream().map(StartOrder::run).toList();
     handledEndsThrough = 0;
+    synced = false;
     uncommittedEnds.clear();
     pendingStarts.clear();
     pendingStops.clear();
+    return unsent;
   }
 
   /** Resets the state for a new incarnation of the agent, which has processed no orders. */
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
@@ -81,6 +81,7 @@
     on(new Tick());
     advance(60);
     answerHold();
+    lease(5);
 
     assertThat(order(5, 1, RESTARTED_MINION)).anyMatch(CallStart.class::isInstance);
   }
