Count processed orders for the holder that sent them

Cause: an agent that turned from one fallback dispatcher to the next one of the same fence reported the number of the former one's last order to it until it had its lease. The new dispatcher took its own first order for processed, its run for absent, and ordered the task again; both runs started.

Change: a report names the processed orders of its receiver, 0 while the agent obeys another process.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -59,7 +59,13 @@
   private final MinionLink minion;
   private final HolderChoice holders;
   private long fence;
+
+  /** The process whose leases and orders the agent obeys; null before the first lease. */
+  private @Nullable NodeId holder;
+
+  /** Number of the last orders of {@link #holder} that were processed. */
   private long processedOrdersThrough;
+
   private Instant leaseUntil = Instant.MIN;
 
   /** Duration of the last lease, which the next one is likely to have. */
@@ -192,6 +198,7 @@
 
   private void onLease(NodeId from, AgentLease l, Instant now, List<Effect> effects) {
     boolean newFence = l.fence() > fence;
+    holder = from;
     fence = l.fence();
     if (holders.onLease(from, l.fence(), now, effects)) {
       int revoked = minion.revokeRuns(leaseUntil);
@@ -264,27 +271,33 @@
     }
     reportDue = false;
     reportedAt = now;
-    AgentReport report =
-        new AgentReport(
-            settings.incarnation(),
-            now,
-            fence,
-            minion.profile(),
-            isReachable(now),
-            areListsComplete(now),
-            processedOrdersThrough,
-            minion.listAge(now),
-            minion.lists().running(),
-            minion.unresolved(),
-            minion.lists().ended());
     if (leader != null) {
-      effects.add(new Send(leader, report));
+      effects.add(new Send(leader, reportFor(leader, now)));
     }
     if (fallback != null) {
-      effects.add(new Send(fallback, report));
+      effects.add(new Send(fallback, reportFor(fallback, now)));
     }
   }
 
+  /**
+   * Returns the report for a receiver. Orders of another holder do not count as its own: fallback
+   * dispatchers may have equal fences, and each one numbers its orders from 1.
+   */
+  private AgentReport reportFor(NodeId receiver, Instant now) {
+    return new AgentReport(
+        settings.incarnation(),
+        now,
+        fence,
+        minion.profile(),
+        isReachable(now),
+        areListsComplete(now),
+        receiver.equals(holder) ? processedOrdersThrough : 0,
+        minion.listAge(now),
+        minion.lists().running(),
+        minion.unresolved(),
+        minion.lists().ended());
+  }
+
   /**
    * Returns whether the reported run lists are complete. They are not while the minion has more
    * ends than it lists. After a start of this agent, the minion may still carry out a call of an
--- a/cassiastack-core/src/main/java/org/cassiastack/runs/AgentReport.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/runs/AgentReport.java
@@ -22,7 +22,8 @@
  *     that may exist; false after a restart of the agent, while calls of its earlier incarnation
  *     may still be in flight, after a restart of the minion until it has answered, and while the
  *     minion has more ended runs than it lists
- * @param processedOrdersThrough number of the last {@link RunOrders} that the agent has processed
+ * @param processedOrdersThrough number of the last {@link RunOrders} of the receiver that the agent
+ *     has processed; 0 while the agent obeys another process
  * @param listAge age of the minion's run lists when the report was sent
  * @param running runs that the minion is executing
  * @param unresolved runs whose start is not confirmed: the minion may have started them or may
