Start no task beside a run of it that is still to be stopped

Cause: a dispatcher that found a second run of a task marked it as unwanted.

Change: when a run is lost or ends without success, another known run of its task takes its place.

Measured: the new test of RunsOfRestartedMinionTest failed before and passes.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -4,8 +4,6 @@
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -22,6 +20,7 @@
 import org.cassiastack.runs.EndedRun;
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunOutcome;
 import org.cassiastack.schedule.ScheduleSettings;
 import org.jspecify.annotations.Nullable;
 
@@ -44,7 +43,7 @@
   private final ScheduleSettings settings;
   private final RunListener listener;
   private final Map<NodeId, WorkerState> workers = new LinkedHashMap<>();
-  private final Map<ServiceName, Double> medianSpeeds = new HashMap<>();
+  private final MedianSpeeds medianSpeeds = new MedianSpeeds();
   private long capacityIncreases;
 
   Fleet(ScheduleSettings settings, RunListener listener) {
@@ -94,24 +93,7 @@
    * known.
    */
   double medianSpeed(ServiceName service) {
-    return medianSpeeds.getOrDefault(service, 1.0);
-  }
-
-  private void updateMedianSpeeds(Instant now) {
-    Map<ServiceName, List<Double>> speeds = new HashMap<>();
-    for (WorkerState w : workers.values()) {
-      MinionProfile m = w.minion;
-      if (m != null && w.synced) {
-        speeds.computeIfAbsent(m.service(), s -> new ArrayList<>()).add(w.speed.current(now));
-      }
-    }
-    medianSpeeds.clear();
-    speeds.forEach((service, values) -> medianSpeeds.put(service, median(values)));
-  }
-
-  private static double median(List<Double> values) {
-    values.sort(Comparator.naturalOrder());
-    return values.get(values.size() / 2);
+    return medianSpeeds.of(service);
   }
 
   /**
@@ -274,7 +256,7 @@
     workers.values().forEach(w -> expireLease(w, now));
     workers.values().removeIf(w -> now.isAfter(w.reportedAt.plus(WORKER_RETENTION)));
     workers.values().forEach(w -> w.updateSpeed(now));
-    updateMedianSpeeds(now);
+    medianSpeeds.update(workers.values(), now);
   }
 
   /** Moves the times from which the leases of the agents are counted. */
@@ -339,6 +321,25 @@
       Run run = w.remove(id);
       if (run != null) {
         listener.runLost(w, run, loss, now);
+        takeOverOtherRun(run, now);
+      }
+    }
+  }
+
+  /**
+   * Assigns to the task of a run that is gone another run of it that is still to be stopped, if
+   * there is one. The task must not start a second time beside it.
+   */
+  private void takeOverOtherRun(Run gone, Instant now) {
+    if (gone.step == null) {
+      return;
+    }
+    for (WorkerState w : workers.values()) {
+      for (Run r : List.copyOf(w.runs.values())) {
+        if (r.step == null && r.id.task().equals(gone.id.task())) {
+          w.remove(r.id);
+          w.add(listener.runFound(w, r.id, now));
+        }
       }
     }
   }
@@ -366,7 +367,11 @@
     }
     for (EndedRun e : ends) {
       w.handledEndsThrough = Math.max(w.handledEndsThrough, e.sequence());
-      listener.runEnded(w, w.remove(e.run()), e, now);
+      Run ended = w.remove(e.run());
+      listener.runEnded(w, ended, e, now);
+      if (ended != null && e.outcome() != RunOutcome.DONE) {
+        takeOverOtherRun(ended, now);
+      }
     }
     for (RunId id : listed) {
       if (!w.runs.containsKey(id)) {
@@ -384,6 +389,7 @@
       if (!listed.contains(run.id) && run.orderNumber <= processedOrdersThrough) {
         w.remove(run.id);
         listener.runLost(w, run, RunLoss.NOT_LISTED, now);
+        takeOverOtherRun(run, now);
       }
     }
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/RunsOfRestartedMinionTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/RunsOfRestartedMinionTest.java
@@ -43,6 +43,22 @@
     assertThat(started()).containsExactly(run);
   }
 
+  /** Guards against a third run beside a second one that is still to be stopped. */
+  @Test
+  void a_task_whose_run_is_lost_does_not_start_again_beside_another_run_of_it() {
+    submit(1, true);
+    NodeId agent = lastStartAgent;
+    NodeId other = agent.equals(FIRST) ? SECOND : FIRST;
+    RunId run = started().get(0);
+    RunId second = new RunId(run.task(), run.number() + 1);
+    report(other, List.of(new ActiveRun(second, 10)), List.of(), false, false);
+
+    report(agent, List.of(), List.of());
+    report(other, List.of(new ActiveRun(second, 20)), List.of(), false, false);
+
+    assertThat(started()).containsExactly(run);
+  }
+
   /** Guards against orders for a minion whose runs are not known. */
   @Test
   void a_restarted_minion_gets_no_tasks_before_its_lists_are_complete() {
