Repeat no start at a minion that may have restarted

Cause: an agent repeated an unanswered start without a recent answer of its minion.

Change: a repetition needs a confirmed incarnation, as a first call does.

Measured: the new test of MinionRestartTest failed before and passes.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -332,7 +332,7 @@
     }
     Instant until = revoked.capped(leaseUntil);
     if (successor == null) {
-      starts.sendDueCalls(p.life(), fence.value(), until, now, effects);
+      starts.sendDueCalls(p.life(), fence.value(), isVerified(now), until, now, effects);
       revoked.sendDueCalls(p.life(), starts.runs(), fence.value(), now, effects);
     }
     if (!holds.isDue(now)) {
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
@@ -123,10 +123,13 @@
   /**
    * Adds the calls that are due: repeated start calls where the outcome is unknown, and stop calls
    * for revoked starts.
+   *
+   * @param mayStart whether start calls are known to reach the incarnation that they are meant for
    */
   void sendDueCalls(
       MinionIncarnation minionIncarnation,
       long fence,
+      boolean mayStart,
       Instant leaseUntil,
       Instant now,
       List<Effect> effects) {
@@ -134,7 +137,7 @@
       if (!s.callInFlight && s.revoked) {
         s.callInFlight = true;
         effects.add(new CallStop(minionIncarnation, s.order.run(), fence));
-      } else if (!s.callInFlight && s.canRetry() && now.isBefore(leaseUntil)) {
+      } else if (!s.callInFlight && s.canRetry() && mayStart && now.isBefore(leaseUntil)) {
         effects.add(s.nextCall(minionIncarnation, fence));
       }
     }
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
@@ -66,6 +66,22 @@
     assertThat(fences(effects)).isNotEmpty().allMatch(f -> f > highest(before) && f >= 6);
   }
 
+  /** Guards against starts that an agent repeats at a minion that may have restarted. */
+  @Test
+  void an_unanswered_start_is_not_called_again_before_the_minion_answers_a_hold_call() {
+    order(5, 1, MINION);
+    failHold();
+
+    List<Effect> silent = on(new StartAnswered(RUN, StartAnswered.Outcome.UNANSWERED));
+    silent.addAll(advance(40));
+    advance(60);
+    List<Effect> answered =
+        on(new HoldAnswered(lastHoldNumber, minionClockMillis(), List.of(), List.of(), true));
+
+    assertThat(silent).noneMatch(CallStart.class::isInstance);
+    assertThat(answered).anyMatch(CallStart.class::isInstance);
+  }
+
   /** Guards against tasks that start elsewhere while the new incarnation carries out a start. */
   @Test
   void lists_of_a_new_incarnation_are_not_complete_before_it_has_answered() {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueFaultProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/QueueFaultProperties.java
@@ -35,7 +35,7 @@
 
   /** Runs seeds that have revealed a fault; docs/FINDINGS.md describes the fault of each seed. */
   @ParameterizedTest
-  @ValueSource(longs = {-126_879, 200_145, 201_412})
+  @ValueSource(longs = {-126_879, 200_145, 201_412, 295})
   void holds_on_seeds_that_once_failed(long seed) {
     runSimulation(QueueSimulation.create(seed), new Random(seed + 1));
   }
