Give no proof for a dispatch to another incarnation of the agent

An agent that had restarted answered a dispatch to its former incarnation with TaskNotStarted, although that incarnation may have started the task. The coordinator took this for a proof when it came before the announcement of the new incarnation, and dispatched the task to another agent.

The guard does not answer such a dispatch any more.

--- a/cassiastack-core/src/main/java/org/cassiastack/guard/StartGuard.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/guard/StartGuard.java
@@ -36,7 +36,8 @@
  * Ensures that each task starts at its minion at most once.
  *
  * <ol>
- *   <li>A first dispatch is queued and starts when its minion has a free slot.
+ *   <li>A first dispatch is queued and starts when its minion has a free slot. A dispatch to
+ *       another incarnation of the agent is not answered.
  *   <li>A repeated dispatch attaches to the queued or running task, or is answered with the
  *       recorded outcome.
  *   <li>A withdrawn task that has not started becomes a tombstone: the record that proves that the
@@ -114,6 +115,11 @@
   }
 
   private void onDispatch(NodeId from, Dispatch d, Instant now, List<Effect> effects) {
+    if (!d.agentIncarnation().equals(incarnation)) {
+      // An earlier incarnation may have started the task, so there is no proof that it did not
+      // start. The coordinator learns of that incarnation's end from the next announcement.
+      return;
+    }
     GuardedTask known = tasks.find(d.task());
     if (known != null && !known.isSupersededBy(d)) {
       known.updateCoordinator(from, d.epoch());
@@ -128,7 +134,7 @@
       return;
     }
     MinionSlots slots = minions.get(d.minion());
-    ResultCode refusal = unrecordedRefusal(d, slots);
+    ResultCode refusal = unrecordedRefusal(slots);
     if (refusal != null || slots == null) {
       ResultCode reason = refusal == null ? ResultCode.NO_MINION : refusal;
       Message proof = new TaskNotStarted(d.task(), d.epoch(), d.attempt(), reason);
@@ -159,12 +165,11 @@
 
   /**
    * Returns the reason to refuse a dispatch without recording the refusal, or null. The refusals
-   * because of the minion, the incarnation or the leaving agent need no record, because they apply
-   * to every later copy of the same dispatch as well. The refusal because of a full queue is not
-   * recorded either.
+   * because of the minion or the leaving agent need no record, because they apply to every later
+   * copy of the same dispatch as well. The refusal because of a full queue is not recorded either.
    */
-  private @Nullable ResultCode unrecordedRefusal(Dispatch d, @Nullable MinionSlots slots) {
-    if (slots == null || !d.agentIncarnation().equals(incarnation)) {
+  private @Nullable ResultCode unrecordedRefusal(@Nullable MinionSlots slots) {
+    if (slots == null) {
       return ResultCode.NO_MINION;
     }
     if (leaving) {
--- a/cassiastack-core/src/test/java/org/cassiastack/guard/StartGuardTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/guard/StartGuardTest.java
@@ -125,6 +125,18 @@
     assertThat(only(effects, TaskEnded.class).code()).isEqualTo(ResultCode.KEY_EXPIRED);
   }
 
+  /** Guards against a second start of a task that the agent started before its restart. */
+  @Test
+  void gives_no_proof_for_a_task_that_was_dispatched_to_an_earlier_incarnation() {
+    StartGuard restarted =
+        StartGuard.create(new Incarnation(6), List.of(minion(64)), RETENTION, CAPACITY);
+    on(dispatch(0, 1));
+
+    List<Effect> effects = restarted.on(new Received(ENTRY, dispatch(0, 1)), now);
+
+    assertThat(effects).isEmpty();
+  }
+
   @Test
   void repeats_a_refusal_for_lack_of_capacity_when_capacity_is_free_again() {
     for (int i = 0; i < CAPACITY - 1; i++) {
