Extend no lease of a restarted agent before it has listed its runs

A dispatcher that counts leases from the last sign of a caller gave a restarted agent a lease of 0.8 s, because its first reports list no runs. The agent extended the deadline of all runs of its minion by it, also of runs of lost callers that a new leader knows nothing of. Such a run may outlast the time after which its caller sends the job again.

An agent whose lists are not complete and whose minion has not answered gets a lease of zero duration now. The first report after an answer gets one.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/CallerLeases.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/CallerLeases.java
@@ -124,7 +124,10 @@
     @Override
     public Duration agentLease(WorkerState w, AgentReport report, long fence, Instant now) {
       boolean hasUnknownRuns = !report.running().isEmpty() || !report.unresolved().isEmpty();
-      if (report.fence() != fence && hasUnknownRuns) {
+      // A restarted agent that its minion has not answered yet lists no runs, but there may be
+      // some.
+      boolean hasListedNothing = !report.listsComplete() && !report.reachable();
+      if (hasListedNothing || (report.fence() != fence && hasUnknownRuns)) {
         return Duration.ZERO;
       }
       Instant oldest = now;
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
@@ -177,15 +177,7 @@
       boolean draining,
       boolean listsComplete) {
     now = now.plusMillis(1);
-    MinionProfile minion =
-        new MinionProfile(
-            new MinionIncarnation(
-                new MinionId("minion of " + agent), minionStarts.getOrDefault(agent, 1L)),
-            services.getOrDefault(agent, SERVICE),
-            domains.getOrDefault(agent, new FailureDomain("a")),
-            new Resources(8_000, 8_000, 0),
-            labels.getOrDefault(agent, List.of()),
-            draining);
+    MinionProfile minion = minionOf(agent, draining);
     on(
         new Received(
             agent,
@@ -203,6 +195,36 @@
                 ended)));
   }
 
+  private MinionProfile minionOf(NodeId agent, boolean draining) {
+    return new MinionProfile(
+        new MinionIncarnation(
+            new MinionId("minion of " + agent), minionStarts.getOrDefault(agent, 1L)),
+        services.getOrDefault(agent, SERVICE),
+        domains.getOrDefault(agent, new FailureDomain("a")),
+        new Resources(8_000, 8_000, 0),
+        labels.getOrDefault(agent, List.of()),
+        draining);
+  }
+
+  /** Reports as an agent that has restarted, and whose minion has not answered it yet. */
+  void reportAfterRestart(NodeId agent, long knownFence) {
+    now = now.plusMillis(1);
+    AgentReport report =
+        new AgentReport(
+            new Incarnation(2),
+            now,
+            knownFence,
+            minionOf(agent, false),
+            false,
+            false,
+            0,
+            Duration.ZERO,
+            List.of(),
+            List.of(),
+            List.of());
+    on(new Received(agent, report));
+  }
+
   /** Reports the first ends of a minion that has more of them than it lists. */
   void reportFirstEnds(NodeId agent, List<EndedRun> ended) {
     report(agent, List.of(), ended, false, false);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LostCallerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LostCallerTest.java
@@ -213,6 +213,20 @@
     assertThat(leases.get(leases.size() - 1).duration()).isGreaterThan(Duration.ofMillis(700));
   }
 
+  /** Guards against a restarted agent that keeps runs alive before it has listed them. */
+  @Test
+  void extends_no_lease_of_a_restarted_agent_that_has_listed_no_runs_yet() {
+    lead(6);
+    leases.clear();
+
+    reportAfterRestart(FIRST, 0);
+    reportAfterRestart(FIRST, fence);
+
+    assertThat(leases)
+        .extracting(AgentLease::duration)
+        .containsExactly(Duration.ZERO, Duration.ZERO);
+  }
+
   @Test
   void a_leap_of_the_clock_gives_no_job_up_but_extends_no_lease_until_the_next_confirmation() {
     RunId run = submitAndStart();
