Tell controllers that a peer has restarted while its old connection is open

A connection to a process that has ended may stay open for the idle timeout, and two ends of connections may be handled in any order after a pause. When the next incarnation connected before the old connection was closed, the listener heard of neither, so state for the former incarnation was kept: a leader did not send the fallback directory and state again to a restarted entry, which then could not dispatch although the directory named it.

The first connection to a later incarnation now closes those to the earlier one, and the listener hears of a disconnection and a connection. A connection to an earlier incarnation is refused. Both are decided under one lock; before, an end and a beginning at the same time could leave a connected process without an event.

--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerConnection.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicReference;
+import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Hello;
 import org.cassiastack.protocol.Message;
@@ -25,7 +26,11 @@
   private final PeerNetwork network;
   private final Connection connection;
   private final NettyInbound inbound;
-  private volatile @Nullable NodeId peer;
+  private volatile @Nullable Hello peer;
+
+  /** Whether a later incarnation of the peer has connected. */
+  private volatile boolean superseded;
+
   private long sentPings;
 
   PeerConnection(PeerNetwork network, NettyInbound inbound) {
@@ -72,6 +77,16 @@
     }
   }
 
+  /** Returns the incarnation of the peer, whose {@link Hello} has been read. */
+  Incarnation peerIncarnation() {
+    return Objects.requireNonNull(peer).incarnation();
+  }
+
+  /** Drops the messages that are still to be read. */
+  void stopReading() {
+    superseded = true;
+  }
+
   void close() {
     connection.dispose();
   }
@@ -80,11 +95,11 @@
     network.traffic().countFrame(PeerNetwork.LENGTH_BYTES + frame.length);
     try {
       Message message = network.codec().decode(frame);
-      NodeId knownPeer = peer;
+      Hello knownPeer = peer;
       if (knownPeer == null) {
         onHello(message);
-      } else if (!(message instanceof Ping)) {
-        network.listener().onMessage(knownPeer, message);
+      } else if (!(message instanceof Ping) && !superseded) {
+        network.listener().onMessage(knownPeer.node(), message);
       }
     } catch (MalformedMessageException e) {
       throw Exceptions.propagate(e);
@@ -99,12 +114,15 @@
       throw new MalformedMessageException(
           "unsupported protocol version " + hello.protocolVersion());
     }
-    peer = hello.node();
-    network.onOpened(hello.node(), this);
+    peer = hello;
+    if (!network.onOpened(hello, this)) {
+      throw new MalformedMessageException(
+          "a later incarnation is connected than " + hello.incarnation());
+    }
   }
 
   private void onReadIdle() {
-    Logger.warn("event=connection_silent peer={} remote={}", peer, remoteAddress());
+    Logger.warn("event=connection_silent peer={} remote={}", peerNode(), remoteAddress());
     close();
   }
 
@@ -117,18 +135,26 @@
     Throwable e = Exceptions.unwrap(cause);
     String reason = Objects.toString(e.getMessage(), e.getClass().getSimpleName());
     Logger.warn(
-        "event=connection_failed peer={} remote={} reason=\"{}\"", peer, remoteAddress(), reason);
+        "event=connection_failed peer={} remote={} reason=\"{}\"",
+        peerNode(),
+        remoteAddress(),
+        reason);
     close();
     return Mono.empty();
   }
 
   private void onEnd() {
-    NodeId knownPeer = peer;
+    Hello knownPeer = peer;
     if (knownPeer != null) {
-      network.onClosed(knownPeer, this);
+      network.onClosed(knownPeer.node(), this);
     }
   }
 
+  private @Nullable NodeId peerNode() {
+    Hello knownPeer = peer;
+    return knownPeer == null ? null : knownPeer.node();
+  }
+
   private Object remoteAddress() {
     return connection.channel().remoteAddress();
   }
--- a/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
+++ b/cassiastack-transport/src/main/java/org/cassiastack/transport/peer/PeerNetwork.java
@@ -8,6 +8,8 @@
 import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.resolver.DefaultAddressResolverGroup;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -38,6 +40,8 @@
  *       connection without incoming data for {@link PeerTimings#idleTimeout} is closed, and the end
  *       that dialed the connection opens a new connection.
  *   <li>{@link #send} uses the newest connection to a process. Delivery is not guaranteed.
+ *   <li>All connections to a process are to one incarnation. When a later one connects, the
+ *       listener is told that the process has disconnected and connected again.
  *   <li>The size of frames is limited. A malformed frame closes the connection on which it arrives
  *       and does not affect other connections.
  * </ol>
@@ -178,25 +182,50 @@
     return hello;
   }
 
-  void onOpened(NodeId peer, PeerConnection connection) {
-    CopyOnWriteArrayList<PeerConnection> peerConnections =
-        connections.computeIfAbsent(peer, p -> new CopyOnWriteArrayList<>());
-    boolean first = peerConnections.isEmpty();
-    peerConnections.add(connection);
-    if (first) {
-      Logger.info("event=peer_connected peer={}", peer);
-      listener.onConnected(peer);
+  /**
+   * Adds a connection. The first connection to a later incarnation of a process ends those to the
+   * earlier one, which may stay open for the idle timeout after the end of that incarnation.
+   *
+   * @return false if the connection is to an earlier incarnation than another one
+   */
+  boolean onOpened(Hello peer, PeerConnection connection) {
+    NodeId node = peer.node();
+    List<PeerConnection> superseded = new ArrayList<>();
+    // The listener is called under the lock, so that it hears of changes in their order.
+    synchronized (connections) {
+      CopyOnWriteArrayList<PeerConnection> known =
+          connections.computeIfAbsent(node, n -> new CopyOnWriteArrayList<>());
+      for (PeerConnection c : known) {
+        if (peer.incarnation().isBefore(c.peerIncarnation())) {
+          return false;
+        } else if (c.peerIncarnation().isBefore(peer.incarnation())) {
+          superseded.add(c);
+        }
+      }
+      if (!superseded.isEmpty()) {
+        superseded.forEach(PeerConnection::stopReading);
+        known.removeAll(superseded);
+        Logger.info("event=peer_restarted peer={} incarnation={}", node, peer.incarnation());
+        listener.onDisconnected(node);
+      }
+      known.add(connection);
+      if (known.size() == 1) {
+        Logger.info("event=peer_connected peer={}", node);
+        listener.onConnected(node);
+      }
     }
+    superseded.forEach(PeerConnection::close);
+    return true;
   }
 
   void onClosed(NodeId peer, PeerConnection connection) {
     openConnections.remove(connection);
-    CopyOnWriteArrayList<PeerConnection> peerConnections = connections.get(peer);
-    if (peerConnections != null
-        && peerConnections.remove(connection)
-        && peerConnections.isEmpty()) {
-      Logger.info("event=peer_disconnected peer={}", peer);
-      listener.onDisconnected(peer);
+    synchronized (connections) {
+      CopyOnWriteArrayList<PeerConnection> known = connections.get(peer);
+      if (known != null && known.remove(connection) && known.isEmpty()) {
+        Logger.info("event=peer_disconnected peer={}", peer);
+        listener.onDisconnected(peer);
+      }
     }
   }
 
--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/peer/PeerNetworkTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/peer/PeerNetworkTest.java
@@ -128,6 +128,40 @@
     }
   }
 
+  /** Guards against state that is kept for a process that restarted before its connection ended. */
+  @Test
+  void a_restarted_process_is_reported_as_disconnected_before_it_is_connected() throws Exception {
+    try (Socket former = connectAs(new Incarnation(1))) {
+      assertThat(entryListener.nextConnectionEvent()).isEqualTo("connected agent-1");
+
+      try (Socket restarted = connectAs(new Incarnation(2))) {
+        assertThat(entryListener.nextConnectionEvent()).isEqualTo("disconnected agent-1");
+        assertThat(entryListener.nextConnectionEvent()).isEqualTo("connected agent-1");
+        awaitClose(former);
+        assertThat(restarted.isClosed()).isFalse();
+      }
+    }
+  }
+
+  @Test
+  void a_connection_of_an_earlier_incarnation_that_is_read_late_is_refused() throws Exception {
+    try (Socket restarted = connectAs(new Incarnation(2))) {
+      assertThat(entryListener.nextConnectionEvent()).isEqualTo("connected agent-1");
+
+      try (Socket former = connectAs(new Incarnation(1))) {
+        awaitClose(former);
+      }
+
+      assertThat(entry.send(AGENT, new Welcome(ENTRY, 1))).isTrue();
+      assertThat(restarted.isClosed()).isFalse();
+    }
+  }
+
+  private Socket connectAs(Incarnation incarnation) throws Exception {
+    Hello hello = new Hello(Hello.PROTOCOL_VERSION, AGENT, incarnation);
+    return open(MessageCodec.create().encode(hello));
+  }
+
   private void connect(InetSocketAddress to) throws InterruptedException {
     agent.dial(to);
     assertThat(agentListener.nextConnectionEvent()).isEqualTo("connected entry-1");
@@ -135,13 +169,18 @@
   }
 
   private void sendFrameAndAwaitClose(byte[] frame) throws IOException {
-    try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
-      ByteBuffer all = ByteBuffer.allocate(Integer.BYTES + frame.length);
-      socket.getOutputStream().write(all.putInt(frame.length).put(frame).array());
+    try (Socket socket = open(frame)) {
       awaitClose(socket);
     }
   }
 
+  private Socket open(byte[] frame) throws IOException {
+    Socket socket = new Socket(address.getAddress(), address.getPort());
+    ByteBuffer all = ByteBuffer.allocate(Integer.BYTES + frame.length);
+    socket.getOutputStream().write(all.putInt(frame.length).put(frame).array());
+    return socket;
+  }
+
   private static void awaitClose(Socket socket) throws IOException {
     socket.setSoTimeout((int) Duration.ofSeconds(20).toMillis());
     byte[] buffer = new byte[1_024];
