Grant no lease to a restarted agent before its minion has announced itself

A restarted agent reports without a minion until the next heartbeat. The leader answered such a report with a full lease, but counted the lease of the worker's runs from the last report that named a minion. When the agent was cut off soon after, it extended the deadline of its minion's runs beyond the time at which the leader took them for lost: a task started again while its run was active, or after its run had ended as done.

Such a report gets a lease of zero duration now. The first report with a minion, at the heartbeat, gets a lease that is counted.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
@@ -1,5 +1,6 @@
 package org.cassiastack.schedule.internal;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -168,19 +169,20 @@
     prober.onDisconnected(peer);
   }
 
-  /** Grants the agent of a worker the lease that its last report asked for. */
+  /**
+   * Grants the agent of a worker the lease that its last report asked for. A report without a
+   * minion, of an agent that has restarted, gets a lease that has expired: the fleet counts the
+   * lease of the worker's runs from the last report with a minion.
+   */
   void grantLease(NodeId agent, WorkerState w, AgentReport report, Instant now) {
     MinionProfile m = w.minion;
     MinionIncarnation incarnation = m == null ? null : m.life();
+    Duration lease =
+        report.minion() == null ? Duration.ZERO : callerLeases.agentLease(w, report, fence, now);
     effects.add(
         new Send(
             agent,
-            new AgentLease(
-                fence,
-                report.sentAt(),
-                callerLeases.agentLease(w, report, fence, now),
-                incarnation,
-                w.acknowledgedThrough())));
+            new AgentLease(fence, report.sentAt(), lease, incarnation, w.acknowledgedThrough())));
   }
 
   /** Puts the steps of jobs that are held no longer into the ready queue. */
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderChangeTest.java
@@ -18,6 +18,7 @@
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.runs.ActiveRun;
+import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.EndedRun;
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOutcome;
@@ -248,4 +249,14 @@
     assertThat(ofAgent).isNotEmpty();
     assertThat(started()).isEmpty();
   }
+
+  /** Guards against a restarted agent that extends runs which the leader counts as expired. */
+  @Test
+  void grants_no_lease_to_a_restarted_agent_whose_minion_has_not_announced_itself() {
+    leases.clear();
+
+    reportAfterRestart(FIRST, null, fence);
+
+    assertThat(leases).extracting(AgentLease::duration).containsExactly(Duration.ZERO);
+  }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
@@ -53,6 +53,7 @@
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOrders;
 import org.cassiastack.runs.StartOrder;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 
 /**
@@ -208,13 +209,17 @@
 
   /** Reports as an agent that has restarted, and whose minion has not answered it yet. */
   void reportAfterRestart(NodeId agent, long knownFence) {
+    reportAfterRestart(agent, minionOf(agent, false), knownFence);
+  }
+
+  void reportAfterRestart(NodeId agent, @Nullable MinionProfile minion, long knownFence) {
     now = now.plusMillis(1);
     AgentReport report =
         new AgentReport(
             new Incarnation(2),
             now,
             knownFence,
-            minionOf(agent, false),
+            minion,
             false,
             false,
             0,
