Follow a minion again whose clock was set back before its restart

Cause: an incarnation that names an earlier start than a former one that has ever answered was taken for an outdated one, also while the former one did not answer.

Change: the former one counts for 3 s after its last answer. A heartbeat of it that comes later than that is followed until the present one announces itself again.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AnnouncementCheck.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AnnouncementCheck.java
@@ -20,19 +20,19 @@
 
   /**
    * Returns whether an announcement may be followed. One of an earlier incarnation may be only
-   * while the current one has not answered yet: the current one may then come from another writer.
+   * while the current one does not answer: the current one may then come from another writer.
    *
    * @param announced the incarnation that the announcement names
    * @param current the incarnation that the agent follows, or null if there is none
-   * @param currentAnswered whether {@code current} has answered a call
+   * @param currentAnswers whether {@code current} has answered a call, not long ago
    */
   static boolean isPlausible(
       MinionIncarnation announced,
       @Nullable MinionIncarnation current,
-      boolean currentAnswered,
+      boolean currentAnswers,
       Instant now) {
     boolean fromFuture = announced.startedAtMillis() > now.plus(MAX_START_TIME_LEAD).toEpochMilli();
     boolean older = current != null && announced.startedAtMillis() < current.startedAtMillis();
-    return !fromFuture && !(older && currentAnswered);
+    return !fromFuture && !(older && currentAnswers);
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/HoldCalls.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/HoldCalls.java
@@ -17,6 +17,12 @@
    */
   private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(400);
 
+  /**
+   * Silence after which an earlier incarnation is followed as well: the clock of the machine may
+   * have been set back before the minion restarted.
+   */
+  private static final Duration SILENCE_LIMIT = Duration.ofSeconds(3);
+
   /**
    * How long an answered hold call confirms the incarnation of the minion, counted from the sending
    * of the call: two waits and a margin. A process takes longer than that to restart.
@@ -79,6 +85,13 @@
     return answeredAt.plus(MAX_WAIT).plus(ANSWER_TIMEOUT);
   }
 
+  /**
+   * Returns whether the minion has been silent for so long that its clock may have been set back.
+   */
+  boolean isLongSilent(Instant now) {
+    return now.isAfter(answeredAt.plus(SILENCE_LIMIT));
+  }
+
   /** Makes the minion unreachable until it answers again. */
   void forgetAnswers() {
     answeredAt = Instant.MIN;
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -99,7 +99,8 @@
   boolean onAnnounced(MinionAnnounced a, Instant now) {
     MinionProfile previous = profile;
     MinionIncarnation current = previous == null ? null : previous.life();
-    if (!AnnouncementCheck.isPlausible(a.profile().life(), current, hasAnswered, now)) {
+    boolean answers = hasAnswered && !holds.isLongSilent(now);
+    if (!AnnouncementCheck.isPlausible(a.profile().life(), current, answers, now)) {
       return false;
     }
     if (current == null || current.equals(a.profile().life()) || !isVerified(now)) {
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/FormerIncarnationTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/FormerIncarnationTest.java
@@ -3,10 +3,27 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.List;
+import java.util.Objects;
 import org.cassiastack.controller.Effect;
+import org.cassiastack.model.MinionId;
+import org.cassiastack.runs.MinionIncarnation;
 import org.junit.jupiter.api.Test;
 
 class FormerIncarnationTest extends AgentScenario {
+  /** Guards against a minion that is not used any more because its machine's clock was set back. */
+  @Test
+  void follows_a_restarted_minion_whose_start_time_is_earlier_than_that_of_the_former_one() {
+    MinionIncarnation earlier = new MinionIncarnation(new MinionId("i-1"), 50);
+
+    for (int i = 1; i <= 50; i++) {
+      failHold();
+      on(announced(earlier, i, false));
+      advance(100);
+    }
+
+    assertThat(Objects.requireNonNull(lastReport().minion()).life()).isEqualTo(earlier);
+  }
+
   /** Guards against a start that is repeated to a minion that restarted while the agent paused. */
   @Test
   void repeats_no_start_to_a_minion_that_has_not_answered_a_recent_call() {
