Take over another run only while its task has to be done

Found by review, by reading: a run that ended the job by its last permitted failure was followed by the take-over of another run of the task. That run then counted as one of an unknown job, whose agent gets no lease. No test shows it.

Change: the take-over asks whether the task is still open.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -331,7 +331,7 @@
    * there is one. The task must not start a second time beside it.
    */
   private void takeOverOtherRun(Run gone, Instant now) {
-    if (gone.step == null) {
+    if (!listener.isTaskOpen(gone)) {
       return;
     }
     for (WorkerState w : workers.values()) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
@@ -119,6 +119,14 @@
     }
   }
 
+  @Override
+  public boolean isTaskOpen(Run run) {
+    LiveStep step = run.step;
+    return step != null
+        && liveJobs.findStep(run.id.task()) == step
+        && !step.isDone(run.id.task().index());
+  }
+
   @Override
   public Run runFound(WorkerState w, RunId id, Instant now) {
     decisions.accept(Decision.of("run_found", id, "taken_over", "agent=" + w.agent));
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunListener.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunListener.java
@@ -21,6 +21,9 @@
    */
   void runLost(WorkerState worker, Run run, RunLoss loss, Instant now);
 
+  /** Returns whether the task of a run that is gone still has to be done. */
+  boolean isTaskOpen(Run run);
+
   /**
    * Called when a report names a run that this leader has no record of.
    *
