Count inherited deadlines at the first answer to a restarted agent, too

Found by review: a minion restarts while its agent does. A hold call of the former agent may be carried out just before the first one of the next agent, which then started runs under a lease of 0.4 s that the minion kept for up to 1 s.

Change: the first answer of each incarnation counts, also to a restarted agent. While the lists of an agent are incomplete, a minion that answers is reported as reachable, so that the leases of its runs go on. A start that is refused for this reason is logged as inherited_lease.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -251,12 +251,19 @@
     if (p.draining()) {
       return "minion_leaving";
     }
-    return minion.isVerified(now) ? "no_lease" : "minion_silent";
+    if (!minion.isVerified(now)) {
+      return "minion_silent";
+    }
+    return minion.coversInheritedLease(leaseUntil) ? "no_lease" : "inherited_lease";
   }
 
-  /** Returns whether the minion answers, and may start runs under the lease for a report. */
+  /**
+   * Returns whether the minion answers, and may start runs under the lease for a report once its
+   * lists are complete.
+   */
   private boolean isReachable(Instant now) {
-    return minion.isReachable(now) && minion.coversInheritedLease(now.plus(leaseDuration));
+    boolean mayStart = minion.coversInheritedLease(now.plus(leaseDuration));
+    return minion.isReachable(now) && (mayStart || !areListsComplete(now));
   }
 
   private boolean isReportOld(Instant now) {
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -232,7 +232,7 @@
     hasAnswered = true;
     listsKnown = true;
     successor = null;
-    lease.onAnswered(h.clockMillis(), isFirst && hasFormerIncarnation, now);
+    lease.onAnswered(h.clockMillis(), isFirst, now);
     RunLists former = lists;
     lists = RunLists.of(h);
     listedAt = now;
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/RunLease.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/RunLease.java
@@ -15,8 +15,8 @@
   private Instant runsExpireAt = Instant.MIN;
 
   /**
-   * Until when runs may be kept alive by a call that was made for a former incarnation of the
-   * minion; such calls have an effect until the current incarnation has answered.
+   * Until when runs may be kept alive by a call of a former incarnation of the minion or the agent;
+   * such calls have an effect until the current incarnation has answered.
    */
   private Instant inheritedUntil = Instant.MIN;
 
@@ -36,11 +36,11 @@
   /**
    * Handles a reading of the minion's clock.
    *
-   * @param mayInherit whether this is the first answer of an incarnation that follows another one
+   * @param isFirst whether this is the first answer of the current incarnation
    */
-  void onAnswered(long clockMillis, boolean mayInherit, Instant now) {
+  void onAnswered(long clockMillis, boolean isFirst, Instant now) {
     clock.addSample(clockMillis, now);
-    if (mayInherit) {
+    if (isFirst) {
       inheritedUntil = now.plus(settings.maxLease());
       countOnRunsUntil(clockMillis + settings.maxLease().toMillis());
     }
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
@@ -13,6 +13,9 @@
 import org.cassiastack.request.LeaderNotice;
 import org.cassiastack.runs.ActiveRun;
 import org.cassiastack.runs.AgentLease;
+import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunOrders;
+import org.cassiastack.runs.StartOrder;
 import org.junit.jupiter.api.Test;
 
 /** A minion that restarts under its identity carries out calls that its former life was sent. */
@@ -108,6 +111,29 @@
     assertThat(lastReport().reachable()).isFalse();
   }
 
+  /** Guards against leases of a former agent's calls that a restarted agent does not count. */
+  @Test
+  void a_restarted_agent_starts_nothing_under_a_lease_that_ends_before_an_inherited_deadline() {
+    AgentController restarted =
+        AgentController.create(
+            new AgentSettings(
+                new Incarnation(8), now, Duration.ofSeconds(1), Duration.ofMillis(50)));
+    now = now.plusMillis(1_200);
+    restarted.on(new Received(LEADER, new LeaderNotice(1, LEADER, List.of(LEADER))), now);
+    restarted.on(announced(MINION, 2, false), now);
+    CallHold hold = nextHold(restarted);
+    now = now.plusMillis(1);
+    restarted.on(new HoldAnswered(hold.number(), 40, List.of(), List.of(), true), now);
+    AgentLease lease = new AgentLease(7, now, Duration.ofMillis(400), MINION, 0);
+    restarted.on(new Received(LEADER, lease), now);
+
+    StartOrder start = new StartOrder(RUN, "spec");
+    RunOrders orders = new RunOrders(7, new Incarnation(8), 1, MINION, List.of(start), List.of());
+    List<Effect> effects = restarted.on(new Received(LEADER, orders), now);
+
+    assertThat(effects).noneMatch(CallStart.class::isInstance);
+  }
+
   /** Guards against runs that nobody ordered at the new incarnation. */
   @Test
   void stops_the_runs_that_a_new_incarnation_has_when_it_first_answers() {
