Give up the starts at a former incarnation after 15 s of silence

Found by review: a start without an answer at a former incarnation stayed unresolved for as long as the next one announced itself and answered nothing, so that its task never started elsewhere. A start whose stop was called again and again did so before.

Change: calls from before count for 15 s of silence. The answers to a former incarnation do not make the next one reachable.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/HoldCalls.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/HoldCalls.java
@@ -23,6 +23,12 @@
    */
   private static final Duration SILENCE_LIMIT = Duration.ofSeconds(3);
 
+  /**
+   * Silence after which no call from before is expected to be carried out any more. Without a
+   * bound, a task would wait for ever for a minion that announces itself and answers nothing.
+   */
+  private static final Duration LATE_CALL_LIMIT = Duration.ofSeconds(15);
+
   /**
    * How long an answered hold call confirms the incarnation of the minion, counted from the sending
    * of the call: two waits and a margin. A process takes longer than that to restart.
@@ -48,6 +54,9 @@
   /** When the last answer came that confirmed the incarnation of the minion. */
   private Instant answeredAt = Instant.MIN;
 
+  /** When the last answer came, or the incarnation began. */
+  private Instant silentSince = Instant.MIN;
+
   /** Earliest time of the next call; {@link Instant#MAX} between a failure and the next tick. */
   private Instant nextAt = Instant.MIN;
 
@@ -92,11 +101,23 @@
     return now.isAfter(answeredAt.plus(SILENCE_LIMIT));
   }
 
+  /** Returns whether a call that was made before the minion became silent may still arrive. */
+  boolean mayCallsArrive(Instant now) {
+    return !now.isAfter(silentSince.plus(LATE_CALL_LIMIT));
+  }
+
   /** Makes the minion unreachable until it answers again. */
   void forgetAnswers() {
     answeredAt = Instant.MIN;
   }
 
+  /** Begins an incarnation of the minion, which has answered nothing. */
+  void beginIncarnation(Instant now) {
+    forgetAnswers();
+    silentSince = now;
+    verifyAgain();
+  }
+
   /** Makes the next call due at once; the incarnation is unconfirmed until it is answered. */
   void verifyAgain() {
     verifiedAt = Instant.MIN;
@@ -120,6 +141,7 @@
     verifiedAt = sentAt;
     // An answer that was read after a pause tells nothing about the present.
     answeredAt = isVerified(now) ? now : answeredAt;
+    silentSince = now;
     nextAt = awaitsAcknowledgement ? now.plus(UNACKNOWLEDGED_DELAY) : Instant.MIN;
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -241,7 +241,7 @@
     changed |= starts.onLists(lists, h.number(), h.clockMillis());
     revoked.onLists(lists, starts.runs());
     if (isFirst && hasFormerIncarnation) {
-      // A former incarnation was told to start them, and its runs count as ended by now.
+      // The former incarnation was told to start them, under leases that no holder renews.
       revoked.add(lists, List.of(), leaseUntil);
     }
     boolean nothingToAcknowledge =
@@ -273,7 +273,7 @@
     if (mayHaveRuns() && !isReachable(now) && now.isAfter(lease.runsExpireAt())) {
       lists = lists.withoutRuns();
       listsKnown = true;
-      starts.onDeadlinesPassed();
+      starts.onDeadlinesPassed(holds.mayCallsArrive(now));
       revoked.onLists(lists, starts.runs());
       return true;
     }
@@ -370,7 +370,8 @@
     acknowledgedWhenListed = 0;
     successor = null;
     hasAnswered = false;
-    holds.verifyAgain();
+    listedAt = Instant.MIN;
+    holds.beginIncarnation(now);
   }
 
   private String expectations() {
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
@@ -146,9 +146,15 @@
   /**
    * Removes the starts once the deadlines of all of them have passed. A start with a call in flight
    * may still be carried out, so it stays.
+   *
+   * @param mayCallsArrive whether calls from before may be carried out by another incarnation
    */
-  void onDeadlinesPassed() {
-    starts.values().removeIf(s -> !s.callInFlight);
+  void onDeadlinesPassed(boolean mayCallsArrive) {
+    if (mayCallsArrive) {
+      starts.values().removeIf(s -> !s.callInFlight);
+    } else {
+      clear();
+    }
   }
 
   /** Revokes all starts, because another holder takes the minion over or the minion restarts. */
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
@@ -111,6 +111,31 @@
     assertThat(lastReport().reachable()).isFalse();
   }
 
+  /** Guards against a task that waits for ever for a minion that only announces itself. */
+  @Test
+  void a_start_at_a_former_incarnation_is_given_up_when_the_next_one_stays_silent() {
+    order(5, 1, MINION);
+    on(new StartAnswered(RUN, StartAnswered.Outcome.UNANSWERED));
+    failHold();
+    on(announced(RESTARTED_MINION, 1, false));
+    List<RunId> before = silence(5_000);
+
+    List<RunId> after = silence(15_000);
+
+    assertThat(before).containsExactly(RUN);
+    assertThat(after).isEmpty();
+  }
+
+  /** Lets no call be answered for some time; returns the runs that are unresolved then. */
+  private List<RunId> silence(long millis) {
+    for (long i = 0; i < millis; i += 200) {
+      failHold();
+      on(new StopAnswered(RUN, false));
+      advance(200);
+    }
+    return lastReport().unresolved();
+  }
+
   /** Guards against leases of a former agent's calls that a restarted agent does not count. */
   @Test
   void a_restarted_agent_starts_nothing_under_a_lease_that_ends_before_an_inherited_deadline() {
