Apply the bound on silence to repeated starts, and report an expiry once

While starts remained, a silent minion made the agent report and log the expiry of its runs in each tick.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -267,17 +267,19 @@
     lease.onClockLeaped(leap);
   }
 
-  /** Advances time; returns whether all runs are now known to have expired. */
+  /** Advances time; returns whether runs are now known to have expired. */
   boolean onTick(Instant now) {
     holds.onTick(now);
-    if (mayHaveRuns() && !isReachable(now) && now.isAfter(lease.runsExpireAt())) {
-      lists = lists.withoutRuns();
-      listsKnown = true;
-      starts.onDeadlinesPassed(holds.mayCallsArrive(now));
-      revoked.onLists(lists, starts.runs());
-      return true;
+    if (!mayHaveRuns() || isReachable(now) || !now.isAfter(lease.runsExpireAt())) {
+      return false;
     }
-    return false;
+    boolean hadRuns = !listsKnown || lists.mayHaveRuns();
+    int unresolvedBefore = starts.runs().size();
+    lists = lists.withoutRuns();
+    listsKnown = true;
+    starts.onDeadlinesPassed(holds.mayCallsArrive(now));
+    revoked.onLists(lists, starts.runs());
+    return hadRuns || starts.runs().size() < unresolvedBefore;
   }
 
   /** Returns when the next call is due, or when the runs of a silent minion have ended. */
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
@@ -29,7 +29,7 @@
   private final Set<RunId> formerCalls = new LinkedHashSet<>();
 
   boolean isEmpty() {
-    return starts.isEmpty();
+    return starts.isEmpty() && formerCalls.isEmpty();
   }
 
   List<RunId> runs() {
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
@@ -126,6 +126,24 @@
     assertThat(after).isEmpty();
   }
 
+  /** Guards against a run that stays unresolved by a call whose repetition was answered. */
+  @Test
+  void a_repeated_start_at_a_former_incarnation_is_given_up_when_the_next_one_stays_silent() {
+    order(5, 1, MINION);
+    on(new StartAnswered(RUN, StartAnswered.Outcome.UNANSWERED));
+    on(new StartAnswered(RUN, StartAnswered.Outcome.STARTED));
+    List<ActiveRun> running = List.of(new ActiveRun(RUN, 10));
+    on(new HoldAnswered(lastHoldNumber, minionClockMillis(), running, List.of(), true));
+    failHold();
+    on(announced(RESTARTED_MINION, 1, false));
+    List<RunId> before = silence(5_000);
+
+    List<RunId> after = silence(15_000);
+
+    assertThat(before).containsExactly(RUN);
+    assertThat(after).isEmpty();
+  }
+
   /** Lets no call be answered for some time; returns the runs that are unresolved then. */
   private List<RunId> silence(long millis) {
     for (long i = 0; i < millis; i += 200) {
