--- a/cassiastack-core/src/main/java/org/cassiastack/agent/CallFence.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/CallFence.java
@@ -5,11 +5,11 @@
 
 /**
  * The fence of an agent's calls to its minion. A minion does nothing for a call with a lower fence
- * than it has seen, so once it has answered a call, no call from before the last raise has an
- * effect.
+ * than it has seen, so once it has answered a call, no call of this agent from before the last
+ * raise has an effect.
  *
  * <p>The fence is at least that of the holder whom the agent obeys. It follows the clock, so that
- * it also rises from one incarnation of the agent to the next.
+ * it also rises from one incarnation of the agent to the next, unless the clock is set back.
  */
 final class CallFence {
   /** Fences of holders are at most twice the microseconds since 1970 of the election. */
