--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -270,7 +270,8 @@
   /** Advances time; returns whether runs are now known to have expired. */
   boolean onTick(Instant now) {
     holds.onTick(now);
-    if (!mayHaveRuns() || isReachable(now) || !now.isAfter(lease.runsExpireAt())) {
+    boolean isExpired = !isReachable(now) && now.isAfter(lease.runsExpireAt());
+    if (profile == null || !mayHaveRuns() || !isExpired) {
       return false;
     }
     boolean hadRuns = !listsKnown || lists.mayHaveRuns();
