Move the acknowledgement of ends out of MinionLink

No change of behaviour: what the leader has acknowledged, and what the minion was told of it, are in EndAcknowledgements.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -18,6 +18,7 @@
   private final CallFence fence = new CallFence();
   private final PendingStarts starts = new PendingStarts();
   private final RevokedRuns revoked = new RevokedRuns();
+  private final EndAcknowledgements acknowledgements = new EndAcknowledgements();
   private @Nullable MinionProfile profile;
 
   /**
@@ -40,13 +41,6 @@
 
   private long sequence;
   private RunLists lists = RunLists.EMPTY;
-  private long acknowledgedThrough;
-
-  /** Value of {@link #acknowledgedThrough} when the minion returned its last run lists. */
-  private long acknowledgedWhenListed;
-
-  /** What the last hold call has acknowledged. */
-  private long acknowledgedByHold;
 
   /** Number of the last hold call before which the fence was raised for unanswered starts. */
   private long raisedByHold;
@@ -153,8 +147,7 @@
   void onAcknowledged(@Nullable MinionIncarnation minionIncarnation, long newAcknowledgedThrough) {
     if (minionIncarnation != null
         && isIncarnation(minionIncarnation)
-        && newAcknowledgedThrough > acknowledgedThrough) {
-      acknowledgedThrough = newAcknowledgedThrough;
+        && acknowledgements.onAcknowledged(newAcknowledgedThrough)) {
       holds.makeDue();
     }
   }
@@ -236,7 +229,7 @@
     RunLists former = lists;
     lists = RunLists.of(h);
     listedAt = now;
-    acknowledgedWhenListed = acknowledgedThrough;
+    acknowledgements.onListed();
     boolean changed = !lists.hasSameRuns(former);
     changed |= starts.onLists(lists, h.number(), h.clockMillis());
     revoked.onLists(lists, starts.runs());
@@ -244,9 +237,7 @@
       // The former incarnation was told to start them, under leases that no holder renews.
       revoked.add(lists, List.of(), leaseUntil);
     }
-    boolean nothingToAcknowledge =
-        lists.ended().isEmpty() || acknowledgedThrough > acknowledgedByHold;
-    holds.answered(!nothingToAcknowledge, now);
+    holds.answered(acknowledgements.areAwaitedFor(lists), now);
     return changed || isFirst || !lists.allEndsListed();
   }
 
@@ -331,18 +322,15 @@
     long number = holds.send(now);
     long deadlineMillis =
         now.isBefore(until) && lease.isClockKnown() ? lease.deadlineMillis(until, now) : 0;
-    boolean unacknowledged =
-        !lists.ended().isEmpty() && acknowledgedWhenListed == acknowledgedThrough;
     boolean verified = isVerified(now);
-    acknowledgedByHold = verified ? acknowledgedThrough : 0;
     effects.add(
         new CallHold(
             number,
             p.life(),
             fence.value(),
-            acknowledgedByHold,
+            acknowledgements.forHoldCall(verified),
             deadlineMillis,
-            verified && !unacknowledged ? HoldCalls.MAX_WAIT : Duration.ZERO));
+            verified && !acknowledgements.lackFor(lists) ? HoldCalls.MAX_WAIT : Duration.ZERO));
   }
 
   /** Returns whether calls are known to reach the incarnation that they are meant for. */
@@ -369,8 +357,7 @@
     revoked.onLists(lists, starts.runs());
     lease.beginIncarnation(now);
     sequence = 0;
-    acknowledgedThrough = 0;
-    acknowledgedWhenListed = 0;
+    acknowledgements.beginIncarnation();
     successor = null;
     hasAnswered = false;
     listedAt = Instant.MIN;
