Count an inherited deadline when a call is refused for its fence

Cause: an agent that restarts with its clock set back, beside a restart of its minion, has a lower fence than the calls of the former agent. One of these that is carried out after the minion's first answer extends the lease of all runs. The agent learned of it by a refused start or hold call, raised its fence, and went on starting runs under shorter leases.

Callers: a run that outlasts the lease by which its dispatcher counts it as ended, so that a task runs twice at once, if the agent is cut off then.

Change: a refusal that no later call of the agent itself can explain makes the longest lease count: until the next answered hold call nothing starts, from it on no run starts under a lease that ends before an inherited deadline, and the runs of a minion that falls silent count for the longest lease. A refused start makes a hold call due at once. The outcome of a refused start names its fence, so that a start which was overtaken by a call of the same agent blocks nothing.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/CallFence.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/CallFence.java
@@ -25,43 +25,53 @@
 
   private long holderFence;
   private long value;
+
+  /** Fence of the last call, the highest one that the minion can have seen from this agent. */
+  private long lastCall;
+
+  /** Fence of the last hold call. */
+  private long lastHoldCall;
+
   private long step = MIN_STEP;
 
-  long value() {
+  /** Returns the fence for a call that is made now. */
+  long forCall() {
+    lastCall = value;
     return value;
   }
 
+  /** Returns the fence for a hold call that is made now. */
+  long forHoldCall() {
+    lastHoldCall = value;
+    return forCall();
+  }
+
   /** Makes the fence higher than that of all earlier calls. */
   void raise(Instant now) {
     long byClock = ChronoUnit.MICROS.between(Instant.EPOCH, now) * UNITS_PER_MICROSECOND;
     value = Math.max(Math.max(value + 1, byClock), holderFence);
   }
 
-  /** Handles the outcome of a start call. */
-  void onStartAnswered(StartAnswered.Outcome outcome, Instant now) {
-    if (outcome == StartAnswered.Outcome.FENCED) {
-      raiseBeyondClock(now);
-    } else if (outcome == StartAnswered.Outcome.STARTED) {
-      step = MIN_STEP;
-    }
+  /** Handles a call that the minion has carried out. */
+  void onAccepted() {
+    step = MIN_STEP;
   }
 
   /**
-   * Raises the fence after a hold call has failed: another incarnation of the minion may answer the
-   * next one, and must not carry out any earlier call then.
+   * Raises the fence after the minion has refused a call because it has seen a higher one. Returns
+   * whether that was not the fence of a later call of this agent, so that the minion has carried
+   * out a call of an earlier incarnation of the agent, whose clock was ahead.
    */
-  void onHoldFailed(boolean fenced, Instant now) {
-    if (fenced) {
-      raiseBeyondClock(now);
-    } else {
-      raise(now);
-    }
+  boolean onRefused(long refusedFence, Instant now) {
+    raiseBeyondClock(now);
+    return refusedFence >= lastCall;
+  }
+
+  /** Does the same for the last hold call. */
+  boolean onHoldRefused(Instant now) {
+    return onRefused(lastHoldCall, now);
   }
 
-  /**
-   * Raises the fence after the minion has refused it: the clock of an earlier incarnation of the
-   * agent may have been ahead.
-   */
   private void raiseBeyondClock(Instant now) {
     raise(now);
     value += step;
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -175,14 +175,14 @@
       return false;
     }
     long deadlineMillis = lease.deadlineMillis(until, now);
-    effects.add(starts.add(p.life(), order, fence.value(), deadlineMillis));
+    effects.add(starts.add(p.life(), order, fence.forCall(), deadlineMillis));
     return true;
   }
 
   void stop(RunId run, List<Effect> effects) {
     MinionProfile p = profile;
     if (p != null) {
-      effects.add(new CallStop(p.life(), run, fence.value()));
+      effects.add(new CallStop(p.life(), run, fence.forCall()));
     }
   }
 
@@ -199,10 +199,25 @@
 
   /** Handles the outcome of a start call; returns whether the agent should report to the leader. */
   boolean onStartAnswered(StartAnswered a, Instant now) {
-    fence.onStartAnswered(a.outcome(), now);
+    if (a.outcome() == StartAnswered.Outcome.FENCED) {
+      onRefused(a.refusedFence(), now);
+    } else if (a.outcome() == StartAnswered.Outcome.STARTED) {
+      fence.onAccepted();
+    }
     return starts.onStartAnswered(a, holds.nextNumber());
   }
 
+  /**
+   * Handles a start or stop call that was refused for its fence. Nothing starts until a hold call
+   * with a higher fence is answered: from then on, no call of a former agent extends a deadline.
+   */
+  private void onRefused(long refusedFence, Instant now) {
+    if (fence.onRefused(refusedFence, now)) {
+      lease.onFormerCallSeen(now);
+      holds.verifyAgain();
+    }
+  }
+
   /** Handles the outcome of a stop call, which may resolve a start that was revoked. */
   void onStopAnswered(StopAnswered a) {
     starts.onStopAnswered(a, holds.nextNumber());
@@ -225,7 +240,7 @@
     hasAnswered = true;
     listsKnown = true;
     successor = null;
-    lease.onAnswered(h.clockMillis(), isFirst, now);
+    lease.onAnswered(h.clockMillis(), now);
     RunLists former = lists;
     lists = RunLists.of(h);
     listedAt = now;
@@ -247,7 +262,12 @@
       return false;
     }
     holds.failed();
-    fence.onHoldFailed(h.fenced(), now);
+    if (!h.fenced()) {
+      // Another incarnation may answer the next call, and must not carry out any earlier one then.
+      fence.raise(now);
+    } else if (fence.onHoldRefused(now)) {
+      lease.onFormerCallSeen(now);
+    }
     MinionAnnounced announced = successor;
     successor = null;
     return announced != null && applyAnnouncement(announced, now);
@@ -309,8 +329,8 @@
     }
     Instant until = revoked.capped(leaseUntil);
     if (successor == null) {
-      starts.sendDueCalls(p.life(), fence.value(), isVerified(now), until, now, effects);
-      revoked.sendDueCalls(p.life(), starts.runs(), fence.value(), now, effects);
+      starts.sendDueCalls(p.life(), fence, isVerified(now), until, now, effects);
+      revoked.sendDueCalls(p.life(), starts.runs(), fence, now, effects);
     }
     if (!holds.isDue(now)) {
       return;
@@ -327,7 +347,7 @@
         new CallHold(
             number,
             p.life(),
-            fence.value(),
+            fence.forHoldCall(),
             acknowledgements.forHoldCall(verified),
             deadlineMillis,
             verified && !acknowledgements.lackFor(lists) ? HoldCalls.MAX_WAIT : Duration.ZERO));
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
@@ -128,7 +128,7 @@
    */
   void sendDueCalls(
       MinionIncarnation minionIncarnation,
-      long fence,
+      CallFence fence,
       boolean mayStart,
       Instant leaseUntil,
       Instant now,
@@ -136,9 +136,9 @@
     for (PendingStart s : starts.values()) {
       if (!s.callInFlight && s.revoked) {
         s.callInFlight = true;
-        effects.add(new CallStop(minionIncarnation, s.order.run(), fence));
+        effects.add(new CallStop(minionIncarnation, s.order.run(), fence.forCall()));
       } else if (!s.callInFlight && s.canRetry() && mayStart && now.isBefore(leaseUntil)) {
-        effects.add(s.nextCall(minionIncarnation, fence));
+        effects.add(s.nextCall(minionIncarnation, fence.forCall()));
       }
     }
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/RevokedRuns.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/RevokedRuns.java
@@ -82,7 +82,7 @@
   void sendDueCalls(
       MinionIncarnation minionIncarnation,
       Collection<RunId> pending,
-      long fence,
+      CallFence fence,
       Instant now,
       List<Effect> effects) {
     for (Map.Entry<RunId, Instant> call : nextCalls.entrySet()) {
@@ -90,7 +90,7 @@
         call.setValue(now.plus(RETRY_DELAY));
       } else if (!now.isBefore(call.getValue()) && !pending.contains(call.getKey())) {
         call.setValue(Instant.MAX);
-        effects.add(new CallStop(minionIncarnation, call.getKey(), fence));
+        effects.add(new CallStop(minionIncarnation, call.getKey(), fence.forCall()));
       }
     }
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/RunLease.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/RunLease.java
@@ -15,11 +15,14 @@
   private Instant runsExpireAt = Instant.MIN;
 
   /**
-   * Until when runs may be kept alive by a call of a former incarnation of the minion or the agent;
-   * such calls have an effect until the current incarnation has answered.
+   * Until when runs may be kept alive by a call that was made for a former incarnation of the
+   * minion, or by a former incarnation of the agent.
    */
   private Instant inheritedUntil = Instant.MIN;
 
+  /** Whether such calls may have an effect until the minion answers the next hold call. */
+  private boolean mayInherit;
+
   RunLease(AgentSettings settings) {
     this.settings = settings;
   }
@@ -28,19 +31,24 @@
   void beginIncarnation(Instant now) {
     clock.reset();
     inheritedUntil = Instant.MIN;
-    runsExpireAt =
-        now.plus(MinionClock.longestTimeOf(settings.maxLease()))
-            .plus(settings.stopGrace().multipliedBy(2));
+    mayInherit = true;
+    runsExpireAt = longestLeaseFrom(now);
   }
 
   /**
-   * Handles a reading of the minion's clock.
-   *
-   * @param isFirst whether this is the first answer of the current incarnation
+   * Records that the minion has carried out a call of a former incarnation of the agent, and may
+   * carry out further ones until it answers a call with a higher fence.
    */
-  void onAnswered(long clockMillis, boolean isFirst, Instant now) {
+  void onFormerCallSeen(Instant now) {
+    mayInherit = true;
+    countOnRunsUntil(longestLeaseFrom(now));
+  }
+
+  /** Handles the answer to a hold call, with a reading of the minion's clock. */
+  void onAnswered(long clockMillis, Instant now) {
     clock.addSample(clockMillis, now);
-    if (isFirst) {
+    if (mayInherit) {
+      mayInherit = false;
       inheritedUntil = now.plus(settings.maxLease());
       countOnRunsUntil(clockMillis + settings.maxLease().toMillis());
     }
@@ -84,8 +92,17 @@
   }
 
   private void countOnRunsUntil(long deadlineMillis) {
-    Instant certainlyEndedAt =
-        clock.certainlyPassedAt(deadlineMillis).plus(settings.stopGrace().multipliedBy(2));
+    countOnRunsUntil(
+        clock.certainlyPassedAt(deadlineMillis).plus(settings.stopGrace().multipliedBy(2)));
+  }
+
+  private void countOnRunsUntil(Instant certainlyEndedAt) {
     runsExpireAt = certainlyEndedAt.isAfter(runsExpireAt) ? certainlyEndedAt : runsExpireAt;
   }
+
+  /** Returns when runs have certainly ended that get the longest lease now. */
+  private Instant longestLeaseFrom(Instant now) {
+    return now.plus(MinionClock.longestTimeOf(settings.maxLease()))
+        .plus(settings.stopGrace().multipliedBy(2));
+  }
 }
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/RefusedCallTest.java
@@ -0,0 +1,137 @@
+package org.cassiastack.agent;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.cassiastack.controller.Effect;
+import org.cassiastack.protocol.Received;
+import org.cassiastack.runs.ActiveRun;
+import org.cassiastack.runs.AgentLease;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A minion refuses a call for its fence once it has carried out a late call of a former agent whose
+ * clock was ahead.
+ */
+class RefusedCallTest extends AgentScenario {
+  private static final Duration SHORT_LEASE = Duration.ofMillis(600);
+
+  /** Guards against runs that outlast their lease by the deadline of such a call. */
+  @Test
+  void after_a_refused_start_nothing_starts_under_a_lease_before_an_inherited_deadline() {
+    awaitShortLease();
+    long fence = fenceOfStart(order(5, 1, MINION));
+    on(StartAnswered.fenced(RUN, fence));
+
+    answerHold();
+    answerHold();
+    grantShortLease();
+    List<Effect> tooEarly = order(5, 2, MINION);
+    passWithAnswers(600);
+    grantShortLease();
+    List<Effect> later = order(5, 3, MINION);
+
+    assertThat(tooEarly).noneMatch(CallStart.class::isInstance);
+    assertThat(later).anyMatch(CallStart.class::isInstance);
+  }
+
+  /** Guards against runs that outlast their lease by the deadline of such a call. */
+  @Test
+  void after_a_refused_hold_call_nothing_starts_under_a_lease_before_an_inherited_deadline() {
+    awaitShortLease();
+    on(new HoldFailed(lastHoldNumber, true));
+    advance(100);
+
+    answerHold();
+    answerHold();
+    grantShortLease();
+    List<Effect> tooEarly = order(5, 1, MINION);
+    passWithAnswers(600);
+    grantShortLease();
+    List<Effect> later = order(5, 2, MINION);
+
+    assertThat(tooEarly).noneMatch(CallStart.class::isInstance);
+    assertThat(later).anyMatch(CallStart.class::isInstance);
+  }
+
+  /** Guards against starts while further calls of the former agent can extend the deadline. */
+  @Test
+  void after_a_refused_start_nothing_starts_before_the_minion_answers_a_higher_fence() {
+    long fence = fenceOfStart(order(5, 1, MINION));
+    List<Effect> refused = on(StartAnswered.fenced(RUN, fence));
+
+    List<Effect> before = order(5, 2, MINION);
+    answerHold();
+    lease(5);
+    List<Effect> after = order(5, 3, MINION);
+
+    assertThat(refused).anyMatch(e -> e instanceof CallHold h && h.fence() > fence);
+    assertThat(before).noneMatch(CallStart.class::isInstance);
+    assertThat(after).anyMatch(CallStart.class::isInstance);
+  }
+
+  /** Guards against tasks that start elsewhere while such a call keeps their runs alive. */
+  @Test
+  void after_a_refused_hold_call_the_runs_count_for_the_longest_lease() {
+    List<ActiveRun> running = List.of(new ActiveRun(RUN, 10));
+    on(new HoldAnswered(lastHoldNumber, minionClockMillis(), running, List.of(), true));
+    advance(800);
+    on(new HoldFailed(lastHoldNumber, true));
+
+    failHolds(800);
+    List<ActiveRun> counted = lastReport().running();
+    failHolds(600);
+
+    assertThat(counted).extracting(ActiveRun::run).containsExactly(RUN);
+    assertThat(lastReport().running()).isEmpty();
+  }
+
+  /** Guards against starts that wait for a lease because calls of the agent changed places. */
+  @Test
+  void a_start_that_was_overtaken_by_a_later_call_of_the_agent_tells_of_no_former_agent() {
+    awaitShortLease();
+    long fence = fenceOfStart(order(5, 1, MINION));
+    failHold();
+    advance(100);
+    answerHold();
+    answerHold();
+    grantShortLease();
+
+    on(StartAnswered.fenced(RUN, fence));
+
+    assertThat(order(5, 2, MINION)).anyMatch(CallStart.class::isInstance);
+  }
+
+  /** Passes the first lease, and grants a short one that covers every deadline until now. */
+  private void awaitShortLease() {
+    passWithAnswers(1_200);
+    grantShortLease();
+  }
+
+  private void grantShortLease() {
+    on(new Received(LEADER, new AgentLease(5, now, SHORT_LEASE, MINION, 0)));
+  }
+
+  private void passWithAnswers(long millis) {
+    for (long i = 0; i < millis; i += 200) {
+      advance(180);
+      answerHold();
+    }
+  }
+
+  private void failHolds(long millis) {
+    for (long i = 0; i < millis; i += 200) {
+      failHold();
+      advance(180);
+    }
+  }
+
+  private static long fenceOfStart(List<Effect> effects) {
+    return effects.stream()
+        .filter(CallStart.class::isInstance)
+        .mapToLong(e -> ((CallStart) e).fence())
+        .findFirst()
+        .orElseThrow();
+  }
+}
