Raise the fence of an agent's calls after a refused stop, too

Cause: the outcome of a stop call told only whether the minion had accepted it, so a refusal for the fence was taken for any other failure. Revoked runs were stopped again with the same fence, and the leader's stops not at all, until the next hold call was refused: up to 0.2 s, while it waits for an end, and a retry of 75 ms.

Callers: cancelled and revoked runs end, and their room is free, as much later.

Change: the outcome names the refused fence, and is handled as that of a start.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -102,7 +102,7 @@
     } else if (event instanceof StartAnswered s) {
       reportDue |= minion.onStartAnswered(s, now);
     } else if (event instanceof StopAnswered s) {
-      minion.onStopAnswered(s);
+      minion.onStopAnswered(s, now);
     } else if (event instanceof HoldAnswered h) {
       reportDue |= minion.onHoldAnswered(h, leaseUntil, now) || isReportOld(now);
     } else if (event instanceof HoldFailed h) {
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -219,7 +219,10 @@
   }
 
   /** Handles the outcome of a stop call, which may resolve a start that was revoked. */
-  void onStopAnswered(StopAnswered a) {
+  void onStopAnswered(StopAnswered a, Instant now) {
+    if (a.refusedFence() > 0) {
+      onRefused(a.refusedFence(), now);
+    }
     starts.onStopAnswered(a, holds.nextNumber());
     revoked.onStopAnswered(a);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/StopAnswered.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/StopAnswered.java
@@ -9,6 +9,18 @@
  *
  * @param run the run
  * @param accepted whether the minion has accepted the stop
+ * @param refusedFence fence of the call if the minion has refused it because it has seen a higher
+ *     one, else 0
  * @since 0.2
  */
-public record StopAnswered(RunId run, boolean accepted) implements Event {}
+public record StopAnswered(RunId run, boolean accepted, long refusedFence) implements Event {
+  /** Creates the outcome of a call that the minion did not refuse for its fence. */
+  public StopAnswered(RunId run, boolean accepted) {
+    this(run, accepted, 0);
+  }
+
+  /** Creates the outcome of a call that the minion has refused for its fence. */
+  public static StopAnswered fenced(RunId run, long refusedFence) {
+    return new StopAnswered(run, false, refusedFence);
+  }
+}
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/RefusedCallTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/RefusedCallTest.java
@@ -8,6 +8,7 @@
 import org.cassiastack.protocol.Received;
 import org.cassiastack.runs.ActiveRun;
 import org.cassiastack.runs.AgentLease;
+import org.cassiastack.runs.RunOrders;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -71,6 +72,31 @@
     assertThat(after).anyMatch(CallStart.class::isInstance);
   }
 
+  /** Guards against stops that take effect only once a hold call is refused, too. */
+  @Test
+  void after_a_refused_stop_a_hold_call_with_a_higher_fence_is_made_at_once() {
+    long fence = fenceOfStop(orderStop(1));
+
+    List<Effect> refused = on(StopAnswered.fenced(RUN, fence));
+    List<Effect> next = orderStop(2);
+
+    assertThat(refused).anyMatch(e -> e instanceof CallHold h && h.fence() > fence);
+    assertThat(fenceOfStop(next)).isGreaterThan(fence);
+  }
+
+  /** Guards against runs that outlast their lease by the deadline of such a call. */
+  @Test
+  void after_a_refused_stop_nothing_starts_under_a_lease_before_an_inherited_deadline() {
+    awaitShortLease();
+    on(StopAnswered.fenced(RUN, fenceOfStop(orderStop(1))));
+
+    answerHold();
+    answerHold();
+    grantShortLease();
+
+    assertThat(order(5, 2, MINION)).noneMatch(CallStart.class::isInstance);
+  }
+
   /** Guards against tasks that start elsewhere while such a call keeps their runs alive. */
   @Test
   void after_a_refused_hold_call_the_runs_count_for_the_longest_lease() {
@@ -109,6 +135,12 @@
     grantShortLease();
   }
 
+  private List<Effect> orderStop(long number) {
+    return on(
+        new Received(
+            LEADER, new RunOrders(5, AGENT_INCARNATION, number, MINION, List.of(), List.of(RUN))));
+  }
+
   private void grantShortLease() {
     on(new Received(LEADER, new AgentLease(5, now, SHORT_LEASE, MINION, 0)));
   }
@@ -127,6 +159,14 @@
     }
   }
 
+  private static long fenceOfStop(List<Effect> effects) {
+    return effects.stream()
+        .filter(CallStop.class::isInstance)
+        .mapToLong(e -> ((CallStop) e).fence())
+        .findFirst()
+        .orElseThrow();
+  }
+
   private static long fenceOfStart(List<Effect> effects) {
     return effects.stream()
         .filter(CallStart.class::isInstance)
