Pause before the stop of a revoked start is called again

Cause: the stop of a start that was revoked by a restart of the minion or by another holder was called again in the turn in which it failed. A minion that refuses connections, or answers with a refusal, was called without a pause.

Callers: no wrong answer; the calls cost processor time beside the minion's tasks.

Change: the call is repeated after 50 ms, as for runs. A revoked start stays unresolved in the pause, also when its deadline has passed: that deadline may be one on the clock of a former incarnation.

Measured: the new test of MinionRestartTest failed without the change and passes. Two of its earlier tests fail if revoked starts are dropped in the pause.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -223,7 +223,7 @@
     if (a.refusedFence() > 0) {
       onRefused(a.refusedFence(), now);
     }
-    starts.onStopAnswered(a, holds.nextNumber());
+    starts.onStopAnswered(a, holds.nextNumber(), now);
     revoked.onStopAnswered(a);
   }
 
@@ -303,8 +303,9 @@
       return Instant.MAX;
     }
     Instant at = holds.nextTickAt(now);
-    Instant stopAt = revoked.nextCallAt();
-    at = stopAt.isBefore(at) ? stopAt : at;
+    for (Instant stopAt : List.of(revoked.nextCallAt(), starts.nextStopAt())) {
+      at = stopAt.isBefore(at) ? stopAt : at;
+    }
     Instant expiry = lease.runsExpireAt();
     expiry = expiry.isBefore(holds.unreachableAt()) ? holds.unreachableAt() : expiry;
     return mayHaveRuns() && expiry.isBefore(at) ? expiry : at;
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStart.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStart.java
@@ -1,6 +1,7 @@
 package org.cassiastack.agent;
 
 import java.time.Duration;
+import java.time.Instant;
 import org.cassiastack.runs.MinionIncarnation;
 import org.cassiastack.runs.StartOrder;
 
@@ -37,6 +38,9 @@
    */
   boolean revoked;
 
+  /** Earliest time of the next stop call for a revoked start. */
+  Instant nextStopAt = Instant.MIN;
+
   /** Number of the first hold call whose run lists show the outcome of the start. */
   long firstConclusiveHold = Long.MAX_VALUE;
 
@@ -53,9 +57,14 @@
     return new CallStart(minionIncarnation, order, fence, deadlineMillis, timeout);
   }
 
+  /** Returns whether to call a stop of a revoked start, for the first time or again. */
+  boolean isStopDue(Instant now) {
+    return revoked && !callInFlight && !now.isBefore(nextStopAt);
+  }
+
   /** Returns whether to repeat a start call that was not answered. */
   boolean canRetry() {
-    return outcomeUnknown && callCount < MAX_CALLS;
+    return !revoked && !callInFlight && outcomeUnknown && callCount < MAX_CALLS;
   }
 
   /**
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
@@ -83,12 +83,13 @@
    *
    * @param nextHold number of the next hold call
    */
-  void onStopAnswered(StopAnswered a, long nextHold) {
+  void onStopAnswered(StopAnswered a, long nextHold, Instant now) {
     PendingStart s = starts.get(a.run());
     if (s != null && s.revoked) {
       s.callInFlight = false;
       s.outcomeUnknown = !a.accepted();
       s.revoked = !a.accepted();
+      s.nextStopAt = now.plus(RevokedRuns.RETRY_DELAY);
       s.firstConclusiveHold = nextHold;
     }
   }
@@ -134,24 +135,34 @@
       Instant now,
       List<Effect> effects) {
     for (PendingStart s : starts.values()) {
-      if (!s.callInFlight && s.revoked) {
+      if (s.isStopDue(now)) {
         s.callInFlight = true;
         effects.add(new CallStop(minionIncarnation, s.order.run(), fence.forCall()));
-      } else if (!s.callInFlight && s.canRetry() && mayStart && now.isBefore(leaseUntil)) {
+      } else if (s.canRetry() && mayStart && now.isBefore(leaseUntil)) {
         effects.add(s.nextCall(minionIncarnation, fence.forCall()));
       }
     }
   }
 
+  /** Returns when the next stop call for a revoked start is due. */
+  Instant nextStopAt() {
+    Instant at = Instant.MAX;
+    for (PendingStart s : starts.values()) {
+      at = s.revoked && !s.callInFlight && s.nextStopAt.isBefore(at) ? s.nextStopAt : at;
+    }
+    return at;
+  }
+
   /**
    * Removes the starts once the deadlines of all of them have passed. A start with a call in flight
-   * may still be carried out, so it stays.
+   * may still be carried out, so it stays. So does a revoked start whose stop is called again after
+   * a pause: the deadline may be one on the clock of a former incarnation.
    *
    * @param mayCallsArrive whether calls from before may be carried out by another incarnation
    */
   void onDeadlinesPassed(boolean mayCallsArrive) {
     if (mayCallsArrive) {
-      starts.values().removeIf(s -> !s.callInFlight);
+      starts.values().removeIf(s -> !s.callInFlight && !s.revoked);
     } else {
       clear();
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/RevokedRuns.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/RevokedRuns.java
@@ -19,7 +19,7 @@
  */
 final class RevokedRuns {
   /** Delay after which a stop that was refused or not answered is called again. */
-  private static final Duration RETRY_DELAY = Duration.ofMillis(50);
+  static final Duration RETRY_DELAY = Duration.ofMillis(50);
 
   /**
    * Revoked runs that may exist, each with the time of its next stop call; {@link Instant#MAX}
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import org.cassiastack.controller.Effect;
@@ -144,6 +145,28 @@
     assertThat(after).isEmpty();
   }
 
+  /** Guards against calls without a pause to a minion that refuses connections. */
+  @Test
+  void a_stop_of_a_former_start_that_fails_is_called_again_after_a_pause_of_50_ms() {
+    order(5, 1, MINION);
+    failHold();
+    on(new StartAnswered(RUN, StartAnswered.Outcome.UNANSWERED));
+    List<Effect> first = on(announced(RESTARTED_MINION, 1, false));
+
+    List<Effect> failed = on(new StopAnswered(RUN, false));
+    Instant failedAt = now;
+    Instant dueAt = agent.nextTickAt(now);
+    List<Effect> early = advance(40);
+    List<Effect> later = advance(20);
+
+    assertThat(first).anyMatch(CallStop.class::isInstance);
+    assertThat(failed).noneMatch(CallStop.class::isInstance);
+    assertThat(early).noneMatch(CallStop.class::isInstance);
+    assertThat(dueAt).isEqualTo(failedAt.plusMillis(50));
+    assertThat(later).anyMatch(e -> e instanceof CallStop s && s.run().equals(RUN));
+    assertThat(lastReport().unresolved()).containsExactly(RUN);
+  }
+
   /** Lets no call be answered for some time; returns the runs that are unresolved then. */
   private List<RunId> silence(long millis) {
     for (long i = 0; i < millis; i += 200) {
