Bound how far refusals raise the fence of an agent's calls

Cause: each refused start doubled the step by which the fence rises, also when many had been called with one fence. 50 refused starts put it two years ahead of the clock (127,543,347,781,489 units of half a microsecond). An answered hold call did not end the row of refusals. Nothing bounded the sum: at steps of 25 days, each 75 ms, a minion that refuses everything brings the fence past 2^53 in about 90 s and past 2^63 in about 44 hours (computed).

Callers: after such a leap the next agent, whose fence follows the clock, is refused dozens of times, and its minion gets no work until then.

Change: the fence rises once for all calls that had it, the first step is taken again after an answered hold call, and refusals lead at most 71 years ahead of the clock. The protocol names no limit; 2^53 is where readers of JSON that use floating-point numbers lose digits. The fence of a holder is still never undercut.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/CallFence.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/CallFence.java
@@ -23,6 +23,14 @@
 
   private static final long MAX_STEP = 1L << 42;
 
+  /**
+   * Longest lead over the clock that refusals can give, in units: some 71 years. A minion that
+   * refuses every call would otherwise make the fence overflow. Until 2041 such a fence stays below
+   * 2^53, the limit up to which JSON readers that use floating-point numbers tell it from the next
+   * one; the users' protocol names no limit.
+   */
+  private static final long MAX_LEAD = 1L << 52;
+
   private long holderFence;
   private long value;
 
@@ -48,8 +56,11 @@
 
   /** Makes the fence higher than that of all earlier calls. */
   void raise(Instant now) {
-    long byClock = ChronoUnit.MICROS.between(Instant.EPOCH, now) * UNITS_PER_MICROSECOND;
-    value = Math.max(Math.max(value + 1, byClock), holderFence);
+    value = Math.max(Math.max(value + 1, byClock(now)), holderFence);
+  }
+
+  private static long byClock(Instant now) {
+    return ChronoUnit.MICROS.between(Instant.EPOCH, now) * UNITS_PER_MICROSECOND;
   }
 
   /** Handles a call that the minion has carried out. */
@@ -63,7 +74,10 @@
    * out a call of an earlier incarnation of the agent, whose clock was ahead.
    */
   boolean onRefused(long refusedFence, Instant now) {
-    raiseBeyondClock(now);
+    // The refusals of several calls with one fence raise it once.
+    if (refusedFence == value) {
+      raiseBeyondClock(now);
+    }
     return refusedFence >= lastCall;
   }
 
@@ -74,7 +88,7 @@
 
   private void raiseBeyondClock(Instant now) {
     raise(now);
-    value += step;
+    value = Math.max(value, Math.min(value + step, byClock(now) + MAX_LEAD));
     step = Math.min(2 * step, MAX_STEP);
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -243,6 +243,7 @@
     hasAnswered = true;
     listsKnown = true;
     successor = null;
+    fence.onAccepted();
     lease.onAnswered(h.clockMillis(), now);
     RunLists former = lists;
     lists = RunLists.of(h);
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/RefusedCallTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/RefusedCallTest.java
@@ -4,11 +4,16 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.cassiastack.controller.Effect;
 import org.cassiastack.protocol.Received;
+import org.cassiastack.queue.QueuedJobId;
+import org.cassiastack.queue.QueuedTaskId;
 import org.cassiastack.runs.ActiveRun;
 import org.cassiastack.runs.AgentLease;
+import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOrders;
+import org.cassiastack.runs.StartOrder;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -18,6 +23,9 @@
 class RefusedCallTest extends AgentScenario {
   private static final Duration SHORT_LEASE = Duration.ofMillis(600);
 
+  /** Units of the fence by which it follows the clock in a second. */
+  private static final long UNITS_PER_SECOND = 2_000_000;
+
   /** Guards against runs that outlast their lease by the deadline of such a call. */
   @Test
   void after_a_refused_start_nothing_starts_under_a_lease_before_an_inherited_deadline() {
@@ -72,6 +80,46 @@
     assertThat(after).anyMatch(CallStart.class::isInstance);
   }
 
+  /** Guards against a fence that is months ahead of the clock of the next agent. */
+  @Test
+  void refusals_of_several_starts_with_one_fence_raise_the_fence_once() {
+    List<StartOrder> starts = IntStream.range(0, 50).mapToObj(i -> startOf(i)).toList();
+    List<Effect> calls =
+        on(new Received(LEADER, new RunOrders(5, AGENT_INCARNATION, 1, MINION, starts, List.of())));
+    long fence = fenceOfStart(calls);
+
+    starts.forEach(s -> on(StartAnswered.fenced(s.run(), fence)));
+    answerHold();
+
+    long raised = fenceOfStop(orderStop(2));
+    assertThat(raised - fence).isBetween(1L, UNITS_PER_SECOND);
+  }
+
+  /** Guards against a fence that leaps by weeks when a call is refused now and then. */
+  @Test
+  void an_answered_hold_call_ends_the_row_of_refusals_with_which_the_steps_grow() {
+    long first = raiseByRefusedStop(1);
+    for (int number = 2; number <= 10; number++) {
+      raiseByRefusedStop(number);
+    }
+
+    answerHold();
+
+    assertThat(raiseByRefusedStop(11)).isBetween(1L, first + UNITS_PER_SECOND);
+  }
+
+  /** Returns by how much the fence rises when the minion refuses a stop. */
+  private long raiseByRefusedStop(long number) {
+    long fence = fenceOfStop(orderStop(number));
+    CallHold next =
+        on(StopAnswered.fenced(RUN, fence)).stream()
+            .filter(CallHold.class::isInstance)
+            .map(CallHold.class::cast)
+            .findFirst()
+            .orElseThrow();
+    return next.fence() - fence;
+  }
+
   /** Guards against stops that take effect only once a hold call is refused, too. */
   @Test
   void after_a_refused_stop_a_hold_call_with_a_higher_fence_is_made_at_once() {
@@ -135,6 +183,10 @@
     grantShortLease();
   }
 
+  private static StartOrder startOf(int job) {
+    return new StartOrder(new RunId(new QueuedTaskId(new QueuedJobId(job), 0, 0, 0), 1), "spec");
+  }
+
   private List<Effect> orderStop(long number) {
     return on(
         new Received(
