Leases for an agent whose clock was set back before its restart

Cause: the leader and the fallback dispatchers ordered the incarnations of an agent by their start times alone, and ignored each report with a lower one. An agent that restarted after the clock of its machine was set back got no lease until the clock had caught up.

Change: ReportOrder takes an incarnation above all that have reported at once, as before, and any other one when no report of the present one has counted for the lease expiry timeout, by the monotonic clock of the receiver. A late report of the former agent therefore does not bring it back while the next one reports. An agent takes no lease in answer to a report from before its start or after the present time: over its connection it can get the answer to a report of the former agent, whose lease would last longer by the step of the clock. A line agent_replaced tells of the change.

The simulated minion now refuses calls with a lower fence as the real one does; an agent with a clock that was set back depends on it.

Open: an answer to the former agent that is on its way for more than 0.17 s, after a step of less than about 1 s (docs/design/incarnations.md).

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -188,7 +188,8 @@
     } else if (r.message() instanceof FallbackDirectory d) {
       holders.onDirectory(d);
     } else if (r.message() instanceof AgentLease l) {
-      if (l.fence() >= fence && holders.mayObey(r.from(), l.fence())) {
+      boolean mayObey = l.fence() >= fence && holders.mayObey(r.from(), l.fence());
+      if (mayObey && mayAnswerOwnReport(l, now)) {
         onLease(r.from(), l, now, effects);
       }
     } else if (r.message() instanceof RunOrders o && holders.mayObey(r.from(), o.fence())) {
@@ -196,6 +197,16 @@
     }
   }
 
+  /**
+   * Returns whether a lease may answer a report of this incarnation. An answer to the former one
+   * can arrive here, and if the clock was set back in between, the lease would end later than the
+   * leader counts on.
+   */
+  private boolean mayAnswerOwnReport(AgentLease l, Instant now) {
+    Instant sentAt = l.reportSentAt();
+    return !sentAt.isBefore(settings.processStartedAt()) && !sentAt.isAfter(now);
+  }
+
   private void onLease(NodeId from, AgentLease l, Instant now, List<Effect> effects) {
     boolean newFence = l.fence() > fence;
     holder = from;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -147,17 +147,15 @@
   /** Applies a report and returns the worker, or null when the report is outdated. */
   @Nullable WorkerState applyReport(NodeId agent, AgentReport r, long fence, Instant now) {
     WorkerState w = workers.computeIfAbsent(agent, WorkerState::new);
-    AgentReport last = w.report;
-    if (last != null) {
-      int comparison = r.incarnation().compareTo(last.incarnation());
-      if (comparison < 0 || (comparison == 0 && !r.sentAt().isAfter(last.sentAt()))) {
-        return null;
-      }
-      if (comparison > 0) {
-        w.resetForNewAgent();
-      }
+    ReportOrder.Verdict verdict = w.reportOrder.onReport(r, settings.leaseExpiryTimeout(), now);
+    if (verdict == ReportOrder.Verdict.OUTDATED) {
+      return null;
     }
     expireLease(w, now);
+    if (verdict != ReportOrder.Verdict.NEXT) {
+      listener.agentReplaced(w, r, verdict, now);
+      w.resetForNewAgent();
+    }
     w.report = r;
     w.reportedAt = now;
     MinionProfile m = r.minion();
@@ -264,6 +262,7 @@
     for (WorkerState w : workers.values()) {
       w.leasedAt = w.leasedAt.equals(Instant.MIN) ? Instant.MIN : w.leasedAt.plus(leap);
       w.reportedAt = w.reportedAt.equals(Instant.MIN) ? Instant.MIN : w.reportedAt.plus(leap);
+      w.reportOrder.onClockLeaped(leap);
     }
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
@@ -13,6 +13,7 @@
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.queue.QueuedTaskId;
 import org.cassiastack.queue.Resources;
+import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.EndedRun;
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.runs.RunId;
@@ -100,6 +101,22 @@
     }
   }
 
+  @Override
+  public void agentReplaced(
+      WorkerState w, AgentReport report, ReportOrder.Verdict verdict, Instant now) {
+    AgentReport last = w.report;
+    String former = last == null ? "none" : last.incarnation().toString();
+    String inputs =
+        "incarnation="
+            + report.incarnation()
+            + " former="
+            + former
+            + " silent="
+            + Duration.between(w.reportedAt, now);
+    String outcome = verdict.name().toLowerCase(Locale.ROOT);
+    decisions.accept(Decision.of("agent_replaced", w.agent, outcome, inputs));
+  }
+
   @Override
   public void runLost(WorkerState w, Run run, RunLoss loss, Instant now) {
     MinionProfile m = w.minion;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunListener.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunListener.java
@@ -1,11 +1,12 @@
 package org.cassiastack.schedule.internal;
 
 import java.time.Instant;
+import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.EndedRun;
 import org.cassiastack.runs.RunId;
 import org.jspecify.annotations.Nullable;
 
-/** Listener for runs that have ended, are lost or are found. */
+/** Listener for runs that have ended, are lost or are found, and for agents that are replaced. */
 interface RunListener {
   /**
    * Called when a run has ended; once for each end within an incarnation of the minion.
@@ -15,6 +16,15 @@
    */
   void runEnded(WorkerState worker, @Nullable Run run, EndedRun end, Instant now);
 
+  /**
+   * Called when another incarnation of an agent has followed the one before.
+   *
+   * @param report the first report of the new incarnation; {@link WorkerState#report} is the last
+   *     one of the former
+   */
+  void agentReplaced(
+      WorkerState worker, AgentReport report, ReportOrder.Verdict verdict, Instant now);
+
   /**
    * Called when a run does not exist and cannot start any more: it never started, its minion
    * restarted, or its lease expired.
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
@@ -46,6 +46,7 @@
   final MinionHealth health = new MinionHealth();
   final WorkerSpeed speed = new WorkerSpeed();
   final Map<RunId, Run> runs = new LinkedHashMap<>();
+  final ReportOrder reportOrder = new ReportOrder();
 
   /** Last report of the agent, or null before the first. */
   @Nullable AgentReport report;
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentControllerTest.java
@@ -16,6 +16,7 @@
 import org.cassiastack.protocol.Send;
 import org.cassiastack.request.LeaderNotice;
 import org.cassiastack.runs.ActiveRun;
+import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.MinionIncarnation;
 import org.junit.jupiter.api.Test;
@@ -86,6 +87,32 @@
     assertThat(order(5, 1, RESTARTED_MINION)).anyMatch(CallStart.class::isInstance);
   }
 
+  /**
+   * Guards against a lease that outlasts what the leader counts on, because it counts from a time
+   * by the clock of the former agent, which was ahead.
+   */
+  @Test
+  void takes_no_lease_in_answer_to_a_report_of_an_incarnation_with_another_clock() {
+    advance(1_200);
+    answerHold();
+    answerHold();
+
+    leaseFrom(now.plusSeconds(3_600), Duration.ofSeconds(1));
+    List<Effect> afterLaterReport = order(5, 1, MINION);
+    leaseFrom(START.minusMillis(1), Duration.ofHours(1));
+    List<Effect> afterEarlierReport = order(5, 2, MINION);
+    leaseFrom(now, Duration.ofSeconds(1));
+    List<Effect> afterOwnReport = order(5, 3, MINION);
+
+    assertThat(afterLaterReport).noneMatch(CallStart.class::isInstance);
+    assertThat(afterEarlierReport).noneMatch(CallStart.class::isInstance);
+    assertThat(afterOwnReport).anyMatch(CallStart.class::isInstance);
+  }
+
+  private void leaseFrom(Instant reportSentAt, Duration duration) {
+    on(new Received(LEADER, new AgentLease(5, reportSentAt, duration, MINION, 0)));
+  }
+
   @Test
   void its_lists_do_not_become_complete_by_a_leap_of_its_clock() {
     AgentController restarted =
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LeaderScenario.java
@@ -102,6 +102,9 @@
   /** Start times of the minions that have restarted. */
   final Map<NodeId, Long> minionStarts = new HashMap<>();
 
+  /** Incarnations of the agents that have restarted. */
+  final Map<NodeId, Long> agentIncarnations = new HashMap<>();
+
   /** Whether proposals are kept back instead of being committed. */
   boolean holdCommits;
 
@@ -183,7 +186,7 @@
         new Received(
             agent,
             new AgentReport(
-                new Incarnation(1),
+                new Incarnation(agentIncarnations.getOrDefault(agent, 1L)),
                 now,
                 fence,
                 minion,
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
@@ -12,8 +12,11 @@
 import org.cassiastack.agent.CallStart;
 import org.cassiastack.agent.CallStop;
 import org.cassiastack.agent.HoldAnswered;
+import org.cassiastack.agent.HoldFailed;
 import org.cassiastack.agent.MinionAnnounced;
 import org.cassiastack.agent.StartAnswered;
+import org.cassiastack.agent.StopAnswered;
+import org.cassiastack.controller.Event;
 import org.cassiastack.model.FailureDomain;
 import org.cassiastack.model.MinionId;
 import org.cassiastack.model.ServiceName;
@@ -25,7 +28,6 @@
 import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOutcome;
-import org.jspecify.annotations.Nullable;
 
 /**
  * A minion that reports starts and ends of runs to a checker. It starts every requested run, unless
@@ -111,24 +113,24 @@
     return simulation.millis() >= startedAt;
   }
 
-  StartAnswered.Outcome start(CallStart c) {
+  StartAnswered start(CallStart c) {
     tick();
     RunId run = c.order().run();
     // The incarnation is not checked: a new incarnation has the same identity, so it accepts calls
     // that were meant for the earlier one.
     if (c.fence() < fence) {
-      return StartAnswered.Outcome.REFUSED;
+      return StartAnswered.fenced(run, c.fence());
     }
     fence = c.fence();
     if (c.deadlineMillis() < clock()) {
-      return StartAnswered.Outcome.REFUSED;
+      return new StartAnswered(run, StartAnswered.Outcome.REFUSED);
     }
     if (running.containsKey(run)) {
       extend(c.deadlineMillis());
-      return StartAnswered.Outcome.STARTED;
+      return new StartAnswered(run, StartAnswered.Outcome.STARTED);
     }
     if (highestRunNumbers.getOrDefault(run.task(), 0L) >= run.number()) {
-      return StartAnswered.Outcome.REFUSED;
+      return new StartAnswered(run, StartAnswered.Outcome.REFUSED);
     }
     extend(c.deadlineMillis());
     highestRunNumbers.put(run.task(), run.number());
@@ -139,34 +141,40 @@
     simulation.callers().started(run);
     long runMillis = simulation.runModel().millisOf(run);
     simulation.runAfter(runMillis, () -> finish(run, startIncarnation));
-    return StartAnswered.Outcome.STARTED;
+    return new StartAnswered(run, StartAnswered.Outcome.STARTED);
   }
 
-  void stop(CallStop c) {
+  /** Stops a run, unless the call has an outdated fence. */
+  StopAnswered stop(CallStop c) {
     tick();
     if (c.fence() < fence) {
-      return;
+      return StopAnswered.fenced(c.run(), c.fence());
     }
     fence = c.fence();
     highestRunNumbers.merge(c.run().task(), c.run().number(), Math::max);
     if (running.containsKey(c.run())) {
       end(c.run(), RunOutcome.STOPPED);
     }
+    return new StopAnswered(c.run(), true);
   }
 
-  /** Returns the run lists, or null when the call names another incarnation of the minion. */
-  @Nullable HoldAnswered hold(CallHold c) {
+  /**
+   * Returns the run lists, or a failure when the call has an outdated fence or names another
+   * incarnation of the minion.
+   */
+  Event hold(CallHold c) {
     tick();
-    if (c.fence() >= fence) {
-      fence = c.fence();
-      if (c.deadlineMillis() > 0) {
-        extend(c.deadlineMillis());
-      }
-      ended.headMap(c.acknowledgedThrough(), true).values().forEach(this::acknowledge);
-      ended.headMap(c.acknowledgedThrough(), true).clear();
+    if (c.fence() < fence) {
+      return new HoldFailed(c.number(), true);
+    }
+    fence = c.fence();
+    if (c.deadlineMillis() > 0) {
+      extend(c.deadlineMillis());
     }
+    ended.headMap(c.acknowledgedThrough(), true).values().forEach(this::acknowledge);
+    ended.headMap(c.acknowledgedThrough(), true).clear();
     if (!c.minionIncarnation().equals(incarnation())) {
-      return null;
+      return new HoldFailed(c.number());
     }
     List<ActiveRun> list = new ArrayList<>();
     running.keySet().forEach(r -> list.add(new ActiveRun(r, progressPercent(r))));
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedAgent.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedAgent.java
@@ -42,8 +42,8 @@
     tickMinionPeriodically(incarnation());
     AgentSettings settings =
         new AgentSettings(
-            Incarnation.startedAt(simulation.now()),
-            simulation.now(),
+            Incarnation.startedAt(now()),
+            now(),
             QueueSimulation.LEASE,
             Duration.ofMillis(50),
             simulation.usesFallback());
@@ -57,7 +57,7 @@
       call(
           c,
           () -> minion.start(c),
-          outcome -> on(new StartAnswered(c.order().run(), outcome), incarnation),
+          answer -> on(answer, incarnation),
           () ->
               on(
                   new StartAnswered(c.order().run(), StartAnswered.Outcome.UNANSWERED),
@@ -65,11 +65,8 @@
     } else if (effect instanceof CallStop c) {
       call(
           c,
-          () -> {
-            minion.stop(c);
-            return true;
-          },
-          accepted -> on(new StopAnswered(c.run(), true), incarnation),
+          () -> minion.stop(c),
+          answer -> on(answer, incarnation),
           () -> on(new StopAnswered(c.run(), false), incarnation));
     } else if (effect instanceof CallHold c) {
       long waitMillis = minion.hasUnacknowledged() ? 0 : Math.min(60, c.maxWait().toMillis());
@@ -85,7 +82,7 @@
             call(
                 c,
                 () -> minion.hold(c),
-                answer -> on(answer == null ? new HoldFailed(c.number()) : answer, incarnation),
+                answer -> on(answer, incarnation),
                 () -> on(new HoldFailed(c.number()), incarnation));
           });
     }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
@@ -1,5 +1,6 @@
 package org.cassiastack.schedule.faults;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -24,6 +25,7 @@
   private boolean paused;
   private int incarnation;
   private int interruptions;
+  private Duration clockLag = Duration.ZERO;
 
   SimulatedNode(QueueSimulation simulation, String name) {
     this.simulation = simulation;
@@ -57,6 +59,16 @@
     simulation.network().disconnectFromAll(this);
   }
 
+  /** Sets the clock of the machine back while the process is down. */
+  final void setClockBack(long millis) {
+    clockLag = clockLag.plusMillis(millis);
+  }
+
+  /** Returns the time by the clock of the machine. */
+  final Instant now() {
+    return simulation.now().minus(clockLag);
+  }
+
   final boolean isUp() {
     return up;
   }
@@ -126,11 +138,11 @@
     do {
       for (Event e = events.poll(); e != null && up; e = events.poll()) {
         for (Controller c : controllers) {
-          performAll(c.on(e, simulation.now()), events);
+          performAll(c.on(e, now()), events);
         }
       }
       for (Controller c : up ? controllers : List.<Controller>of()) {
-        performAll(c.endTurn(simulation.now()), events);
+        performAll(c.endTurn(now()), events);
       }
     } while (!events.isEmpty() && up);
   }
@@ -146,7 +158,7 @@
   }
 
   private boolean isTickNeeded() {
-    Instant now = simulation.now();
+    Instant now = now();
     return controllers.stream().anyMatch(c -> !c.nextTickAt(now).isAfter(now));
   }
 
