Repeat no start under a lease that an inherited deadline may outlast

Cause: once a call was refused for its fence, no start is begun under a lease that ends before a deadline that the runs may have inherited. The repetition of a start without an answer was not held to that: it went out as soon as a hold call had been answered. If the agent was cut off just then, its run could outlast the lease, and the task ran again beside it. Found by review.

Change: repeated starts need the same as first ones. The new test of RefusedCallTest failed before; the tests of the package pass.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -334,7 +334,8 @@
     }
     Instant until = revoked.capped(leaseUntil);
     if (successor == null) {
-      starts.sendDueCalls(p.life(), fence, isVerified(now), until, now, effects);
+      boolean mayStart = isVerified(now) && coversInheritedLease(until);
+      starts.sendDueCalls(p.life(), fence, mayStart, until, now, effects);
       revoked.sendDueCalls(p.life(), starts.runs(), fence, now, effects);
     }
     if (!holds.isDue(now)) {
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/PendingStarts.java
@@ -125,7 +125,8 @@
    * Adds the calls that are due: repeated start calls where the outcome is unknown, and stop calls
    * for revoked starts.
    *
-   * @param mayStart whether start calls are known to reach the incarnation that they are meant for
+   * @param mayStart whether start calls are known to reach the incarnation that they are meant for,
+   *     and the lease covers a deadline that the runs may inherit there
    */
   void sendDueCalls(
       MinionIncarnation minionIncarnation,
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/RefusedCallTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/RefusedCallTest.java
@@ -64,6 +64,26 @@
     assertThat(later).anyMatch(CallStart.class::isInstance);
   }
 
+  /**
+   * Guards against a repeated start whose run outlasts its lease by the deadline of such a call.
+   */
+  @Test
+  void
+      after_a_refused_hold_call_no_start_is_called_again_under_a_lease_before_an_inherited_deadline() {
+    awaitShortLease();
+    order(5, 1, MINION);
+    on(new HoldFailed(lastHoldNumber, true));
+    on(new StartAnswered(RUN, StartAnswered.Outcome.UNANSWERED));
+    advance(100);
+
+    List<Effect> tooEarly = on(emptyLists());
+    List<Effect> later =
+        on(new Received(LEADER, new AgentLease(5, now, Duration.ofSeconds(2), MINION, 0)));
+
+    assertThat(tooEarly).noneMatch(CallStart.class::isInstance);
+    assertThat(later).anyMatch(CallStart.class::isInstance);
+  }
+
   /** Guards against starts while further calls of the former agent can extend the deadline. */
   @Test
   void after_a_refused_start_nothing_starts_before_the_minion_answers_a_higher_fence() {
@@ -177,6 +197,10 @@
     assertThat(order(5, 2, MINION)).anyMatch(CallStart.class::isInstance);
   }
 
+  private HoldAnswered emptyLists() {
+    return new HoldAnswered(lastHoldNumber, minionClockMillis(), List.of(), List.of(), true);
+  }
+
   /** Passes the first lease, and grants a short one that covers every deadline until now. */
   private void awaitShortLease() {
     passWithAnswers(1_200);
