HoldFailed names the fence of a refused hold call, as refused starts and stops do

One fact had three shapes, and CallFence had to remember the fence of the last hold call for it. StopAnswered refuses an accepted call with a refused fence. The test of refused stops now also shows that starts go on once the lease covers the inherited deadline, as its siblings do.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/CallFence.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/CallFence.java
@@ -37,9 +37,6 @@
   /** Fence of the last call, the highest one that the minion can have seen from this agent. */
   private long lastCall;
 
-  /** Fence of the last hold call. */
-  private long lastHoldCall;
-
   private long step = MIN_STEP;
 
   /** Returns the fence for a call that is made now. */
@@ -48,12 +45,6 @@
     return value;
   }
 
-  /** Returns the fence for a hold call that is made now. */
-  long forHoldCall() {
-    lastHoldCall = value;
-    return forCall();
-  }
-
   /** Makes the fence higher than that of all earlier calls. */
   void raise(Instant now) {
     value = Math.max(Math.max(value + 1, byClock(now)), holderFence);
@@ -73,7 +64,7 @@
    * whether that was not the fence of a later call of this agent, so that the minion has carried
    * out a call of an earlier incarnation of the agent, whose clock was ahead.
    */
-  boolean onRefused(long refusedFence, Instant now) {
+  boolean raiseAfterRefusal(long refusedFence, Instant now) {
     // The refusals of several calls with one fence raise it once.
     if (refusedFence == value) {
       raiseBeyondClock(now);
@@ -81,11 +72,6 @@
     return refusedFence >= lastCall;
   }
 
-  /** Does the same for the last hold call. */
-  boolean onHoldRefused(Instant now) {
-    return onRefused(lastHoldCall, now);
-  }
-
   private void raiseBeyondClock(Instant now) {
     raise(now);
     value = Math.max(value, Math.min(value + step, byClock(now) + MAX_LEAD));
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/HoldFailed.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/HoldFailed.java
@@ -7,12 +7,18 @@
  * of the minion.
  *
  * @param number number of the hold call
- * @param fenced whether the minion refused the call because it has seen a higher fence
+ * @param refusedFence fence of the call if the minion has refused it because it has seen a higher
+ *     one, else 0
  * @since 0.2
  */
-public record HoldFailed(long number, boolean fenced) implements Event {
+public record HoldFailed(long number, long refusedFence) implements Event {
   /** Creates the failure of a call that the minion did not refuse for its fence. */
   public HoldFailed(long number) {
-    this(number, false);
+    this(number, 0);
+  }
+
+  /** Creates the failure of a call that the minion has refused for its fence. */
+  public static HoldFailed fenced(long number, long refusedFence) {
+    return new HoldFailed(number, refusedFence);
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -212,7 +212,7 @@
    * with a higher fence is answered: from then on, no call of a former agent extends a deadline.
    */
   private void onRefused(long refusedFence, Instant now) {
-    if (fence.onRefused(refusedFence, now)) {
+    if (fence.raiseAfterRefusal(refusedFence, now)) {
       lease.onFormerCallSeen(now);
       holds.verifyAgain();
     }
@@ -266,10 +266,10 @@
       return false;
     }
     holds.failed();
-    if (!h.fenced()) {
+    if (h.refusedFence() == 0) {
       // Another incarnation may answer the next call, and must not carry out any earlier one then.
       fence.raise(now);
-    } else if (fence.onHoldRefused(now)) {
+    } else if (fence.raiseAfterRefusal(h.refusedFence(), now)) {
       lease.onFormerCallSeen(now);
     }
     MinionAnnounced announced = successor;
@@ -353,7 +353,7 @@
         new CallHold(
             number,
             p.life(),
-            fence.forHoldCall(),
+            fence.forCall(),
             acknowledgements.forHoldCall(verified),
             deadlineMillis,
             verified && !acknowledgements.lackFor(lists) ? HoldCalls.MAX_WAIT : Duration.ZERO));
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/StopAnswered.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/StopAnswered.java
@@ -14,6 +14,13 @@
  * @since 0.2
  */
 public record StopAnswered(RunId run, boolean accepted, long refusedFence) implements Event {
+  /** Creates an outcome; a call that was accepted has no refused fence. */
+  public StopAnswered {
+    if (accepted && refusedFence > 0) {
+      throw new IllegalArgumentException("accepted with refused fence " + refusedFence);
+    }
+  }
+
   /** Creates the outcome of a call that the minion did not refuse for its fence. */
   public StopAnswered(RunId run, boolean accepted) {
     this(run, accepted, 0);
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentScenario.java
@@ -45,6 +45,7 @@
               AGENT_INCARNATION, START, Duration.ofSeconds(1), Duration.ofMillis(50)));
   Instant now = START;
   long lastHoldNumber;
+  long lastHoldFence;
   @Nullable AgentReport lastReport;
 
   @BeforeEach
@@ -71,6 +72,7 @@
     for (Effect e : effects) {
       if (e instanceof CallHold h) {
         lastHoldNumber = h.number();
+        lastHoldFence = h.fence();
       } else if (e instanceof Send s && s.message() instanceof AgentReport r) {
         lastReport = r;
       }
@@ -101,6 +103,10 @@
     return on(new HoldFailed(lastHoldNumber));
   }
 
+  List<Effect> refuseHold() {
+    return on(HoldFailed.fenced(lastHoldNumber, lastHoldFence));
+  }
+
   void lease(long fence) {
     lease(fence, 0);
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/CallFenceTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/CallFenceTest.java
@@ -23,7 +23,7 @@
     for (int i = 0; i < 100_000; i++) {
       long before = fence.forCall();
       now = now.plusMillis(75);
-      fence.onRefused(before, now);
+      fence.raiseAfterRefusal(before, now);
       assertThat(fence.forCall()).isGreaterThan(before).isLessThan(MAX_EXACT_IN_JSON);
     }
   }
@@ -35,7 +35,7 @@
 
     for (int i = 0; i < 5_000; i++) {
       long before = fence.forCall();
-      fence.onRefused(before, future);
+      fence.raiseAfterRefusal(before, future);
       assertThat(fence.forCall()).isGreaterThan(before);
     }
   }
@@ -50,7 +50,7 @@
 
     fence.raise(NOW.minus(Duration.ofDays(1)));
     long raised = fence.forCall();
-    fence.onRefused(raised, NOW);
+    fence.raiseAfterRefusal(raised, NOW);
     long afterRefusal = fence.forCall();
 
     assertThat(first).isGreaterThanOrEqualTo(holderFence);
@@ -74,16 +74,16 @@
   void a_call_that_is_carried_out_begins_the_steps_anew() {
     fence.raise(NOW);
     long before = fence.forCall();
-    fence.onRefused(before, NOW);
+    fence.raiseAfterRefusal(before, NOW);
     long firstStep = fence.forCall() - before;
     for (int i = 0; i < 20; i++) {
-      fence.onRefused(fence.forCall(), NOW);
+      fence.raiseAfterRefusal(fence.forCall(), NOW);
     }
 
     fence.onAccepted();
 
     long last = fence.forCall();
-    fence.onRefused(last, NOW);
+    fence.raiseAfterRefusal(last, NOW);
     assertThat(fence.forCall() - last).isLessThanOrEqualTo(firstStep);
   }
 }
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/MinionRestartTest.java
@@ -271,7 +271,7 @@
     CallHold hold = nextHold(restarted);
     while (hold.fence() < seen && refusals < 100) {
       refusals++;
-      restarted.on(new HoldFailed(hold.number(), true), now);
+      restarted.on(HoldFailed.fenced(hold.number(), hold.fence()), now);
       restarted.on(new Tick(), now);
       now = now.plusMillis(75);
       hold = nextHold(restarted);
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/RefusedCallTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/RefusedCallTest.java
@@ -49,7 +49,7 @@
   @Test
   void after_a_refused_hold_call_nothing_starts_under_a_lease_before_an_inherited_deadline() {
     awaitShortLease();
-    on(new HoldFailed(lastHoldNumber, true));
+    refuseHold();
     advance(100);
 
     answerHold();
@@ -72,7 +72,7 @@
       after_a_refused_hold_call_no_start_is_called_again_under_a_lease_before_an_inherited_deadline() {
     awaitShortLease();
     order(5, 1, MINION);
-    on(new HoldFailed(lastHoldNumber, true));
+    refuseHold();
     on(new StartAnswered(RUN, StartAnswered.Outcome.UNANSWERED));
     advance(100);
 
@@ -161,8 +161,13 @@
     answerHold();
     answerHold();
     grantShortLease();
+    List<Effect> tooEarly = order(5, 2, MINION);
+    passWithAnswers(600);
+    grantShortLease();
+    List<Effect> later = order(5, 3, MINION);
 
-    assertThat(order(5, 2, MINION)).noneMatch(CallStart.class::isInstance);
+    assertThat(tooEarly).noneMatch(CallStart.class::isInstance);
+    assertThat(later).anyMatch(CallStart.class::isInstance);
   }
 
   /** Guards against tasks that start elsewhere while such a call keeps their runs alive. */
@@ -171,7 +176,7 @@
     List<ActiveRun> running = List.of(new ActiveRun(RUN, 10));
     on(new HoldAnswered(lastHoldNumber, minionClockMillis(), running, List.of(), true));
     advance(800);
-    on(new HoldFailed(lastHoldNumber, true));
+    refuseHold();
 
     failHolds(800);
     List<ActiveRun> counted = lastReport().running();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FakeMinion.java
@@ -165,7 +165,7 @@
   Event hold(CallHold c) {
     tick();
     if (c.fence() < fence) {
-      return new HoldFailed(c.number(), true);
+      return HoldFailed.fenced(c.number(), c.fence());
     }
     fence = c.fence();
     if (c.deadlineMillis() > 0) {
