agent_replaced tells how long the former agent was silent

The time came from WorkerState.reportedAt, which reports of the next agent move before they count: the line said after_silence with silent=PT0.2S when the leader had forgotten the former agent meanwhile. ReportOrder gives it now. Two tests of AgentRestartTest also show that leases follow.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -147,13 +147,14 @@
   /** Applies a report and returns the worker, or null when the report is outdated. */
   @Nullable WorkerState applyReport(NodeId agent, AgentReport r, long fence, Instant now) {
     WorkerState w = workers.computeIfAbsent(agent, WorkerState::new);
+    Duration silence = w.reportOrder.silence(now);
     ReportOrder.Verdict verdict = w.reportOrder.onReport(r, settings.leaseExpiryTimeout(), now);
     if (verdict == ReportOrder.Verdict.OUTDATED) {
       return null;
     }
     expireLease(w, now);
     if (verdict != ReportOrder.Verdict.NEXT) {
-      listener.agentReplaced(w, r, verdict, now);
+      listener.agentReplaced(w, r, verdict, silence);
       w.resetForNewAgent();
     }
     w.report = r;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/ReportOrder.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/ReportOrder.java
@@ -31,7 +31,7 @@
   private Instant presentSentAt = Instant.MIN;
 
   /** When the last report of the present incarnation arrived. */
-  private Instant presentHeardAt = Instant.MIN;
+  private Instant presentReportedAt = Instant.MIN;
 
   private Incarnation highest = new Incarnation(Long.MIN_VALUE);
 
@@ -46,7 +46,7 @@
     if (verdict != Verdict.OUTDATED) {
       present = r.incarnation();
       presentSentAt = r.sentAt();
-      presentHeardAt = now;
+      presentReportedAt = now;
       highest = highest.isBefore(r.incarnation()) ? r.incarnation() : highest;
     }
     return verdict;
@@ -62,13 +62,18 @@
     if (highest.isBefore(r.incarnation())) {
       return Verdict.NEW_INCARNATION;
     }
-    return now.isAfter(presentHeardAt.plus(silenceLimit))
+    return now.isAfter(presentReportedAt.plus(silenceLimit))
         ? Verdict.AFTER_SILENCE
         : Verdict.OUTDATED;
   }
 
+  /** Returns the time since the last report that counted. */
+  Duration silence(Instant now) {
+    return present == null ? Duration.ZERO : Duration.between(presentReportedAt, now);
+  }
+
   /** Moves the time from which the silence of the present incarnation is counted. */
   void onClockLeaped(Duration leap) {
-    presentHeardAt = present == null ? Instant.MIN : presentHeardAt.plus(leap);
+    presentReportedAt = present == null ? Instant.MIN : presentReportedAt.plus(leap);
   }
 }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
@@ -103,16 +103,11 @@
 
   @Override
   public void agentReplaced(
-      WorkerState w, AgentReport report, ReportOrder.Verdict verdict, Instant now) {
+      WorkerState w, AgentReport report, ReportOrder.Verdict verdict, Duration silence) {
     AgentReport last = w.report;
     String former = last == null ? "none" : last.incarnation().toString();
     String inputs =
-        "incarnation="
-            + report.incarnation()
-            + " former="
-            + former
-            + " silent="
-            + Duration.between(w.reportedAt, now);
+        "incarnation=" + report.incarnation() + " former=" + former + " silent=" + silence;
     String outcome = verdict.name().toLowerCase(Locale.ROOT);
     decisions.accept(Decision.of("agent_replaced", w.agent, outcome, inputs));
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunListener.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunListener.java
@@ -1,5 +1,6 @@
 package org.cassiastack.schedule.internal;
 
+import java.time.Duration;
 import java.time.Instant;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.EndedRun;
@@ -21,9 +22,10 @@
    *
    * @param report the first report of the new incarnation; {@link WorkerState#report} is the last
    *     one of the former
+   * @param silence time since that one
    */
   void agentReplaced(
-      WorkerState worker, AgentReport report, ReportOrder.Verdict verdict, Instant now);
+      WorkerState worker, AgentReport report, ReportOrder.Verdict verdict, Duration silence);
 
   /**
    * Called when a run does not exist and cannot start any more: it never started, its minion
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/AgentRestartTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/AgentRestartTest.java
@@ -39,15 +39,42 @@
         .containsExactly("new_incarnation", "after_silence");
   }
 
+  /**
+   * Guards against an agent that stays without leases, or a log that hides how long it was silent.
+   */
+  @Test
+  void
+      an_agent_whose_clock_was_set_back_gets_leases_after_the_leader_has_forgotten_the_former_one() {
+    reportAfterRestart(FIRST, fence);
+    leases.clear();
+
+    for (int i = 0; i < 10; i++) {
+      now = now.plusMillis(200);
+      on(new LeaseExtended(5, now.plusSeconds(10)));
+      on(new Tick());
+    }
+    reportForSeconds(1);
+
+    assertThat(leases).isNotEmpty();
+    assertThat(decisions).extracting(Decision::event).contains("agent_forgotten");
+    assertThat(decisions)
+        .filteredOn(d -> d.outcome().equals("after_silence"))
+        .singleElement()
+        .satisfies(d -> assertThat(d.inputs()).contains(" former=2 ").contains(" silent=PT2."));
+  }
+
   /** Guards against an old report, read late, that takes the place of an agent with a lease. */
   @Test
   void a_lower_incarnation_does_not_count_while_the_lease_of_the_present_one_may_last() {
     reportAfterRestart(FIRST, fence);
     leases.clear();
 
+    reportForSeconds(1);
+    int tooEarly = leases.size();
     reportForSeconds(1);
 
-    assertThat(leases).isEmpty();
+    assertThat(tooEarly).isZero();
+    assertThat(leases).isNotEmpty();
   }
 
   /** Guards against a leader that takes a lease for expired because its own clock was set. */
@@ -59,8 +86,11 @@
     now = now.plusSeconds(5);
     on(new ClockLeaped(Duration.ofSeconds(5)));
     reportForSeconds(1);
+    int tooEarly = leases.size();
+    reportForSeconds(1);
 
-    assertThat(leases).isEmpty();
+    assertThat(tooEarly).isZero();
+    assertThat(leases).isNotEmpty();
   }
 
   /**
@@ -121,7 +151,7 @@
     assertThat(leases).isNotEmpty();
   }
 
-  /** Guards against each restart after a clock was set back costing the time of a lease. */
+  /** Guards against an agent that waits for a lease although its clock has caught up again. */
   @Test
   void an_incarnation_above_all_others_gets_a_lease_at_once() {
     restartFirstWithLowerIncarnation();
