Postmortem and incarnations: what the handling of refused calls leaves open

A leader hands over for a late report of a former agent with a higher fence. Found by review, by reading.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -209,7 +209,7 @@
 
   /**
    * Handles a start or stop call that was refused for its fence. Nothing starts until a hold call
-   * with a higher fence is answered: from then on, no call of a former agent extends a deadline.
+   * with a higher fence is answered, after which the calls of a former agent below it do nothing.
    */
   private void onRefused(long refusedFence, Instant now) {
     if (fence.raiseAfterRefusal(refusedFence, now)) {
