--- a/cassiastack-core/src/main/java/org/cassiastack/agent/EndAcknowledgements.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/EndAcknowledgements.java
@@ -1,6 +1,6 @@
 package org.cassiastack.agent;
 
-/** Up to which of its ended runs a minion may forget them, and what it has been told of that. */
+/** Acknowledgements of ended runs that the leader has given, and that the minion was told. */
 final class EndAcknowledgements {
   /** Highest sequence number that the leader has acknowledged. */
   private long through;
@@ -29,14 +29,14 @@
   }
 
   /** Returns whether the minion lists ends, and nothing was acknowledged since it listed them. */
-  boolean lackFor(RunLists lists) {
+  boolean hasNoneSince(RunLists lists) {
     return !lists.ended().isEmpty() && throughWhenListed == through;
   }
 
   /**
    * Returns whether the minion lists ends, and the last hold call has acknowledged all it could.
    */
-  boolean areAwaitedFor(RunLists lists) {
+  boolean areAllPassedOnFor(RunLists lists) {
     return !lists.ended().isEmpty() && through <= byHold;
   }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/MinionLink.java
@@ -256,7 +256,7 @@
       // The former incarnation was told to start them, under leases that no holder renews.
       revoked.add(lists, List.of(), leaseUntil);
     }
-    holds.answered(acknowledgements.areAwaitedFor(lists), now);
+    holds.answered(acknowledgements.areAllPassedOnFor(lists), now);
     return changed || isFirst || !lists.allEndsListed();
   }
 
@@ -356,7 +356,9 @@
             fence.forCall(),
             acknowledgements.forHoldCall(verified),
             deadlineMillis,
-            verified && !acknowledgements.lackFor(lists) ? HoldCalls.MAX_WAIT : Duration.ZERO));
+            verified && !acknowledgements.hasNoneSince(lists)
+                ? HoldCalls.MAX_WAIT
+                : Duration.ZERO));
   }
 
   /** Returns whether calls are known to reach the incarnation that they are meant for. */
