--- a/cassiastack-core/src/test/java/org/cassiastack/agent/RefusedCallTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/RefusedCallTest.java
@@ -68,8 +68,7 @@
    * Guards against a repeated start whose run outlasts its lease by the deadline of such a call.
    */
   @Test
-  void
-      after_a_refused_hold_call_no_start_is_called_again_under_a_lease_before_an_inherited_deadline() {
+  void after_a_refused_hold_call_no_start_is_repeated_under_a_lease_before_an_inherited_deadline() {
     awaitShortLease();
     order(5, 1, MINION);
     refuseHold();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/AgentRestartTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/AgentRestartTest.java
@@ -43,8 +43,7 @@
    * Guards against an agent that stays without leases, or a log that hides how long it was silent.
    */
   @Test
-  void
-      an_agent_whose_clock_was_set_back_gets_leases_after_the_leader_has_forgotten_the_former_one() {
+  void an_agent_whose_clock_was_set_back_gets_leases_after_its_former_one_was_forgotten() {
     reportAfterRestart(FIRST, fence);
     leases.clear();
 
