Add review case 11: a cancelling is acknowledged and the job runs on

An entry that is cut off from the control members sends a cancellation to a fallback dispatcher, also that of a stored job. The dispatcher answers that no such job exists, although the leader has it and goes on with it.

--- /dev/null
+++ b/review/src-3/review3/CaseMain.java
@@ -0,0 +1,38 @@
+package review3;
+
+import java.nio.file.Path;
+import java.util.Map;
+
+/** Runs one case: its name, the folder of the repository and the folder of the case. */
+public final class CaseMain {
+  /** A case. Returns whether the rule was broken. */
+  interface Case {
+    boolean run(Rig rig, boolean trouble) throws Exception;
+  }
+
+  private CaseMain() {}
+
+  public static void main(String[] arguments) throws Exception {
+    Path repository = Path.of(arguments[1]).toAbsolutePath().normalize();
+    Record record = new Record(Path.of(arguments[2]).resolve("record.txt"));
+    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    record.add("case %s, trouble=%s", arguments[0], trouble);
+    int status = Rig.COULD_NOT_RUN;
+    int sides = Integer.parseInt(System.getProperty("sides", "11"));
+    try (Rig rig = new Rig(repository, record, sides, Map.of())) {
+      boolean broken = find(arguments[0]).run(rig, trouble);
+      status = broken ? Rig.BROKEN : Rig.HELD;
+    } catch (Exception e) {
+      record.add("could not run: %s", e);
+    }
+    record.add("exit %d", status);
+    Runtime.getRuntime().halt(status);
+  }
+
+  private static Case find(String name) {
+    return switch (name) {
+      case "cancel" -> new CancelCase();
+      default -> throw new IllegalArgumentException("no case is named " + name);
+    };
+  }
+}
