Add review case 13: a refused start is ordered at the same minion for ever

A minion that refuses a start with 503 has nothing running, so the leader only sees a run that is not listed. It orders the task again at once, and at the same minion, which still is the fastest with free capacity.

--- a/review/src-3/review3/CaseMain.java
+++ b/review/src-3/review3/CaseMain.java
@@ -33,6 +33,7 @@
     return switch (name) {
       case "cancel" -> new CancelCase();
       case "poison" -> new PoisonCase();
+      case "refusing" -> new RefusingMinionCase();
       default -> throw new IllegalArgumentException("no case is named " + name);
     };
   }
