Add review case 14: a kill at the first start keeps the system from starting

Only the listed member with the lowest name may found the log, and only if its own settings say that this is the first start. Killed before it has done so, it comes back with the settings of a restart, and nobody founds the log. No configuration is ever acknowledged.

--- a/review/src-3/review3/CaseMain.java
+++ b/review/src-3/review3/CaseMain.java
@@ -32,6 +32,7 @@
   private static Case find(String name) {
     return switch (name) {
       case "cancel" -> new CancelCase();
+      case "first-start" -> new FirstStartCase();
       case "poison" -> new PoisonCase();
       case "refusing" -> new RefusingMinionCase();
       default -> throw new IllegalArgumentException("no case is named " + name);
