Add review case 15: Pending leaves out jobs that no minion has begun

A job counts as started from the order of its first start on, also if the minion refuses it. While one minion refuses all starts and the others are full, 20 accepted jobs have not begun, and Pending is 0.

--- a/review/src-3/review3/CaseMain.java
+++ b/review/src-3/review3/CaseMain.java
@@ -35,6 +35,7 @@
       case "first-start" -> new FirstStartCase();
       case "poison" -> new PoisonCase();
       case "refusing" -> new RefusingMinionCase();
+      case "pending" -> new PendingCase();
       default -> throw new IllegalArgumentException("no case is named " + name);
     };
   }
