--- a/review/src-3/review3/CaseMain.java
+++ b/review/src-3/review3/CaseMain.java
@@ -31,11 +31,8 @@
 
   private static Case find(String name) {
     return switch (name) {
-      case "cancel" -> new CancelCase();
       case "first-start" -> new FirstStartCase();
-      case "poison" -> new PoisonCase();
       case "refusing" -> new RefusingMinionCase();
-      case "pending" -> new PendingCase();
       default -> throw new IllegalArgumentException("no case is named " + name);
     };
   }
--- a/review/src-3/review3/RefusingMinionCase.java
+++ b/review/src-3/review3/RefusingMinionCase.java
@@ -18,7 +18,7 @@
     rig.startAll(CPU_PER_MINION);
     rig.configure(1, 2, Duration.ofSeconds(30));
     rig.submit(Rig.jobId(1), Rig.job(110, TASK_CPU, 64, 300, ""));
-    PoisonCase.awaitDone(rig, Rig.jobId(1), 110, 15);
+    rig.awaitDone(Rig.jobId(1), 110, 15);
     Rig.sleep(500);
 
     String chain =
--- a/review/src-3/review3/Rig.java
+++ b/review/src-3/review3/Rig.java
@@ -36,14 +36,17 @@
   static final String HOST = "desk.example";
   static final String PREFIX = "/jobs/";
 
-  /** Distance from the inner ports to those at which the proxies listen. */
-  private static final int PROXY_OFFSET = 3;
+  /** Ports of a machine that the rig chooses. */
+  private static final int PORTS = 10;
 
-  /** Bounds of the sheet of Ayaz. */
+  /** Ports at which deploy/settings.ini has the processes serve their metrics. */
+  private static final int FIRST_METRICS_PORT = 9_464;
+
+  private static final int METRICS_PORTS = 3;
+
+  /** The bound {@code finish_s} of the sheet of Ayaz. */
   static final double FINISH_SECONDS = 14;
 
-  static final double VISIBLE_SECONDS = 3;
-  static final double CANCEL_SECONDS = 3;
 
   /** The case cannot run, which says nothing about the rule. */
   static final class CannotRun extends Exception {
@@ -109,13 +112,6 @@
   final List<Machine> edges = new ArrayList<>();
   final List<Machine> sides = new ArrayList<>();
   final List<Minion> minions = new ArrayList<>();
-
-  /** Proxies on the links between {@link #remote} and the machines with a disk. */
-  final List<Proxy> links = new ArrayList<>();
-
-  /** An edge machine without a disk, with the role entry alone; null if the case uses none. */
-  Machine remote;
-
   private final Path repository;
   private final Map<String, String> commands = new LinkedHashMap<>();
   private final String template;
@@ -138,7 +134,7 @@
     readCommands();
     template = Files.readString(repository.resolve("deploy/settings.ini"));
     Random random = new Random();
-    int block = 10 + random.nextInt(200);
+    int block = freeBlock(random);
     String[] zones = {"zone-a", "zone-b", "zone-c"};
     for (int z = 0; z < zones.length; z++) {
       edges.add(new Machine("edge-" + (z + 1), ip(block, z, 1), zones[z], true));
@@ -159,20 +155,31 @@
     return "127." + block + "." + (zone + 1) + "." + host;
   }
 
+  /** Returns a block of addresses on which no other process serves metrics. */
+  private static int freeBlock(Random random) throws CannotRun {
+    for (int attempt = 0; attempt < 50; attempt++) {
+      int block = 10 + random.nextInt(200);
+      if (areFree(ip(block, 0, 1), FIRST_METRICS_PORT, METRICS_PORTS)) {
+        return block;
+      }
+    }
+    throw new CannotRun("no free addresses");
+  }
+
   private int freePorts(Random random) throws CannotRun {
     for (int attempt = 0; attempt < 50; attempt++) {
-      int base = 20_000 + random.nextInt(1_000) * 10;
-      if (areFree(base)) {
+      int base = 20_000 + random.nextInt(1_000) * PORTS;
+      if (areFree(edges.get(0).ip, base, PORTS)) {
         return base;
       }
     }
     throw new CannotRun("no free ports");
   }
 
-  private boolean areFree(int base) {
-    for (int port = base; port < base + 10; port++) {
+  private static boolean areFree(String ip, int first, int count) {
+    for (int port = first; port < first + count; port++) {
       try (ServerSocket socket = new ServerSocket()) {
-        socket.bind(new InetSocketAddress(InetAddress.getByName(edges.get(0).ip), port));
+        socket.bind(new InetSocketAddress(InetAddress.getByName(ip), port));
       } catch (IOException e) {
         return false;
       }
@@ -207,28 +214,6 @@
     return text.toString();
   }
 
-  /**
-   * Starts an edge machine without a disk. Its connections to the machines with a disk pass
-   * through {@link #links}: its settings name other inner ports, at which the proxies listen.
-   */
-  void startRemote() throws IOException {
-    String ip = edges.get(2).ip.replaceAll("[0-9]+$", "5");
-    remote = new Machine("edge-4", ip, edges.get(2).zone, true);
-    for (Machine m : edges) {
-      links.add(new Proxy(m.ip, innerPort + PROXY_OFFSET, innerPort));
-    }
-    links.add(new Proxy(ip, innerPort + 1, innerPort + PROXY_OFFSET + 1));
-    remote.start("entry", true);
-  }
-
-  /** Cuts the link between {@link #remote} and each machine with a disk, or joins them again. */
-  void cutRemote(boolean on) {
-    record.add("%s and the machines with a disk are %s", remote.name, on ? "cut off" : "joined");
-    for (int i = 0; i < edges.size(); i++) {
-      links.get(i).cut(on);
-    }
-  }
-
   /** Fills in the template of the settings as the platform does. */
   private String settings(Machine m, String role, boolean bootstrap) {
     Map<String, String> values = new LinkedHashMap<>();
@@ -239,8 +224,7 @@
     values.put("Listen.Front", role.equals("entry") ? m.ip + ":" + frontPort : "");
     values.put("Listen.ReadyAddr", role.equals("entry") ? m.ip + ":" + readyPort : "");
     values.put("Listen.Control", role.equals("entry") ? "" : m.ip + ":" + controlPort);
-    int inner = innerPort + (m == remote ? PROXY_OFFSET : 0);
-    values.put("InnerPortRange", inner + "," + (inner + PROXY_OFFSET - 1));
+    values.put("InnerPortRange", innerPort + "," + (innerPort + 5));
     values.put("Seeds", seeds());
     values.put("Bootstrap", Boolean.toString(bootstrap));
     values.put("Tolerate.Machines", "1");
@@ -442,6 +426,19 @@
     return runs;
   }
 
+  /** Waits until all tasks of a job have ended {@code done}. */
+  void awaitDone(String id, int tasks, double limitSeconds) throws CannotRun {
+    double end = record.seconds() + limitSeconds;
+    while (record.seconds() < end) {
+      long done = runsOf(id).stream().filter(r -> r.how.equals("done")).count();
+      if (done >= tasks) {
+        return;
+      }
+      sleep(50);
+    }
+    throw new CannotRun("the first job was not run");
+  }
+
   static void sleep(long millis) {
     try {
       Thread.sleep(millis);
@@ -459,8 +456,7 @@
   /** Ends all processes and removes the temporary folder. */
   @Override
   public synchronized void close() {
-    links.forEach(Proxy::close);
-    Stream.concat(Stream.concat(edges.stream(), sides.stream()), Stream.ofNullable(remote))
+    Stream.concat(edges.stream(), sides.stream())
         .flatMap(m -> m.processes.values().stream())
         .forEach(Process::destroyForcibly);
     minions.forEach(Minion::close);
