Add review case 13: unsized tasks keep all others off their minions

A run whose task requests nothing has the same need as one of unknown size, and a minion with such a run counts as full for everything else.

--- a/review/src-3/review3/CaseMain.java
+++ b/review/src-3/review3/CaseMain.java
@@ -33,6 +33,7 @@
     return switch (name) {
       case "first-start" -> new FirstStartCase();
       case "refusing" -> new RefusingMinionCase();
+      case "unsized" -> new UnsizedCase();
       default -> throw new IllegalArgumentException("no case is named " + name);
     };
   }
