--- a/review/src-3/review3/CaseMain.java
+++ b/review/src-3/review3/CaseMain.java
@@ -1,7 +1,6 @@
 package review3;
 
 import java.nio.file.Path;
-import java.util.Map;
 
 /** Runs one case: its name, the folder of the repository and the folder of the case. */
 public final class CaseMain {
@@ -10,6 +9,9 @@
     boolean run(Rig rig, boolean trouble) throws Exception;
   }
 
+  /** Minions of the sheet of Ayaz. */
+  private static final int MINIONS = 11;
+
   private CaseMain() {}
 
   public static void main(String[] arguments) throws Exception {
@@ -18,8 +20,7 @@
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
     record.add("case %s, trouble=%s", arguments[0], trouble);
     int status = Rig.COULD_NOT_RUN;
-    int sides = Integer.parseInt(System.getProperty("sides", "11"));
-    try (Rig rig = new Rig(repository, record, sides, Map.of())) {
+    try (Rig rig = new Rig(repository, record, MINIONS)) {
       boolean broken = find(arguments[0]).run(rig, trouble);
       status = broken ? Rig.BROKEN : Rig.HELD;
     } catch (Exception e) {
--- a/review/src-3/review3/Rig.java
+++ b/review/src-3/review3/Rig.java
@@ -17,7 +17,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.concurrent.CompletableFuture;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
@@ -122,13 +121,11 @@
   private final int controlPort;
   private final int appPort;
   private final int innerPort;
-  private final Map<String, String> overrides;
 
-  Rig(Path repository, Record record, int sideCount, Map<String, String> overrides)
+  Rig(Path repository, Record record, int sideCount)
       throws IOException, CannotRun {
     this.repository = repository;
     this.record = record;
-    this.overrides = overrides;
     this.folder = Files.createTempDirectory("review3-");
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     readCommands();
@@ -237,7 +234,6 @@
     values.put("Bounds.status_s", "120");
     values.put("Bounds.GraceS", "6");
     values.put("Bounds.RemoteFactor", "1.5");
-    values.putAll(overrides);
     Matcher matcher = Pattern.compile("\\{\\{([A-Za-z_.]+)\\}\\}").matcher(template);
     return matcher.replaceAll(
         r -> Matcher.quoteReplacement(values.getOrDefault(r.group(1), "")));
@@ -380,21 +376,6 @@
     }
   }
 
-  /** Submits in the background. */
-  CompletableFuture<Integer> submitLater(String id, String body) {
-    CompletableFuture<Integer> answer = new CompletableFuture<>();
-    daemon(
-            () -> {
-              try {
-                answer.complete(submit(id, body));
-              } catch (InterruptedException e) {
-                answer.complete(0);
-              }
-            })
-        .start();
-    return answer;
-  }
-
   static String jobId(int number) {
     return String.format("%016x", 0xc0ffee00000000L + number);
   }
