Bring the review cases inside their limits

Case 11 refused starts for 6.4 s at one of eleven minions; the entries of the site that cover this share last 5.7 and 5.5 s. It is 5.4 s now. Case 12 gets an operator with increasing pauses and the 3 ms of its route.

--- a/review/src-3/review3/FirstStartCase.java
+++ b/review/src-3/review3/FirstStartCase.java
@@ -11,8 +11,8 @@
   /** Time without any disruption after which the core counts as stable (ContactMs). */
   private static final double CONTACT_SECONDS = 3;
 
-  /** Time within which an order has to be acknowledged then (AckMs). */
-  private static final double ACK_SECONDS = 4;
+  /** Time within which an order has to be acknowledged then (AckMs, and 3 ms for the route). */
+  private static final double ACK_SECONDS = 4.003;
 
   private static final double WATCHED_SECONDS = 45;
 
@@ -29,6 +29,7 @@
     double calm = rig.record.seconds();
     String body = Rig.configuration(1, 2);
     int calls = 0;
+    double pause = 200;
     while (rig.record.seconds() < calm + WATCHED_SECONDS) {
       Rig.Machine m = rig.edges.get(calls++ % rig.edges.size());
       Rig.Answer a = rig.call("PUT", rig.control(m) + "/config", "", body, 1_000);
@@ -40,7 +41,8 @@
         rig.record.add("acknowledged %.2f s after the last start", after);
         return after > CONTACT_SECONDS + ACK_SECONDS;
       }
-      Rig.sleep(200);
+      Rig.sleep((long) pause);
+      pause = Math.min(2_000, pause * 1.2);
     }
     for (Rig.Machine m : rig.edges) {
       Process control = m.processes.get("control");
--- a/review/src-3/review3/RefusingMinionCase.java
+++ b/review/src-3/review3/RefusingMinionCase.java
@@ -5,7 +5,7 @@
 import java.util.List;
 
 /**
- * One of eleven minions answers each start with 503 for 6.5 s, as an unhealthy minion does, while it
+ * One of eleven minions answers each start with 503 for 5.4 s, as an unhealthy minion does, while it
  * sends heartbeats and answers all other calls. Stored jobs whose last step becomes ready then must
  * run on the other minions, which are empty.
  */
@@ -13,6 +13,9 @@
   private static final long CPU_PER_MINION = 32_000;
   private static final long TASK_CPU = 3_100;
 
+  /** The site has 5.7 s and 5.5 s for a share that covers one of eleven minions. */
+  private static final double REFUSING_SECONDS = 5.4;
+
   @Override
   public boolean run(Rig rig, boolean trouble) throws Exception {
     rig.startAll(CPU_PER_MINION);
@@ -35,7 +38,7 @@
     }
     double end = rig.record.seconds();
     rig.record.add("the traffic ends");
-    while (rig.record.seconds() < end + Rig.FINISH_SECONDS + 1) {
+    while (rig.record.seconds() < end + Rig.FINISH_SECONDS + 1.2) {
       Rig.sleep(20);
     }
     // The minion that the leader prefers at this time runs most of the second steps.
@@ -53,7 +56,7 @@
     List<Minion> sound = new ArrayList<>(rig.minions);
     sound.remove(refusing);
     double from = rig.record.seconds();
-    boolean broken = new Starving(rig, CPU_PER_MINION).watch(watched, sound, from + 6.4);
+    boolean broken = new Starving(rig, CPU_PER_MINION).watch(watched, sound, from + REFUSING_SECONDS);
     refusing.refusingStatus = 0;
     rig.record.add("minion %s has refused %d starts", refusing.id, refusing.refusedStarts());
     return broken;
