Log why a job that another dispatcher had before may start

A leader holds a job that is resubmitted until every agent has listed its runs or all leases of others have run out. Nothing told by which reports it was released, so two runs of a task could not be traced to lists that were too old.

job_released names the outcome, the time that the job was held, the agent with the oldest lists, and when that agent sent its last report. No behaviour changes.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
@@ -130,7 +130,7 @@
     if (!dispatch.held.isEmpty()) {
       // The only jobs that are held are those that this dispatcher has stopped itself; it knows
       // their runs.
-      dispatch.release(dispatch.held.takeReleased(true, Instant.MAX, now));
+      dispatch.release(dispatch.held.takeReleased(true, OldestLists.NONE, now));
     }
     dispatch.place(firstRun, now);
     dispatch.sendOrders(now);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -74,16 +74,15 @@
     return w != null && w.synced;
   }
 
-  /**
-   * Returns since when every one of some agents has listed all its runs under this leader's fence;
-   * {@link Instant#MIN} if one never has, {@link Instant#MAX} without agents.
-   */
-  Instant listsSince(Collection<NodeId> agents) {
-    Instant oldest = Instant.MAX;
+  /** Returns the oldest of the last run lists of some agents under this leader's fence. */
+  OldestLists oldestLists(Collection<NodeId> agents) {
+    OldestLists oldest = OldestLists.NONE;
     for (NodeId a : agents) {
       WorkerState w = workers.get(a);
       Instant at = w == null || !w.synced ? Instant.MIN : w.listsAt;
-      oldest = at.isBefore(oldest) ? at : oldest;
+      if (at.isBefore(oldest.since())) {
+        oldest = new OldestLists(at, a, w == null ? null : w.report);
+      }
     }
     return oldest;
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/HeldJobs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/HeldJobs.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
+import org.cassiastack.decision.Decision;
 
 /**
  * Jobs of which runs may exist that this leader does not know. They start no task until the agents
@@ -21,8 +23,11 @@
   /** Jobs that another dispatcher had before, with the time of their arrival. */
   private final Map<LiveJob, Instant> resubmitted = new LinkedHashMap<>();
 
-  HeldJobs(Duration leaseExpiryTimeout) {
+  private final Consumer<Decision> decisions;
+
+  HeldJobs(Duration leaseExpiryTimeout, Consumer<Decision> decisions) {
     this.leaseExpiryTimeout = leaseExpiryTimeout;
+    this.decisions = decisions;
   }
 
   /** Holds a job of the ledger until all agents are synced. */
@@ -55,9 +60,9 @@
    * Removes and returns the jobs whose tasks may start.
    *
    * @param agentsSynced whether the leader knows every run of earlier leaders
-   * @param listsSince the time since which every agent of the ledger has listed all its runs
+   * @param lists the oldest of the last run lists of all agents of the ledger
    */
-  List<LiveJob> takeReleased(boolean agentsSynced, Instant listsSince, Instant now) {
+  List<LiveJob> takeReleased(boolean agentsSynced, OldestLists lists, Instant now) {
     List<LiveJob> released = new ArrayList<>();
     if (agentsSynced) {
       released.addAll(restored);
@@ -65,8 +70,12 @@
     }
     resubmitted.forEach(
         (job, at) -> {
-          if (at.isBefore(listsSince) || now.isAfter(at.plus(leaseExpiryTimeout))) {
+          boolean runsListed = at.isBefore(lists.since());
+          if (runsListed || now.isAfter(at.plus(leaseExpiryTimeout))) {
             released.add(job);
+            String outcome = runsListed ? "runs_listed" : "leases_expired";
+            String inputs = "held=" + Duration.between(at, now) + " " + lists.describe();
+            decisions.accept(Decision.of("job_released", job.job.id(), outcome, inputs));
           }
         });
     released.forEach(resubmitted::remove);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
@@ -66,7 +66,7 @@
             this::medianSpeed);
     this.fleet = new Fleet(settings, runEvents);
     this.callerLeases = CallerLeases.of(settings, ledger::contains);
-    this.held = new HeldJobs(settings.leaseExpiryTimeout());
+    this.held = new HeldJobs(settings.leaseExpiryTimeout(), decisions);
     StoppedJobs stopped = new StoppedJobs(liveJobs, held, fleet);
     this.callers = new WaitingCallers(liveJobs, stopped, callerLeases, decisions);
     this.requests =
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -272,8 +272,8 @@
     if (generationCommitted && holdsLeadership(now)) {
       boolean synced = areAgentsSynced(now);
       if (!dispatch.held.isEmpty()) {
-        Instant listsSince = dispatch.fleet.listsSince(ledger.agents());
-        dispatch.release(dispatch.held.takeReleased(synced, listsSince, now));
+        OldestLists lists = dispatch.fleet.oldestLists(ledger.agents());
+        dispatch.release(dispatch.held.takeReleased(synced, lists, now));
       }
       if (synced || settings.fallback()) {
         dispatch.place(RunNumbers.firstOfLeader(ledger.generation()), now);
