Show a task that runs twice after a cut that holds messages back

The simulated network dropped the messages of a cut link and ended each connection of a cut. TCP delivers them late and in order if the connection outlasts the cut.

The network of the other tests is as before.

--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobProperties.java
@@ -46,7 +46,12 @@
 
   /** Plays one seed. */
   static Outcome play(long seed) {
+    return play(seed, NetworkProfile.dropping());
+  }
+
+  static Outcome play(long seed, NetworkProfile network) {
     QueueSimulation simulation = start(seed);
+    simulation.network().setProfile(network);
     Random random = new Random(seed + 1);
     long from = simulation.millis();
     simulation.callers().begin(CALL_INTERVAL_MILLIS);
@@ -80,7 +85,12 @@
   }
 
   static Outcome playWithCutOffAgents(long seed) {
+    return playWithCutOffAgents(seed, NetworkProfile.dropping());
+  }
+
+  static Outcome playWithCutOffAgents(long seed, NetworkProfile network) {
     QueueSimulation simulation = start(seed);
+    simulation.network().setProfile(network);
     simulation.runModel().lengthenRuns(LONG_RUN_TIME_FACTOR);
     Random random = new Random(seed + 1);
     long from = simulation.millis();
@@ -170,7 +180,7 @@
         .toList();
   }
 
-  private static List<SimulatedNode> nodesOf(QueueSimulation simulation, FailureDomain domain) {
+  static List<SimulatedNode> nodesOf(QueueSimulation simulation, FailureDomain domain) {
     List<SimulatedNode> nodes = new ArrayList<>(entriesOf(simulation, domain.name()));
     simulation.agents().stream()
         .filter(a -> ((SimulatedAgent) a).domain().equals(domain))
@@ -202,7 +212,7 @@
     switch (random.nextInt(5)) {
       case 4 -> {
         entry.losePower();
-        simulation.runAfter(SimulatedNetwork.DISCONNECT_MILLIS + millis, entry::start);
+        simulation.runAfter(simulation.network().disconnectMillis() + millis, entry::start);
       }
       case 0 -> {
         entry.crash();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobSeeds.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobSeeds.java
@@ -11,21 +11,28 @@
  *
  * <pre>{@code
  * mvn -q test-compile -pl cassiastack-core
- * java -cp ... org.cassiastack.schedule.faults.ResentJobSeeds 1 500
+ * java -cp ... org.cassiastack.schedule.faults.ResentJobSeeds 1 500 3000
  * }</pre>
  */
 final class ResentJobSeeds {
   private ResentJobSeeds() {}
 
-  /** Runs consecutive seeds; the arguments are the first seed and the number of seeds. */
+  /**
+   * Runs consecutive seeds. The arguments are the first seed, the number of seeds and, if messages
+   * are held back over cuts, the time in milliseconds after which a silent connection is lost.
+   */
   public static void main(String[] arguments) {
     long first = Long.parseLong(arguments[0]);
     long count = Long.parseLong(arguments[1]);
+    NetworkProfile network =
+        arguments.length > 2
+            ? NetworkProfile.holding(Integer.parseInt(arguments[2]))
+            : NetworkProfile.dropping();
     List<ResentJobProperties.Outcome> played =
         LongStream.range(first, first + count)
             .parallel()
             .boxed()
-            .flatMap(ResentJobSeeds::play)
+            .flatMap(seed -> play(seed, network))
             .toList();
     long failed = 2 * count - played.size();
     System.out.printf(
@@ -39,10 +46,10 @@
     System.exit(failed == 0 ? 0 : 1);
   }
 
-  private static Stream<ResentJobProperties.Outcome> play(long seed) {
+  private static Stream<ResentJobProperties.Outcome> play(long seed, NetworkProfile network) {
     return Stream.concat(
-        play(seed, "random faults", ResentJobProperties::play),
-        play(seed, "agents cut off", ResentJobProperties::playWithCutOffAgents));
+        play(seed, "random faults", s -> ResentJobProperties.play(s, network)),
+        play(seed, "agents cut off", s -> ResentJobProperties.playWithCutOffAgents(s, network)));
   }
 
   private static Stream<ResentJobProperties.Outcome> play(
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedEntry.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedEntry.java
@@ -55,7 +55,7 @@
     pause();
     simulation.callers().entryLost(this);
     simulation.runAfter(
-        SimulatedNetwork.DISCONNECT_MILLIS,
+        simulation.network().disconnectMillis(),
         () -> {
           if (incarnation() == lost) {
             kill();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNetwork.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNetwork.java
@@ -1,5 +1,6 @@
 package org.cassiastack.schedule.faults;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -15,27 +16,54 @@
 
 /** The connections between simulated processes. A link can be cut or slow in one direction. */
 final class SimulatedNetwork {
-  static final int DISCONNECT_MILLIS = 900;
-
   private static final int CONNECT_MILLIS = 5;
 
+  /** Maximum time after the repair of a link until the sender repeats what was not received. */
+  private static final int MAX_RETRANSMISSION_MILLIS = 200;
+
   private final QueueSimulation simulation;
   private final Map<NodeId, SimulatedNode> nodes;
-  private final Set<Link> cutLinks = new HashSet<>();
+  private final Map<Link, Long> cutLinks = new HashMap<>();
+
+  /**
+   * Messages of connections that wait for the repair of their link, or for their retransmission.
+   */
+  private final Map<Link, List<Runnable>> heldMessages = new HashMap<>();
+
   private final Set<Link> connectedLinks = new HashSet<>();
   private final Set<Link> dialedLinks = new HashSet<>();
   private final Map<Link, Integer> linkDelays = new HashMap<>();
   private final Map<Link, Long> lastDelivery = new HashMap<>();
+  private NetworkProfile profile = NetworkProfile.dropping();
+  private long lastCut;
 
   SimulatedNetwork(QueueSimulation simulation, Map<NodeId, SimulatedNode> nodes) {
     this.simulation = simulation;
     this.nodes = nodes;
   }
 
-  /** Drops messages of one direction of a link; both ends detect the loss after a delay. */
+  /** Sets what cuts do from now on. */
+  void setProfile(NetworkProfile newProfile) {
+    profile = newProfile;
+  }
+
+  /** Returns the time without data after which both ends count a connection as lost. */
+  int disconnectMillis() {
+    return profile.disconnectMillis();
+  }
+
+  /** Cuts one direction of a link; both ends detect the loss after a delay. */
   void cutLink(SimulatedNode from, SimulatedNode to) {
-    cutLinks.add(new Link(from.node, to.node));
-    simulation.runAfter(DISCONNECT_MILLIS, () -> disconnectIfCut(from, to));
+    Link link = new Link(from.node, to.node);
+    lastCut++;
+    long cut = cutLinks.computeIfAbsent(link, l -> lastCut);
+    simulation.runAfter(
+        disconnectMillis(),
+        () -> {
+          if (cutLinks.getOrDefault(link, 0L) == cut) {
+            disconnect(from, to);
+          }
+        });
   }
 
   /** Cuts the links between two groups in both directions, and repairs them after some time. */
@@ -44,17 +72,34 @@
       for (SimulatedNode b : others) {
         cutLink(a, b);
         cutLink(b, a);
-        simulation.runAfter(Math.max(millis, DISCONNECT_MILLIS + 1), () -> repair(a, b));
+        simulation.runAfter(Math.max(millis, profile.minCutMillis()), () -> repair(a, b));
       }
     }
   }
 
   private void repair(SimulatedNode a, SimulatedNode b) {
-    cutLinks.remove(new Link(a.node, b.node));
-    cutLinks.remove(new Link(b.node, a.node));
+    repairDirection(new Link(a.node, b.node));
+    repairDirection(new Link(b.node, a.node));
     connect(a, b);
   }
 
+  private void repairDirection(Link link) {
+    if (cutLinks.remove(link) != null && heldMessages.containsKey(link)) {
+      simulation.runAfter(
+          1L + simulation.random().nextInt(MAX_RETRANSMISSION_MILLIS), () -> retransmit(link));
+    }
+  }
+
+  private void retransmit(Link link) {
+    if (cutLinks.containsKey(link)) {
+      return;
+    }
+    List<Runnable> messages = heldMessages.remove(link);
+    if (messages != null) {
+      messages.forEach(Runnable::run);
+    }
+  }
+
   /** Connects a process to fallback dispatchers until it hangs up. */
   void dial(SimulatedNode from, List<NodeId> targets) {
     for (NodeId to : targets) {
@@ -80,7 +125,7 @@
   }
 
   void reconnectAll() {
-    cutLinks.clear();
+    List.copyOf(cutLinks.keySet()).forEach(this::repairDirection);
     for (SimulatedNode a : nodes.values()) {
       for (SimulatedNode b : nodes.values()) {
         connect(a, b);
@@ -112,16 +157,26 @@
     long transit = 1L + simulation.random().nextInt(3) + linkDelays.getOrDefault(link, 0);
     long at = Math.max(simulation.millis() + transit, lastDelivery.getOrDefault(link, 0L));
     lastDelivery.put(link, at);
-    simulation.runAfter(
-        at - simulation.millis(),
+    Runnable receive =
         () -> {
-          if (!cutLinks.contains(link) && connectedLinks.contains(link)) {
-            if (s.message() instanceof RunOrders o) {
-              simulation.callers().ordered(o);
-            }
-            to.on(new Received(from.node, s.message()), incarnation);
+          if (s.message() instanceof RunOrders o) {
+            simulation.callers().ordered(o);
           }
-        });
+          to.on(new Received(from.node, s.message()), incarnation);
+        };
+    simulation.runAfter(at - simulation.millis(), () -> arrive(link, receive));
+  }
+
+  private void arrive(Link link, Runnable receive) {
+    boolean mustWait = cutLinks.containsKey(link) || heldMessages.containsKey(link);
+    if (!connectedLinks.contains(link) || (mustWait && !profile.holdsMessages())) {
+      return;
+    }
+    if (mustWait) {
+      heldMessages.computeIfAbsent(link, l -> new ArrayList<>()).add(receive);
+    } else {
+      receive.run();
+    }
   }
 
   private void connect(SimulatedNode a, SimulatedNode b) {
@@ -132,8 +187,8 @@
     boolean isDialed = dialedLinks.contains(forward) || dialedLinks.contains(backward);
     if (disconnected
         || !(hasMember || isDialed)
-        || cutLinks.contains(forward)
-        || cutLinks.contains(backward)
+        || cutLinks.containsKey(forward)
+        || cutLinks.containsKey(backward)
         || !connectedLinks.add(forward)) {
       return;
     }
@@ -142,15 +197,11 @@
     post(b, new PeerConnected(a.node));
   }
 
-  private void disconnectIfCut(SimulatedNode a, SimulatedNode b) {
-    if (cutLinks.contains(new Link(a.node, b.node))) {
-      disconnect(a, b);
-    }
-  }
-
   private void disconnect(SimulatedNode a, SimulatedNode b) {
     if (connectedLinks.remove(new Link(a.node, b.node))) {
       connectedLinks.remove(new Link(b.node, a.node));
+      heldMessages.remove(new Link(a.node, b.node));
+      heldMessages.remove(new Link(b.node, a.node));
       post(a, new PeerDisconnected(b.node));
       post(b, new PeerDisconnected(a.node));
     }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedNode.java
@@ -93,9 +93,9 @@
     }
     pause();
     int frozenIncarnation = incarnation;
-    if (millis > SimulatedNetwork.DISCONNECT_MILLIS) {
-      simulation.runAfter(
-          SimulatedNetwork.DISCONNECT_MILLIS, () -> simulation.network().disconnectFromAll(this));
+    int disconnectMillis = simulation.network().disconnectMillis();
+    if (millis > disconnectMillis) {
+      simulation.runAfter(disconnectMillis, () -> simulation.network().disconnectFromAll(this));
     }
     simulation.runAfter(
         millis,
