--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -35,6 +35,12 @@
   /** Orders that the agent has not processed after this time are assumed to be lost. */
   private static final Duration LOST_ORDERS_TIMEOUT = Duration.ofMillis(300);
 
+  /**
+   * Minimum time between two requests for the lists of one agent: after an election jobs arrive in
+   * many turns, and a system may have hundreds of agents.
+   */
+  private static final Duration LISTS_REQUEST_INTERVAL = Duration.ofMillis(50);
+
   private final LiveJobs liveJobs;
   private final Fleet fleet;
   private final JobLedger ledger;
@@ -119,6 +125,11 @@
     addSend(w, w.probeLostOrders(fence, LOST_ORDERS_TIMEOUT, now), effects);
   }
 
+  /** Asks an agent for run lists that are made after a time, unless that was done before. */
+  void requestLists(WorkerState w, long fence, Instant since, Instant now, List<Effect> effects) {
+    addSend(w, w.requestLists(fence, since, LISTS_REQUEST_INTERVAL, now), effects);
+  }
+
   /** Marks stalled runs to be stopped if another worker has free capacity for their tasks. */
   void moveStalledRuns(Instant now) {
     for (WorkerState w : fleet.workers()) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -79,7 +79,7 @@
     OldestLists oldest = OldestLists.NONE;
     for (NodeId a : agents) {
       WorkerState w = workers.get(a);
-      Instant at = w == null || !w.synced ? Instant.MIN : w.listsAt;
+      Instant at = w == null ? Instant.MIN : w.listsSince();
       if (at.isBefore(oldest.since())) {
         oldest = new OldestLists(at, a, w == null ? null : w.report);
       }
@@ -173,7 +173,9 @@
     if (r.fence() == fence) {
       applyLists(w, r, now);
       w.synced |= r.listsComplete();
-      w.listsAt = r.listsComplete() ? now : w.listsAt;
+      if (r.listsComplete()) {
+        w.recordCompleteLists(r);
+      }
     }
     w.updateSpeed(now);
     boolean mayHaveCapacity = w.runs.size() < runCount || !wasSynced || !m.equals(former);
@@ -259,11 +261,7 @@
 
   /** Moves the times from which the leases of the agents are counted. */
   void onClockLeaped(Duration leap) {
-    for (WorkerState w : workers.values()) {
-      w.leasedAt = w.leasedAt.equals(Instant.MIN) ? Instant.MIN : w.leasedAt.plus(leap);
-      w.reportedAt = w.reportedAt.equals(Instant.MIN) ? Instant.MIN : w.reportedAt.plus(leap);
-      w.reportOrder.onClockLeaped(leap);
-    }
+    workers.values().forEach(w -> w.onClockLeaped(leap));
   }
 
   /**
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/HeldJobs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/HeldJobs.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -10,6 +11,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.cassiastack.decision.Decision;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Jobs of which runs may exist that this leader does not know. They start no task until the agents
@@ -47,6 +49,11 @@
     resubmitted.remove(job);
   }
 
+  /** Returns when the last job arrived that waits for the lists of all agents, or null. */
+  @Nullable Instant lastArrival() {
+    return resubmitted.values().stream().max(Comparator.naturalOrder()).orElse(null);
+  }
+
   boolean isEmpty() {
     return restored.isEmpty() && resubmitted.isEmpty();
   }
@@ -70,7 +77,7 @@
     }
     resubmitted.forEach(
         (job, at) -> {
-          boolean runsListed = at.isBefore(lists.since());
+          boolean runsListed = !at.isAfter(lists.since());
           if (runsListed || now.isAfter(at.plus(leaseExpiryTimeout))) {
             released.add(job);
             String outcome = runsListed ? "runs_listed" : "leases_expired";
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
@@ -206,6 +206,16 @@
     }
   }
 
+  /**
+   * Asks the agents for their run lists if jobs wait for lists that are made after their arrival.
+   */
+  void requestLists(Instant now) {
+    Instant arrival = held.lastArrival();
+    if (arrival != null) {
+      fleet.workers().forEach(w -> dispatcher.requestLists(w, fence, arrival, now, effects));
+    }
+  }
+
   private double medianSpeed(ServiceName service) {
     return fleet.medianSpeed(service);
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -280,6 +280,9 @@
       }
     }
     dispatch.sendOrders(now);
+    if (holdsLeadership(now)) {
+      dispatch.requestLists(now);
+    }
     List<Effect> collected = dispatch.takeEffects();
     commits.propose(now, collected);
     return collected;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
 import java.util.TreeSet;
 import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.NodeId;
@@ -65,10 +67,18 @@
   Instant leasedAt = Instant.MIN;
 
   /**
-   * When the last report under this leader's fence with complete run lists arrived; {@link
-   * Instant#MIN} before the first.
+   * Time before which the last complete run lists under this leader's fence cannot have been made:
+   * when the newest orders were sent that the agent had processed. Reports may arrive long after
+   * their sending, so the time of their arrival tells nothing. {@link Instant#MIN} before the
+   * first.
    */
-  Instant listsAt = Instant.MIN;
+  private Instant listsSince = Instant.MIN;
+
+  /** When the agent was last asked for its run lists. */
+  private Instant listsRequestedAt = Instant.MIN;
+
+  /** When orders were sent that the agent is not known to have processed, by their number. */
+  private final NavigableMap<Long, Instant> orderTimes = new TreeMap<>();
 
   /** Whether the worker was reported as slow, and not as recovered since. */
   boolean isSlow;
@@ -113,6 +123,9 @@
   /** Resets the state for a new incarnation of the agent, which has processed no orders. */
   void resetForNewAgent() {
     lastOrdersNumber = 0;
+    orderTimes.clear();
+    listsSince = Instant.MIN;
+    listsRequestedAt = Instant.MIN;
     runs.values().forEach(r -> r.orderNumber = 0);
     synced = false;
     pendingStarts.clear();
@@ -246,6 +259,48 @@
         : null;
   }
 
+  /**
+   * Returns empty orders, which the agent answers at once with a report, unless it was asked since
+   * a time or within an interval; otherwise null.
+   */
+  @Nullable RunOrders requestLists(long fence, Instant since, Duration interval, Instant now) {
+    boolean isAsked = !listsRequestedAt.isBefore(since);
+    if (!synced || isAsked || now.isBefore(listsRequestedAt.plus(interval))) {
+      return null;
+    }
+    RunOrders o = nextOrders(fence, now);
+    listsRequestedAt = o == null ? listsRequestedAt : now;
+    return o;
+  }
+
+  /** Records a report under this leader's fence with complete run lists. */
+  void recordCompleteLists(AgentReport r) {
+    Map.Entry<Long, Instant> processed = orderTimes.floorEntry(r.processedOrdersThrough());
+    if (processed != null) {
+      listsSince = processed.getValue();
+      orderTimes.headMap(processed.getKey()).clear();
+    }
+  }
+
+  /** Returns the time before which the last complete run lists cannot have been made. */
+  Instant listsSince() {
+    return synced ? listsSince : Instant.MIN;
+  }
+
+  /** Moves the times that are kept by this process's clock. */
+  void onClockLeaped(Duration leap) {
+    leasedAt = moved(leasedAt, leap);
+    reportedAt = moved(reportedAt, leap);
+    listsSince = moved(listsSince, leap);
+    listsRequestedAt = moved(listsRequestedAt, leap);
+    orderTimes.replaceAll((number, at) -> at.plus(leap));
+    reportOrder.onClockLeaped(leap);
+  }
+
+  private static Instant moved(Instant at, Duration leap) {
+    return at.equals(Instant.MIN) ? at : at.plus(leap);
+  }
+
   /** Returns whether there are orders that the agent had not processed when it sent a report. */
   boolean hasUnprocessedOrders(AgentReport r) {
     return !pendingStarts.isEmpty()
@@ -280,6 +335,7 @@
     Incarnation agentIncarnation = r.incarnation();
     lastOrdersNumber++;
     ordersSentAt = now;
+    orderTimes.put(lastOrdersNumber, now);
     RunOrders o =
         new RunOrders(
             fence, agentIncarnation, lastOrdersNumber, m.life(), pendingStarts, pendingStops);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackLeaderTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackLeaderTest.java
@@ -24,6 +24,7 @@
 import org.cassiastack.runs.EndedRun;
 import org.cassiastack.runs.Fences;
 import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunOrders;
 import org.cassiastack.runs.RunOutcome;
 import org.junit.jupiter.api.Test;
 
@@ -101,6 +102,61 @@
     assertThat(started()).hasSize(1);
   }
 
+  /** Guards against lists that a cut held back, and that lack a run of a fallback dispatcher. */
+  @Test
+  void a_report_from_before_the_arrival_of_a_resubmitted_job_does_not_start_it() {
+    resubmit(1);
+    report(FIRST, List.of(), List.of());
+    lastOrdersNumbers.remove(SECOND);
+
+    report(SECOND, List.of(), List.of());
+
+    assertThat(started()).isEmpty();
+    assertThat(decisions).extracting(Decision::event).doesNotContain("job_released");
+  }
+
+  @Test
+  void logs_which_lists_released_a_resubmitted_job() {
+    resubmit(1);
+    report(FIRST, List.of(), List.of());
+
+    report(SECOND, List.of(), List.of());
+
+    assertThat(decisions)
+        .filteredOn(d -> d.event().equals("job_released"))
+        .singleElement()
+        .satisfies(d -> assertThat(d.outcome()).isEqualTo("runs_listed"))
+        .satisfies(d -> assertThat(d.inputs()).contains("held=PT0.002S", "oldest=" + FIRST));
+  }
+
+  /** Guards against a job that waits for the next regular reports. */
+  @Test
+  void asks_each_agent_once_for_its_lists_when_a_resubmitted_job_arrives() {
+    sends.clear();
+    resubmit(1);
+    on(new Tick());
+
+    assertThat(sends)
+        .filteredOn(s -> s.message() instanceof RunOrders)
+        .extracting(Send::to)
+        .containsExactlyInAnyOrder(FIRST, SECOND);
+  }
+
+  @Test
+  void asks_an_agent_for_its_lists_that_obeys_the_leader_only_after_the_job_arrived() {
+    lead(6);
+    report(FIRST, List.of(), List.of());
+    resubmit(1);
+    report(SECOND, List.of(), List.of());
+    report(FIRST, List.of(), List.of());
+    boolean startedEarly = !started().isEmpty();
+
+    report(SECOND, List.of(), List.of());
+
+    assertThat(startedEarly).isFalse();
+    assertThat(started()).hasSize(1);
+  }
+
   @Test
   void starts_a_resubmitted_job_when_the_lease_of_a_silent_agent_has_expired_since_it_arrived() {
     on(new LeaseExtended(5, now.plusSeconds(100)));
