Hold a resubmitted job also if a late first copy of it is live

What callers saw: nothing; their job ran twice at the same time.

Cause: a leader holds a job that comes from another dispatcher until it knows all runs of it. If the first copy of its submission was held back by a cut and arrived just before, the job was live as a new one, and the resubmission only took the place of its caller: it confirmed the job, which started at once. A second resubmission, of another dispatcher, did not renew the hold either.

A resubmission by another caller now holds the waiting tasks of a job that is live, and makes it count as started, so that it is not refused as not run. A repetition of the same request holds nothing again.

The new test in FallbackLeaderTest failed before.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -153,7 +153,11 @@
       answer(caller, AnswerCode.ACCEPTED);
       return;
     }
-    if (liveJobs.find(id) != null || commits.isAccepting(id) || commits.isRefusing(id)) {
+    LiveJob live = liveJobs.find(id);
+    if (live != null || commits.isAccepting(id) || commits.isRefusing(id)) {
+      if (live != null && mayHaveRun && !live.job.durable()) {
+        holdAgain(live, caller, now);
+      }
       // Replaces an earlier caller: only the last one is answered when the job is committed or,
       // if it is not durable, has ended.
       callers.put(id, caller);
@@ -186,7 +190,7 @@
     Instant requestedAt = now.minus(s.waitTime());
     Instant callerTimeoutAt = now.plus(s.timeout());
     LiveJob job = liveJobs.newJob(s.job(), queue, maxAttempts, requestedAt, callerTimeoutAt);
-    held.addResubmitted(job, now);
+    hold(job, caller, now);
     callers.put(s.job().id(), caller);
     activate(job, now);
     liveJobs.markStarted(job);
@@ -194,6 +198,25 @@
     addDecision("job_admitted", s.job().id(), "resubmitted", inputs);
   }
 
+  /**
+   * Holds the waiting tasks of a job that is live here and comes from another dispatcher: an
+   * earlier copy of the submission, which was late, may have made it live.
+   */
+  private void holdAgain(LiveJob job, Caller caller, Instant now) {
+    if (caller.equals(job.resubmittedBy)) {
+      return;
+    }
+    hold(job, caller, now);
+    liveJobs.unqueue(job);
+    liveJobs.markStarted(job);
+    addDecision("job_held_again", job.job.id(), "resubmitted", describe(caller).strip());
+  }
+
+  private void hold(LiveJob job, Caller caller, Instant now) {
+    job.resubmittedBy = caller;
+    held.addResubmitted(job, now);
+  }
+
   private void admit(Caller caller, SubmitJob s, Queue queue, Instant now) {
     // Where a new leader starts jobs before it knows all workers, a larger one may still report.
     boolean needsKnown = !fallback || s.job().durable() || capacityKnown.getAsBoolean();
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
@@ -56,6 +56,12 @@
   /** Whether any task may have been started, as far as this leader knows. */
   boolean started;
 
+  /**
+   * The last caller whose entry has sent the job to another dispatcher before; null if there was
+   * none.
+   */
+  @Nullable Caller resubmittedBy;
+
   /** Whether no task may start, because runs may exist that this leader does not know. */
   boolean startsHeld;
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJobs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJobs.java
@@ -85,7 +85,7 @@
 
   void remove(LiveJob job) {
     jobs.remove(job.job.id());
-    job.steps.forEach(ready::remove);
+    unqueue(job);
     if (!job.started) {
       unstartedJobs.merge(job.queue.name(), -1, Integer::sum);
     }
@@ -119,6 +119,11 @@
     }
   }
 
+  /** Removes the steps of a job from the ready queue. */
+  void unqueue(LiveJob job) {
+    job.steps.forEach(ready::remove);
+  }
+
   /** Returns a task to the waiting tasks after its run ended without success or was lost. */
   void requeueTask(LiveStep step, int index) {
     step.requeueTask(index);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackLeaderTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackLeaderTest.java
@@ -9,12 +9,14 @@
 import org.cassiastack.decision.Decision;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.PeerDisconnected;
+import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
 import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.QueuedJob;
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.queue.QueuedTaskId;
 import org.cassiastack.request.AnswerCode;
+import org.cassiastack.request.AwaitedSubmit;
 import org.cassiastack.request.LeaderReply;
 import org.cassiastack.request.QueueAddress;
 import org.cassiastack.request.RequestAnswer;
@@ -115,6 +117,33 @@
     assertThat(decisions).extracting(Decision::event).doesNotContain("job_released");
   }
 
+  /** Guards against a first copy, held back by a cut, that takes the hold off the second one. */
+  @Test
+  void holds_a_resubmitted_job_of_which_a_late_first_copy_is_live() {
+    SubmitJob first = SubmitJob.of(++lastRequestId, ADDRESS, job(), LIMIT);
+    on(new Received(ENTRY, new AwaitedSubmit(first, now.minusMillis(700))));
+    resubmit(1);
+    report(FIRST, List.of(), List.of());
+    boolean startedEarly = !started().isEmpty();
+
+    report(SECOND, List.of(), List.of());
+
+    assertThat(startedEarly).isFalse();
+    assertThat(jobs(started())).containsExactly(ID);
+  }
+
+  @Test
+  void a_repeated_resubmission_does_not_hold_the_job_longer() {
+    resubmit(1);
+    report(FIRST, List.of(), List.of());
+    SubmitJob same = SubmitJob.of(lastRequestId, ADDRESS, job(), Duration.ofSeconds(3));
+    request(new ResubmitJob(same, now));
+
+    report(SECOND, List.of(), List.of());
+
+    assertThat(started()).hasSize(1);
+  }
+
   @Test
   void logs_which_lists_released_a_resubmitted_job() {
     resubmit(1);
