--- a/cassiastack-core/src/test/java/org/cassiastack/agent/AgentFallbackTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/AgentFallbackTest.java
@@ -2,67 +2,18 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import org.cassiastack.controller.Effect;
-import org.cassiastack.controller.Event;
-import org.cassiastack.controller.Tick;
 import org.cassiastack.decision.Decision;
-import org.cassiastack.fallback.FallbackDirectory;
-import org.cassiastack.fallback.FallbackNode;
-import org.cassiastack.model.FailureDomain;
-import org.cassiastack.model.Incarnation;
-import org.cassiastack.model.MinionId;
-import org.cassiastack.model.NodeId;
-import org.cassiastack.model.ServiceName;
-import org.cassiastack.protocol.Message;
-import org.cassiastack.protocol.Received;
-import org.cassiastack.protocol.Send;
-import org.cassiastack.queue.QueuedJobId;
-import org.cassiastack.queue.QueuedTaskId;
-import org.cassiastack.queue.Resources;
 import org.cassiastack.request.DialFallback;
 import org.cassiastack.request.HangUpFallback;
-import org.cassiastack.request.LeaderNotice;
-import org.cassiastack.runs.ActiveRun;
-import org.cassiastack.runs.AgentLease;
-import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.Fences;
-import org.cassiastack.runs.MinionIncarnation;
-import org.cassiastack.runs.MinionProfile;
-import org.cassiastack.runs.RunId;
-import org.cassiastack.runs.RunOrders;
-import org.cassiastack.runs.StartOrder;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** An agent that loses its leader and uses the fallback dispatchers of its failure domain. */
-class AgentFallbackTest {
-  private static final Instant START = Instant.parse("2026-12-04T08:00:00Z");
-  private static final NodeId LEADER = new NodeId("10.0.0.1");
-  private static final NodeId MEMBER = new NodeId("10.0.0.2");
-  private static final NodeId FIRST = new NodeId("10.0.0.5/entry");
-  private static final NodeId SECOND = new NodeId("10.0.0.6/entry");
-  private static final NodeId DISTANT = new NodeId("10.0.0.7/entry");
-  private static final long LEADER_FENCE = Fences.ofLeader(3);
-  private static final long FALLBACK_FENCE = Fences.ofFallback(3);
-  private static final MinionIncarnation MINION =
-      new MinionIncarnation(new MinionId("i-1"), START.minusSeconds(60).toEpochMilli());
-  private static final RunId LEADERS_RUN = run(1);
-  private static final RunId OTHER_RUN = run(2);
-
-  private AgentController agent = agent(START.minusSeconds(30), true);
-  private Instant now = START;
-  private long lastHold;
-  private List<RunId> running = List.of();
-
-  @BeforeEach
-  void obey_a_leader() {
-    giveMinionAndLeader();
-  }
-
+class AgentFallbackTest extends AgentFallbackScenario {
   @Test
   void reports_to_the_fallback_dispatcher_of_its_own_domain_after_450_ms_without_a_lease() {
     List<Effect> early = silence(430);
@@ -279,115 +230,4 @@
     assertThat(early).noneMatch(DialFallback.class::isInstance);
     assertThat(late).anyMatch(DialFallback.class::isInstance);
   }
-
-  private void giveMinionAndLeader() {
-    on(notice(LEADER, 3, LEADER));
-    List<FallbackNode> nodes =
-        List.of(
-            new FallbackNode(DISTANT, new FailureDomain("b")),
-            new FallbackNode(FIRST, new FailureDomain("a")),
-            new FallbackNode(SECOND, new FailureDomain("a")));
-    on(new Received(LEADER, new FallbackDirectory(3, 1, nodes)));
-    Resources capacity = new Resources(8_000, 8_000, 0);
-    on(
-        new MinionAnnounced(
-            new MinionProfile(
-                MINION, new ServiceName("ice"), new FailureDomain("a"), capacity, List.of(), false),
-            1));
-    answerHold();
-    lease(LEADER, LEADER_FENCE);
-    answerHold();
-    answerHold();
-  }
-
-  private List<Effect> takeFallback(NodeId node) {
-    List<Effect> effects = silence(480);
-    answerHold();
-    effects.addAll(on(leaseMessage(node, FALLBACK_FENCE)));
-    return effects;
-  }
-
-  private List<Effect> on(Event event) {
-    now = now.plusMillis(1);
-    List<Effect> effects = new ArrayList<>(agent.on(event, now));
-    effects.addAll(agent.endTurn(now));
-    for (Effect e : effects) {
-      lastHold = e instanceof CallHold h ? h.number() : lastHold;
-    }
-    return effects;
-  }
-
-  /** Advances time with ticks, without answers of the minion or of a holder. */
-  private List<Effect> silence(long millis) {
-    List<Effect> effects = new ArrayList<>();
-    for (Instant end = now.plusMillis(millis); now.isBefore(end); ) {
-      now = now.plusMillis(9);
-      effects.addAll(on(new Tick()));
-    }
-    return effects;
-  }
-
-  private List<Effect> answerHold() {
-    List<ActiveRun> runs = running.stream().map(r -> new ActiveRun(r, 0)).toList();
-    return on(new HoldAnswered(lastHold, minionClock(now), runs, List.of(), true));
-  }
-
-  /** Passes a lease to the agent and returns its end. */
-  private Instant lease(NodeId from, long fence) {
-    Received lease = leaseMessage(from, fence);
-    on(lease);
-    return now.plusMillis(999);
-  }
-
-  private Received leaseMessage(NodeId from, long fence) {
-    return new Received(from, new AgentLease(fence, now, Duration.ofSeconds(1), MINION, 0));
-  }
-
-  private static Received order(NodeId from, long fence, long number, RunId run) {
-    List<StartOrder> starts = List.of(new StartOrder(run, "spec"));
-    Message orders = new RunOrders(fence, new Incarnation(7), number, MINION, starts, List.of());
-    return new Received(from, orders);
-  }
-
-  private static Received notice(NodeId from, long term, NodeId leader) {
-    return new Received(from, new LeaderNotice(term, leader, List.of(LEADER, MEMBER)));
-  }
-
-  private static boolean isReportTo(Effect e, NodeId node) {
-    return e instanceof Send s && s.to().equals(node) && s.message() instanceof AgentReport;
-  }
-
-  private static List<RunId> stops(List<Effect> effects) {
-    return effects.stream()
-        .filter(CallStop.class::isInstance)
-        .map(e -> ((CallStop) e).run())
-        .toList();
-  }
-
-  private static long maxDeadline(List<Effect> effects) {
-    long max = 0;
-    for (Effect e : effects) {
-      max = e instanceof CallHold h ? Math.max(max, h.deadlineMillis()) : max;
-      max = e instanceof CallStart s ? Math.max(max, s.deadlineMillis()) : max;
-    }
-    return max;
-  }
-
-  private static long minionClock(Instant at) {
-    return 1_000 + Duration.between(START, at).toMillis();
-  }
-
-  private static RunId run(long job) {
-    return new RunId(new QueuedTaskId(new QueuedJobId(job), 0, 0, 0), 1);
-  }
-
-  private static AgentController agent(Instant startedAt, boolean usesFallback) {
-    return AgentController.create(
-        new AgentSettings(
-            new Incarnation(7),
-            startedAt,
-            Duration.ofSeconds(1),
-            Duration.ofMillis(50),
-            usesFallback));
-  }
 }
