Count no lease or order from before an agent asked the same dispatcher again

Cause: an agent that leaves a fallback dispatcher and asks the same one again compared sender and fence only, which are the same. A connection that outlasts a cut delivers the former leases and orders late, in order. Such an order started a run under what was left of the former lease; such a lease made the dispatcher the holder again, and the orders behind it started runs of jobs that the dispatcher may have handed over since. The next lease, for a report from before the start, extended them.

Change: a lease makes a dispatcher the holder only if it answers a report that was sent since the agent began to ask, by the agent's own clock, and orders count only after such a lease.

Callers could see a task run twice.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -188,11 +188,12 @@
     } else if (r.message() instanceof FallbackDirectory d) {
       holders.onDirectory(d);
     } else if (r.message() instanceof AgentLease l) {
-      boolean mayObey = l.fence() >= fence && holders.mayObey(r.from(), l.fence());
-      if (mayObey && mayAnswerOwnReport(l, now)) {
+      boolean mayTake =
+          l.fence() >= fence && holders.mayTakeLease(r.from(), l.fence(), l.reportSentAt());
+      if (mayTake && mayAnswerOwnReport(l, now)) {
         onLease(r.from(), l, now, effects);
       }
-    } else if (r.message() instanceof RunOrders o && holders.mayObey(r.from(), o.fence())) {
+    } else if (r.message() instanceof RunOrders o && holders.mayObeyOrders(r.from(), o.fence())) {
       onOrders(o, now, effects);
     }
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/HolderChoice.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/HolderChoice.java
@@ -25,8 +25,15 @@
   /** Handles the connection to a process; returns whether a report to it is due. */
   boolean onConnected(NodeId peer);
 
-  /** Returns whether leases and orders of a sender with this fence may be obeyed. */
-  boolean mayObey(NodeId from, long fence);
+  /**
+   * Returns whether a lease of a sender with this fence may be obeyed.
+   *
+   * @param reportSentAt when the report was sent that the lease answers
+   */
+  boolean mayTakeLease(NodeId from, long fence, Instant reportSentAt);
+
+  /** Returns whether orders of a sender with this fence may be obeyed. */
+  boolean mayObeyOrders(NodeId from, long fence);
 
   /**
    * Handles a lease that is obeyed.
@@ -65,7 +72,12 @@
     }
 
     @Override
-    public boolean mayObey(NodeId from, long fence) {
+    public boolean mayTakeLease(NodeId from, long fence, Instant reportSentAt) {
+      return true;
+    }
+
+    @Override
+    public boolean mayObeyOrders(NodeId from, long fence) {
       return true;
     }
 
--- a/cassiastack-core/src/main/java/org/cassiastack/agent/LeaderOrFallback.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/LeaderOrFallback.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.time.temporal.ChronoUnit;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -26,6 +27,10 @@
  *       stops to renew the lease, is followed by the next one.
  *   <li>Only the dispatcher that is being asked is obeyed. A dispatcher that hears a leader gives
  *       no lease, so an agent that alone is cut off from the leader keeps its runs.
+ *   <li>A lease makes a dispatcher the holder only if it answers a report that was sent since the
+ *       agent began to ask it, and its orders count only after such a lease. Leases and orders from
+ *       before, which a connection may deliver late, have the same sender and fence. Those that
+ *       follow such a lease in the connection were sent after it.
  *   <li>A notice of a leader ends the use of fallback dispatchers, except one that may be outdated:
  *       another process names a leader whose term is known already.
  * </ol>
@@ -48,6 +53,9 @@
   /** When the dispatcher in {@link #asked} was first asked, or has last renewed the lease. */
   private Instant askedAt = Instant.MIN;
 
+  /** Since when {@link #asked} is being asked, to the microsecond, as messages state times. */
+  private Instant askedSince = Instant.MIN;
+
   /** Whether {@link #asked} has granted a lease. */
   private boolean granted;
 
@@ -86,8 +94,13 @@
   }
 
   @Override
-  public boolean mayObey(NodeId from, long fence) {
-    return !isDispatcher(from, fence) || from.equals(asked);
+  public boolean mayTakeLease(NodeId from, long fence, Instant reportSentAt) {
+    return !isDispatcher(from, fence) || (from.equals(asked) && !reportSentAt.isBefore(askedSince));
+  }
+
+  @Override
+  public boolean mayObeyOrders(NodeId from, long fence) {
+    return !isDispatcher(from, fence) || (granted && from.equals(asked));
   }
 
   /**
@@ -144,6 +157,7 @@
     nextIndex = (index + 1) % nodes.size();
     asked = next;
     askedAt = now;
+    askedSince = now.truncatedTo(ChronoUnit.MICROS);
     backSince = null;
     nextSearchAt = now;
     // The connection to the one after it is then up by the time that it is needed.
