Report no processed orders of a former holding to the same dispatcher

Cause: an agent that asked its former fallback dispatcher again went on to report the number of the last orders that it had processed for it, until the first lease arrived. If the dispatcher had engaged anew meanwhile, its orders began at 1 again. A second report that the agent sent before that lease arrived (it asks every 100 ms) proved to the dispatcher that its first order was processed and its run did not exist, so the task started elsewhere, while the order was on its way and was carried out.

Change: a report to a dispatcher that has not granted a lease since it is asked again names 0.

Callers could see a task run twice. The new test failed before: the report named 40 instead of 0.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -300,7 +300,8 @@
 
   /**
    * Returns the report for a receiver. Orders of another holder do not count as its own: fallback
-   * dispatchers may have equal fences, and each one numbers its orders from 1.
+   * dispatchers may have equal fences, and each one has numbers of its own. Neither do orders from
+   * before the agent began to ask the receiver again, as the next ones may have lower numbers.
    */
   private AgentReport reportFor(NodeId receiver, Instant now) {
     return new AgentReport(
@@ -310,7 +311,9 @@
         minion.profile(),
         isReachable(now),
         areListsComplete(now),
-        receiver.equals(holder) ? processedOrdersThrough : 0,
+        receiver.equals(holder) && holders.mayObeyOrders(receiver, fence)
+            ? processedOrdersThrough
+            : 0,
         minion.listAge(now),
         minion.lists().running(),
         minion.unresolved(),
--- a/cassiastack-core/src/test/java/org/cassiastack/agent/SameDispatcherAgainTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/agent/SameDispatcherAgainTest.java
@@ -8,6 +8,8 @@
 import org.cassiastack.decision.Decision;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.Received;
+import org.cassiastack.protocol.Send;
+import org.cassiastack.runs.AgentReport;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -46,6 +48,23 @@
     assertThat(present).anyMatch(CallStart.class::isInstance);
   }
 
+  /**
+   * Guards against a dispatcher that takes a run for lost, and starts the task elsewhere, because
+   * its order has a lower number than those of its former engagement.
+   */
+  @Test
+  void counts_no_orders_of_its_former_holding_when_it_asks_the_same_dispatcher_again() {
+    takeFallback(FIRST);
+    answerHold();
+    on(order(FIRST, FALLBACK_FENCE, 40, OTHER_RUN));
+    List<AgentReport> before = reportsTo(FIRST, silence(250));
+
+    List<AgentReport> after = reportsTo(FIRST, askAgainAfterNotice(FIRST));
+
+    assertThat(before).last().extracting(AgentReport::processedOrdersThrough).isEqualTo(40L);
+    assertThat(after).last().extracting(AgentReport::processedOrdersThrough).isEqualTo(0L);
+  }
+
   /** Leaves a dispatcher for a leader that is heard once, and asks the dispatcher again. */
   private List<Effect> askAgainAfterNotice(NodeId node) {
     on(notice(LEADER, 4, LEADER));
@@ -56,4 +75,11 @@
     assertThat(effects).anyMatch(e -> isReportTo(e, node));
     return effects;
   }
+
+  private static List<AgentReport> reportsTo(NodeId node, List<Effect> effects) {
+    return effects.stream()
+        .filter(e -> isReportTo(e, node))
+        .map(e -> (AgentReport) ((Send) e).message())
+        .toList();
+  }
 }
