Number the orders of a fallback dispatcher above those of former engagements

Cause: each engagement numbered its orders from 1, under a fence that may be the same as before. An agent whose leases arrived late, so that it did not notice the silence in between, ignored the orders of the next engagement up to the number that it had processed in the former one. Its reports proved at the same time that these orders were processed, so their tasks started elsewhere; and if it took the dispatcher anew between such a report and the order, the order was carried out as well.

No message changes.

Callers could see tasks that started late, or twice. Two of the new tests failed before: the second engagement began with number 1, and a report of before its order started the task a second time. The third passed before: runs of a former engagement are stopped, and no lease is extended for them.

--- a/cassiastack-core/src/main/java/org/cassiastack/runs/RunOrders.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/runs/RunOrders.java
@@ -11,7 +11,7 @@
  * @param fence fence of the leader
  * @param agentIncarnation the incarnation of the agent's process that the orders are for
  * @param number sequence number of the orders; each leader counts from 1 for each incarnation of
- *     the agent
+ *     the agent, and a fallback dispatcher goes on above the numbers of its former engagements
  * @param minionIncarnation the incarnation of the minion that the orders are for
  * @param starts runs to start
  * @param stops runs to stop
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
@@ -29,6 +29,7 @@
   private final long fence;
   private final long firstRun;
   private final JobDispatch dispatch;
+  private final EngagementOrders orders;
   private Instant capacityKnownAt;
   private Instant lastTurnAt;
 
@@ -37,6 +38,7 @@
     this.firstRun = firstRun;
     this.capacityKnownAt = now.plus(settings.leaseExpiryTimeout());
     this.lastTurnAt = now;
+    this.orders = EngagementOrders.from(now);
     JobLedger ledger = JobLedger.create(Duration.ZERO);
     ledger.restore(
         new LedgerSnapshot(
@@ -92,9 +94,10 @@
     if (report.fence() > fence || report.fence() == 0) {
       return;
     }
-    WorkerState w = dispatch.fleet.applyReport(agent, report, fence, now);
+    AgentReport own = orders.withOwnNumber(agent, report);
+    WorkerState w = dispatch.fleet.applyReport(agent, own, fence, now);
     if (w != null) {
-      dispatch.grantLease(agent, w, report, now);
+      dispatch.grantLease(agent, w, own, now);
     }
   }
 
@@ -134,12 +137,12 @@
     }
     dispatch.place(firstRun, now);
     dispatch.sendOrders(now);
-    return dispatch.takeEffects();
+    return takeEffects();
   }
 
   /** Returns the effects since the last call of this method or of {@link #advance}. */
   public List<Effect> takeEffects() {
-    return dispatch.takeEffects();
+    return orders.numbered(dispatch.takeEffects());
   }
 
   /** Returns whether an agent has ever reported to this dispatcher and got a lease. */
@@ -163,7 +166,7 @@
    */
   public List<Effect> handOver() {
     dispatch.requests.giveUp(AnswerCode.HANDED_OVER);
-    return dispatch.takeEffects().stream().filter(e -> !isLeaseOrOrder(e)).toList();
+    return takeEffects().stream().filter(e -> !isLeaseOrOrder(e)).toList();
   }
 
   /**
@@ -172,7 +175,7 @@
    */
   public List<Effect> refuseAll() {
     dispatch.requests.giveUp(AnswerCode.NOT_LEADER);
-    return dispatch.takeEffects();
+    return takeEffects();
   }
 
   private static boolean isLeaseOrOrder(Effect e) {
--- /dev/null
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/NextEngagementTest.java
@@ -0,0 +1,70 @@
+package org.cassiastack.schedule;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.time.Duration;
+import org.cassiastack.runs.AgentLease;
+import org.cassiastack.runs.RunId;
+import org.cassiastack.runs.RunOrders;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Tests a fallback dispatcher that has stepped down and engages again under the same fence, with an
+ * agent that has not noticed it.
+ */
+class NextEngagementTest extends FallbackScenario {
+  /**
+   * Guards against an agent that ignores the orders, because it has processed those of the former
+   * engagement and has not noticed the next one.
+   */
+  @Test
+  void numbers_its_orders_above_those_of_its_former_engagement() {
+    long last = runOneJobAndEngageAgain();
+
+    report(FENCE);
+    submit(false, 1);
+
+    assertThat(sent(RunOrders.class)).isNotEmpty().allMatch(o -> o.number() > last);
+  }
+
+  /** Guards against a second run beside one whose order is on its way to the agent. */
+  @Test
+  void counts_no_orders_of_its_former_engagement_as_processed() {
+    long last = runOneJobAndEngageAgain();
+    report(FENCE);
+    submit(false, 1);
+
+    processedOrders = last;
+    running.clear();
+    report(FENCE);
+
+    assertThat(started()).hasSize(1);
+  }
+
+  /** Guards against runs of jobs that were handed over and are kept alive without their callers. */
+  @Test
+  void stops_the_runs_of_its_former_engagement_and_extends_no_lease_for_them() {
+    engage();
+    report(FENCE);
+    submit(false, 1);
+    RunId former = started().get(0);
+    engage();
+
+    report(FENCE);
+    wait(Duration.ofMillis(40));
+    report(FENCE);
+
+    assertThat(sent(RunOrders.class)).anyMatch(o -> o.stops().contains(former));
+    assertThat(sent(AgentLease.class)).extracting(AgentLease::duration).containsOnly(Duration.ZERO);
+  }
+
+  /** Runs a job, engages again and returns the number of the last orders until then. */
+  private long runOneJobAndEngageAgain() {
+    engage();
+    report(FENCE);
+    submit(false, 1);
+    endRun(started().get(0));
+    engage();
+    return processedOrders;
+  }
+}
