Grant leases in a next engagement only for complete lists of earlier runs

Cause: a fallback dispatcher that had stepped down and engaged again granted full leases to agents that still held it. An order of the former engagement that a connection held back could start a run of a job that was handed over, after the agent had sent the report that the new lease answers, so the lease kept the run alive up to 0.8 s longer than the next leader waits for. It takes connections that delay messages in both directions by some 0.3 s, and an agent that does not notice the silence of 450 ms in between.

Change: an agent that reports under the fence of the dispatcher first gets an empty order of the present engagement, and a lease of no duration if it has yet to take the dispatcher. Its reports count once one of them proves that the order was processed: the connection keeps the order of messages, so all runs by earlier orders are in the lists then. Agents that come from a leader, with a lower fence, are not asked. It costs a round trip for each agent that comes back, or comes from another dispatcher.

The fake agent of FallbackScenario answers empty orders with a report now, as AgentController does; its tests are unchanged.

The new test failed before: it found leases of 0.8 s.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/FallbackTerm.java
@@ -38,7 +38,7 @@
     this.firstRun = firstRun;
     this.capacityKnownAt = now.plus(settings.leaseExpiryTimeout());
     this.lastTurnAt = now;
-    this.orders = EngagementOrders.from(now);
+    this.orders = EngagementOrders.from(fence, now);
     JobLedger ledger = JobLedger.create(Duration.ZERO);
     ledger.restore(
         new LedgerSnapshot(
@@ -87,13 +87,18 @@
   /**
    * Applies an agent's report and answers it with a lease. An agent that has obeyed a higher fence
    * has a newer holder. An agent that has obeyed no leader gets no lease, because the next leader
-   * may not know that it has to wait for its report.
+   * may not know that it has to wait for its report. One that may act on orders of a former
+   * engagement is asked to confirm first that it does not.
    */
   public void onReport(NodeId agent, AgentReport report, Instant now) {
     lastTurnAt = now;
     if (report.fence() > fence || report.fence() == 0) {
       return;
     }
+    if (!orders.isConfirmed(agent, report)) {
+      orders.answerUnconfirmed(agent, report).forEach(dispatch::addEffect);
+      return;
+    }
     AgentReport own = orders.withOwnNumber(agent, report);
     WorkerState w = dispatch.fleet.applyReport(agent, own, fence, now);
     if (w != null) {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackScenario.java
@@ -70,6 +70,12 @@
   long lastRequestId;
   long processedOrders;
 
+  /** Whether orders reach the agent. */
+  boolean processesOrders = true;
+
+  /** Whether the agent has got orders without starts and stops, which it answers with a report. */
+  private boolean isReportDue;
+
   /** Whether the entry confirms that the caller of its job waits. */
   boolean callerWaits = true;
 
@@ -158,7 +164,8 @@
         if (s.message() instanceof CallerProbe p && s.to().equals(ENTRY) && callerWaits) {
           answers.add(new Received(ENTRY, new AwaitedJobs(p.sentAt(), List.of(ID))));
         }
-        if (s.message() instanceof RunOrders o) {
+        if (s.message() instanceof RunOrders o && processesOrders) {
+          isReportDue |= o.starts().isEmpty() && o.stops().isEmpty();
           processedOrders = o.number();
           o.starts().forEach(start -> running.put(start.run(), true));
         }
@@ -167,6 +174,10 @@
       }
     }
     answers.forEach(this::on);
+    if (isReportDue) {
+      isReportDue = false;
+      report(FENCE);
+    }
   }
 
   <T> List<T> sent(Class<T> type) {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/NextEngagementTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/NextEngagementTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.util.List;
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOrders;
@@ -41,6 +42,29 @@
     assertThat(started()).hasSize(1);
   }
 
+  /**
+   * Guards against a lease that keeps alive a run of a job that was handed over: its order reaches
+   * the agent late, after the report that the lease answers.
+   */
+  @Test
+  void grants_no_lease_until_the_agent_has_processed_orders_of_the_present_engagement() {
+    runOneJobAndEngageAgain();
+    processesOrders = false;
+    report(FENCE);
+    wait(Duration.ofMillis(100));
+    report(FENCE);
+    List<AgentLease> early = sent(AgentLease.class);
+
+    processesOrders = true;
+    report(FENCE);
+
+    assertThat(early).extracting(AgentLease::duration).allMatch(Duration.ZERO::equals);
+    assertThat(sent(AgentLease.class))
+        .last()
+        .extracting(AgentLease::duration)
+        .matches(d -> d.compareTo(Duration.ZERO) > 0);
+  }
+
   /** Guards against runs of jobs that were handed over and are kept alive without their callers. */
   @Test
   void stops_the_runs_of_its_former_engagement_and_extends_no_lease_for_them() {
