Test which end of a connection reads what a former one delivers late

The end that dials reads nothing of a former connection after it has opened the next one, so what dispatchers send to agents and entries stays in order over all connections; agents rely on that when they ask a fallback dispatcher again. The end that listens reads a former connection of the same incarnation until it is closed, 0.9 s after its last data, beside the next one. It cannot tell which of the two is the former one: the greeting of a connection that was given up may arrive after that of the next one. So what dispatchers receive has to carry its time or its number, as it does.

--- a/cassiastack-transport/src/test/java/org/cassiastack/transport/peer/PeerNetworkTest.java
+++ b/cassiastack-transport/src/test/java/org/cassiastack/transport/peer/PeerNetworkTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.ByteBuffer;
@@ -157,6 +158,47 @@
     }
   }
 
+  /** Guards against orders that are read after those that were sent over a later connection. */
+  @Test
+  void the_end_that_dials_reads_nothing_of_a_former_connection_after_the_next_one_is_open()
+      throws Exception {
+    MessageCodec codec = MessageCodec.create();
+    byte[] hello = codec.encode(new Hello(Hello.PROTOCOL_VERSION, ENTRY, new Incarnation(1)));
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      agent.dial(new InetSocketAddress(server.getInetAddress(), server.getLocalPort()));
+      try (Socket former = server.accept()) {
+        writeFrame(former, hello);
+        assertThat(agentListener.nextConnectionEvent()).isEqualTo("connected entry-1");
+        assertThat(agentListener.nextConnectionEvent()).isEqualTo("disconnected entry-1");
+
+        try (Socket next = server.accept()) {
+          writeFrame(next, hello);
+          assertThat(agentListener.nextConnectionEvent()).isEqualTo("connected entry-1");
+          writeFrame(former, codec.encode(new Welcome(ENTRY, 1)));
+          writeFrame(next, codec.encode(new Welcome(ENTRY, 2)));
+
+          assertThat(agentListener.nextMessage()).isEqualTo(new Welcome(ENTRY, 2));
+        }
+      }
+    }
+  }
+
+  /** Shows why receivers on the listening end must not rely on the order of connections. */
+  @Test
+  void the_end_that_listens_reads_a_former_connection_until_it_is_closed() throws Exception {
+    byte[] first = MessageCodec.create().encode(new Welcome(AGENT, 1));
+    byte[] second = MessageCodec.create().encode(new Welcome(AGENT, 2));
+    try (Socket former = connectAs(new Incarnation(1));
+        Socket next = connectAs(new Incarnation(1))) {
+      writeFrame(next, second);
+      assertThat(entryListener.nextMessage()).isEqualTo(new Welcome(AGENT, 2));
+
+      writeFrame(former, first);
+
+      assertThat(entryListener.nextMessage()).isEqualTo(new Welcome(AGENT, 1));
+    }
+  }
+
   private Socket connectAs(Incarnation incarnation) throws Exception {
     Hello hello = new Hello(Hello.PROTOCOL_VERSION, AGENT, incarnation);
     return open(MessageCodec.create().encode(hello));
@@ -176,9 +218,13 @@
 
   private Socket open(byte[] frame) throws IOException {
     Socket socket = new Socket(address.getAddress(), address.getPort());
+    writeFrame(socket, frame);
+    return socket;
+  }
+
+  private static void writeFrame(Socket socket, byte[] frame) throws IOException {
     ByteBuffer all = ByteBuffer.allocate(Integer.BYTES + frame.length);
     socket.getOutputStream().write(all.putInt(frame.length).put(frame).array());
-    return socket;
   }
 
   private static void awaitClose(Socket socket) throws IOException {
