Log when the request of an unusual job was read and who had it last

Two runs of one task could not be traced to their requests: the entry's lines about a job were under the number of the request, not the identity of the job, and did not tell when the request was read, how old its connection was, who had the job last, and when it was last named as awaited. A job that was answered 504 had no line with its dispatcher.

The lines about a job that is sent again, goes to a fallback dispatcher, loses its caller or its answer now hold this, under the identity of the job. job_unanswered is new. A front end passes on how a request came (RequestArrival); on the users' platform that is the age of the connection, the time since its last answer and the pause before the reading. A job that is served in the usual way has no further line.

--- a/cassiastack-core/src/main/java/org/cassiastack/request/CallerRequest.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/CallerRequest.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.function.LongFunction;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A caller's request on its way through the filter chain.
@@ -12,6 +13,7 @@
  * @param timeout how long the caller still waits for the answer
  * @param delayed whether the request may have waited unread while the process was paused. Its
  *     caller may have sent it to another node meanwhile
+ * @param arrival how the request came, for the log; null if the front end does not tell
  * @param requestFactory creates the request to the leader; its argument is the {@code requestId}
  * @since 0.2
  */
@@ -20,6 +22,7 @@
     QueueAddress address,
     Duration timeout,
     boolean delayed,
+    @Nullable RequestArrival arrival,
     LongFunction<LeaderRequest> requestFactory) {
   /** Kind of a caller's request. */
   public enum Kind {
--- a/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/LeaderRequestController.java
@@ -113,9 +113,9 @@
       sendUnsent("leader_heard", now, effects);
     }
     if (event instanceof RequestPosted c) {
-      onCall(new PendingRequest(c.request(), null, now, c.deadline()), now, effects);
+      onCall(PendingRequest.of(c, now), now, effects);
     } else if (event instanceof DomainOrder o) {
-      onCall(new PendingRequest(firstRequest(o), o, now, o.deadline()), now, effects);
+      onCall(PendingRequest.stepOf(o, firstRequest(o), now), now, effects);
     } else if (event instanceof Received r && r.message() instanceof LeaderReply a) {
       onReply(r.from(), a, now, effects);
     } else if (event instanceof Received r && r.message() instanceof CallerProbe p) {
@@ -151,6 +151,7 @@
         boolean isAwaited = pending.isAt(dispatcher) && now.isBefore(pending.deadline);
         if (isAwaited && pending.request instanceof SubmitJob s && !s.job().durable()) {
           awaited.add(s.job().id());
+          pending.onConfirmed(now);
         }
       }
       Instant sentAt = probes.lastOf(dispatcher);
@@ -166,7 +167,7 @@
       PendingRequest pending = i.next();
       if (peer.equals(pending.fallback())) {
         i.remove();
-        effects.add(unanswered(pending));
+        answerUnanswered(pending, "fallback_lost", "", effects);
         lost++;
       }
     }
@@ -182,7 +183,7 @@
   private void onCall(PendingRequest pending, Instant now, List<Effect> effects) {
     if (!now.isBefore(pending.deadline)) {
       // The process was paused after it read the request; the caller may have sent it elsewhere.
-      effects.add(unanswered(pending));
+      answerUnanswered(pending, "late", "", effects);
       return;
     }
     if (isElectionOverdue(now) && !fallback.mayFindDispatcher(pending, now)) {
@@ -215,6 +216,18 @@
         pending.request.requestId(), RequestAnswer.of(AnswerCode.UNANSWERED));
   }
 
+  /**
+   * Answers a request as unanswered, and reports it if it is a job, which its caller may resend.
+   */
+  private static void answerUnanswered(
+      PendingRequest pending, String reason, String inputs, List<Effect> effects) {
+    effects.add(unanswered(pending));
+    if (pending.request instanceof SubmitJob) {
+      String all = pending.describe() + inputs;
+      effects.add(Decision.of("job_unanswered", pending.subject(), reason, all));
+    }
+  }
+
   private void onReply(NodeId from, LeaderReply reply, Instant now, List<Effect> effects) {
     PendingRequest pending = pendingRequests.get(reply.requestId());
     if (pending == null || (pending.fallback() != null && !from.equals(pending.fallback()))) {
@@ -246,11 +259,12 @@
       return;
     }
     pendingRequests.remove(reply.requestId());
-    RequestAnswer answer =
-        pending.isRefusalUncertain(reply)
-            ? RequestAnswer.of(AnswerCode.UNANSWERED)
-            : reply.answer();
-    effects.add(new RequestAnswered(reply.requestId(), answer));
+    if (pending.isRefusalUncertain(reply)) {
+      String inputs = " code=" + reply.answer().code() + " from=" + from;
+      answerUnanswered(pending, "refusal_uncertain", inputs, effects);
+    } else {
+      effects.add(new RequestAnswered(reply.requestId(), reply.answer()));
+    }
   }
 
   /** Returns whether an answer states a revision: every answer to a request for one does. */
@@ -262,9 +276,9 @@
     if (r.number() == 0) {
       // The leader has an earlier version, which carries every order out.
       LeaderRequest request = new SwitchDomain(o.requestId(), o.domain(), o.out());
-      onCall(new PendingRequest(request, o, now, o.deadline()), now, effects);
+      onCall(PendingRequest.stepOf(o, request, now), now, effects);
     } else if (!now.isAfter(o.awaitedUntil())) {
-      onCall(new PendingRequest(switchSince(o, r), o, now, o.deadline()), now, effects);
+      onCall(PendingRequest.stepOf(o, switchSince(o, r), now), now, effects);
     } else {
       String inputs = "out=" + o.out() + " revision=" + r + " awaited_until=" + o.awaitedUntil();
       effects.add(Decision.of("domain_order_refused", o.domain(), "confirmation_needed", inputs));
@@ -303,10 +317,14 @@
       boolean answerLost = fallback.isAnswerLost(pending, now);
       if (!now.isBefore(pending.deadline) || noLeaderInTime || answerLost) {
         i.remove();
-        effects.add(pending.mayHaveEffect ? unanswered(pending) : noLeader(pending));
         if (answerLost) {
-          Object id = pending.request.requestId();
-          effects.add(Decision.of("answer_lost", id, "unanswered", pending.describe()));
+          effects.add(unanswered(pending));
+          String inputs = pending.describe();
+          effects.add(Decision.of("answer_lost", pending.subject(), "unanswered", inputs));
+        } else if (pending.mayHaveEffect) {
+          answerUnanswered(pending, "deadline", "", effects);
+        } else {
+          effects.add(noLeader(pending));
         }
       } else if (!now.isBefore(pending.resendAt)) {
         send(pending, "leader_silent", now, effects);
@@ -320,9 +338,8 @@
     }
     NodeId dispatcher = fallback.dispatcherFor(pending, now);
     if (dispatcher != null) {
-      Object id = pending.request.requestId();
       String inputs = "dispatcher=" + dispatcher + " " + pending.describe();
-      effects.add(Decision.of("request_sent_to_fallback", id, "sent", inputs));
+      effects.add(Decision.of("request_sent_to_fallback", pending.subject(), "sent", inputs));
       pending.onSentToFallback(dispatcher);
       LeaderRequest request =
           fallback.toFallback(pending.requestToSend(now), probes.lastOf(dispatcher));
@@ -333,7 +350,7 @@
     if (leader != null) {
       if (pending.sendCount() > 0) {
         String inputs = "leader=" + leader + " " + pending.describe();
-        effects.add(Decision.of("request_sent_again", pending.request.requestId(), reason, inputs));
+        effects.add(Decision.of("request_sent_again", pending.subject(), reason, inputs));
       }
       pending.onSent(leader, tracker.term(), now);
       effects.add(new Send(leader, toLeader(pending, leader, now)));
--- a/cassiastack-core/src/main/java/org/cassiastack/request/PendingRequest.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/request/PendingRequest.java
@@ -16,6 +16,10 @@
 
   final Instant receivedAt;
   final Instant deadline;
+
+  /** How the request came, for the log; null if it is not known. */
+  private final @Nullable RequestArrival arrival;
+
   Instant resendAt = Instant.MIN;
   boolean mayHaveEffect;
   private int sendCount;
@@ -41,15 +45,34 @@
   /** The fallback dispatcher that has the request now, or null. */
   private @Nullable NodeId fallback;
 
+  /** The dispatcher that the request was last sent to, for the log; null before the first. */
+  private @Nullable NodeId lastDispatcher;
+
+  /** When a probe was last answered with the job, by the clock of this process, or null. */
+  private @Nullable Instant confirmedAt;
+
   /** Fallback dispatchers that have not taken the request. */
   private final Set<NodeId> refusingFallbacks = new HashSet<>();
 
-  PendingRequest(
-      LeaderRequest request, @Nullable DomainOrder order, Instant receivedAt, Instant deadline) {
+  private PendingRequest(
+      LeaderRequest request,
+      @Nullable DomainOrder order,
+      Instant receivedAt,
+      Instant deadline,
+      @Nullable RequestArrival arrival) {
     this.request = request;
     this.order = order;
     this.receivedAt = receivedAt;
     this.deadline = deadline;
+    this.arrival = arrival;
+  }
+
+  static PendingRequest of(RequestPosted posted, Instant now) {
+    return new PendingRequest(posted.request(), null, now, posted.deadline(), posted.arrival());
+  }
+
+  static PendingRequest stepOf(DomainOrder order, LeaderRequest request, Instant now) {
+    return new PendingRequest(request, order, now, order.deadline(), null);
   }
 
   /** Returns whether the request was sent to a dispatcher last and is not answered. */
@@ -57,9 +80,39 @@
     return dispatcher.equals(fallback == null ? leader : fallback);
   }
 
+  /**
+   * Returns the subject of a decision about the request: the identity of a submitted job, the path
+   * of a cancelled one, and the request id of any other request.
+   */
+  Object subject() {
+    if (request instanceof SubmitJob s) {
+      return s.job().id();
+    }
+    return request instanceof CancelJob c ? c.address().path() : request.requestId();
+  }
+
   /** Returns the inputs of a decision about the request. */
   String describe() {
-    return "sends=" + sendCount + " since=" + receivedAt;
+    String sends = "sends=" + sendCount + " since=" + receivedAt;
+    return request instanceof SubmitJob ? sends + describeJob() : sends;
+  }
+
+  private String describeJob() {
+    boolean wasHandedOver = !handedOverAt.equals(Instant.MIN);
+    return " last="
+        + (lastDispatcher == null ? "none" : lastDispatcher)
+        + " handed_over="
+        + (wasHandedOver ? handedOverAt : "no")
+        + " confirmed="
+        + (confirmedAt == null ? "never" : confirmedAt)
+        + " request="
+        + request.requestId()
+        + (arrival == null ? "" : " " + arrival.describe());
+  }
+
+  /** Records that the job was named as awaited in answer to a probe. */
+  void onConfirmed(Instant now) {
+    confirmedAt = now;
   }
 
   int sendCount() {
@@ -85,6 +138,7 @@
       dispatcherCount++;
       resendDelay = LeaderRequestController.RESEND_DELAY;
     }
+    lastDispatcher = receiver;
     sendCount++;
     resendAt = now.plus(resendDelay);
     Duration doubledDelay = resendDelay.multipliedBy(2);
@@ -96,6 +150,7 @@
   /** Handles the sending to a fallback dispatcher. It is not repeated: one connection is enough. */
   void onSentToFallback(NodeId receiver) {
     fallback = receiver;
+    lastDispatcher = receiver;
     dispatcherCount++;
     sendCount++;
     resendAt = Instant.MAX;
--- a/cassiastack-core/src/test/java/org/cassiastack/request/CallerRequestFiltersTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/request/CallerRequestFiltersTest.java
@@ -42,6 +42,7 @@
             address,
             Duration.ZERO,
             true,
+            null,
             requestId -> new AskJob(requestId, address));
 
     AnswerCode code = chain.proceed(submission, NOW).block().code();
@@ -70,6 +71,7 @@
             address,
             timeout,
             false,
+            null,
             requestId -> new AskJob(requestId, address));
     return chain.proceed(request, NOW).block().code();
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/request/EntryScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/request/EntryScenario.java
@@ -71,6 +71,13 @@
     return new RequestPosted(request, NOW.plusMillis(millis).plusSeconds(9));
   }
 
+  /** Submits a job when the leader is silent and the first fallback dispatcher is connected. */
+  void sendToFirst() {
+    ticks(460);
+    on(new PeerConnected(FIRST));
+    on(submitted(1));
+  }
+
   static SubmitJob job(long id, boolean durable) {
     List<StepSpec> steps = List.of(StepSpec.plain(1, 100, 1, Duration.ofMillis(50)));
     QueuedJob job = new QueuedJob(new QueuedJobId(id), "spec", steps, durable);
@@ -85,6 +92,10 @@
     return new Received(from, new LeaderReply(id, RequestAnswer.of(code), 3));
   }
 
+  static RequestAnswered answered(long id, AnswerCode code) {
+    return new RequestAnswered(id, RequestAnswer.of(code));
+  }
+
   static Received notice(NodeId leader, long term) {
     LeaderNotice n = new LeaderNotice(term, leader, List.of(LEADER, NEXT_LEADER));
     return new Received(leader, n);
--- a/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/LeaderClient.java
+++ b/cassiastack-daemons/src/main/java/org/cassiastack/daemon/queue/LeaderClient.java
@@ -103,7 +103,14 @@
   /** Returns a filter chain whose last step sends a caller's request to the leader. */
   public FilterChain<CallerRequest, RequestAnswer> chain(
       List<RequestFilter<CallerRequest, RequestAnswer>> filters) {
-    return FilterChain.of(filters, (r, now) -> request(r.requestFactory(), r.timeout()));
+    return FilterChain.of(filters, (r, now) -> forward(r));
+  }
+
+  private Mono<RequestAnswer> forward(CallerRequest r) {
+    return post(
+        id ->
+            new RequestPosted(
+                r.requestFactory().apply(id), time.now().plus(r.timeout()), r.arrival()));
   }
 
   /** Returns the number of requests that have not been answered yet. */
--- a/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/LeaderClientTest.java
+++ b/cassiastack-daemons/src/test/java/org/cassiastack/daemon/queue/LeaderClientTest.java
@@ -3,16 +3,19 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import org.cassiastack.controller.Event;
 import org.cassiastack.controller.TimeSource;
 import org.cassiastack.request.AnswerCode;
 import org.cassiastack.request.AskJob;
+import org.cassiastack.request.CallerRequest;
 import org.cassiastack.request.QueueAddress;
 import org.cassiastack.request.RequestAbandoned;
 import org.cassiastack.request.RequestAnswer;
 import org.cassiastack.request.RequestAnswered;
+import org.cassiastack.request.RequestArrival;
 import org.cassiastack.request.RequestPosted;
 import org.junit.jupiter.api.Test;
 import reactor.core.Disposable;
@@ -46,6 +49,26 @@
     assertThat(events).hasSize(1);
   }
 
+  /** Guards against late requests of which the log of the entry does not tell when they came. */
+  @Test
+  void tells_the_controllers_how_a_request_of_the_filter_chain_came() {
+    Instant read = Instant.parse("2026-12-07T15:13:20Z");
+    RequestArrival arrival = new RequestArrival(read, null, null, Duration.ZERO);
+    QueueAddress address = new QueueAddress("h", "/q/1");
+    CallerRequest asked =
+        new CallerRequest(
+            CallerRequest.Kind.ASK,
+            address,
+            Duration.ofSeconds(1),
+            false,
+            arrival,
+            id -> new AskJob(id, address));
+
+    client.chain(List.of()).proceed(asked, read).subscribe();
+
+    assertThat(((RequestPosted) events.get(0)).arrival()).isEqualTo(arrival);
+  }
+
   private long postedId() {
     return ((RequestPosted) events.get(0)).request().requestId();
   }
