Log fence, confirmations and the end of each job at its dispatcher

The log of a dispatcher did not tell under which fence it took a job, how old the last confirmation of its caller was when a run was ordered, nor that a job was given up at its caller's deadline or with the connection of its entry, cancelled, or submitted by another entry.

job_admitted has the fence and the time at the entry, run_ordered the number of the orders and the age of the confirmation, job_ended the latter too; run_gone and run_found name the report that they rest on. job_given_up is written for each reason, and caller_replaced is new.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Dispatcher.java
@@ -228,7 +228,14 @@
     long orderNumber = w.orderStart(new StartOrder(id, step.job.job.spec()));
     w.add(new Run(id, step, step.spec.need(), orderNumber, now));
     liveJobs.markStarted(step.job);
-    String inputs = "agent=" + w.agent + " life=" + (w.minion == null ? "" : w.minion.life());
+    String inputs =
+        "agent="
+            + w.agent
+            + " life="
+            + (w.minion == null ? "" : w.minion.life())
+            + " orders="
+            + orderNumber
+            + step.job.describeConfirmation(now);
     decisions.accept(
         Decision.of("run_ordered", id, step.lateness.name().toLowerCase(Locale.ROOT), inputs));
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
@@ -71,6 +71,7 @@
     this.callers = new WaitingCallers(liveJobs, stopped, callerLeases, decisions);
     this.requests =
         new LeaderRequestHandler(
+            fence,
             replyTerm,
             ledger,
             liveJobs,
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -35,6 +35,7 @@
  * changes the configuration and failure domains.
  */
 final class LeaderRequestHandler {
+  private final long fence;
   private final long term;
   private final JobLedger ledger;
   private final LiveJobs liveJobs;
@@ -65,6 +66,7 @@
   private final QueueingDelays delays;
 
   LeaderRequestHandler(
+      long fence,
       long term,
       JobLedger ledger,
       LiveJobs liveJobs,
@@ -77,6 +79,7 @@
       boolean fallback,
       StoppedJobs stopped,
       WaitingCallers callers) {
+    this.fence = fence;
     this.term = term;
     this.held = held;
     this.fallback = fallback;
@@ -194,8 +197,7 @@
     callers.put(s.job().id(), caller);
     activate(job, now);
     liveJobs.markStarted(job);
-    String inputs = "waited=" + s.waitTime() + describe(caller);
-    addDecision("job_admitted", s.job().id(), "resubmitted", inputs);
+    addDecision("job_admitted", s.job().id(), "resubmitted", describe(caller, s));
   }
 
   /**
@@ -209,7 +211,7 @@
     hold(job, caller, now);
     liveJobs.unqueue(job);
     liveJobs.markStarted(job);
-    addDecision("job_held_again", job.job.id(), "resubmitted", describe(caller).strip());
+    addDecision("job_held_again", job.job.id(), "resubmitted", "entry=" + caller.node());
   }
 
   private void hold(LiveJob job, Caller caller, Instant now) {
@@ -242,7 +244,8 @@
     }
     String objective = " objective=" + Duration.between(job.requestedAt, job.dueAt);
     String outcome = durable ? "kept" : "not_kept";
-    addDecision("job_admitted", s.job().id(), outcome, inputs + objective + describe(caller));
+    inputs += objective + " " + describe(caller, s);
+    addDecision("job_admitted", s.job().id(), outcome, inputs);
     callers.put(s.job().id(), caller);
     if (!durable) {
       activate(job, now);
@@ -252,8 +255,9 @@
     commits.addJob(a, at -> onAccepted(job, at));
   }
 
-  private String describe(Caller caller) {
-    return " entry=" + caller.node() + " dispatcher=" + (term == 0 ? "fallback" : "leader");
+  private String describe(Caller caller, SubmitJob s) {
+    String by = " dispatcher=" + (term == 0 ? "fallback" : "leader") + " fence=" + fence;
+    return "waited=" + s.waitTime() + " entry=" + caller.node() + by;
   }
 
   private void onAccepted(LiveJob job, Instant now) {
@@ -300,6 +304,7 @@
             answer(caller, AnswerCode.ACCEPTED);
           });
     } else {
+      addDecision("job_ended", id, "cancelled", "");
       stopped.stop(id);
       answerJobEnd(id, JobPhase.CANCELLED, now);
       answer(caller, AnswerCode.ACCEPTED);
@@ -349,7 +354,8 @@
   void jobEnded(LiveJob job, JobPhase phase, Instant now) {
     boolean failed = phase == JobPhase.FAILED;
     String inputs = failed ? "attempts=" + job.maxAttempts : "queue=" + job.queue.name();
-    addDecision("job_ended", job.job.id(), phase.name().toLowerCase(Locale.ROOT), inputs);
+    String outcome = phase.name().toLowerCase(Locale.ROOT);
+    addDecision("job_ended", job.job.id(), outcome, inputs + job.describeConfirmation(now));
     held.remove(job);
     liveJobs.remove(job);
     if (failed) {
@@ -383,7 +389,7 @@
     for (LiveJob job : liveJobs.callerTimedOut(now)) {
       QueuedJobId id = job.job.id();
       stopped.giveUp(job);
-      callers.remove(id);
+      callers.removeGivenUp(job, "caller_timeout");
       if (job.started) {
         // A repeated request may still arrive. It must not be refused, because a refusal states
         // that no task has run.
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
@@ -89,6 +89,24 @@
     this.uselessAt = callerTimeoutAt.isBefore(end) ? callerTimeoutAt : end;
   }
 
+  /** Returns {@link #confirmedAt} for the log. */
+  Object lastConfirmation() {
+    Instant at = confirmedAt;
+    if (at == null) {
+      return "none";
+    }
+    return at.equals(Instant.MIN) ? "never" : at;
+  }
+
+  /** Returns the age of the last confirmation as an input of a decision; empty without probes. */
+  String describeConfirmation(Instant now) {
+    Instant at = confirmedAt;
+    if (at == null) {
+      return "";
+    }
+    return " confirmed_ago=" + (at.equals(Instant.MIN) ? "never" : Duration.between(at, now));
+  }
+
   void keepUntil(Instant time) {
     keptUntil = time.isAfter(keptUntil) ? time : keptUntil;
   }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/RunEventHandler.java
@@ -123,7 +123,8 @@
             + " cause="
             + loss.logValue()
             + " life="
-            + (m == null ? null : m.life());
+            + (m == null ? null : m.life())
+            + describeReport(w, now);
     decisions.accept(Decision.of("run_gone", run.id, "not_there", inputs));
     LiveStep step = run.step;
     if (step != null && liveJobs.findStep(run.id.task()) == step) {
@@ -131,6 +132,18 @@
     }
   }
 
+  private static String describeReport(WorkerState w, Instant now) {
+    AgentReport r = w.report;
+    return r == null
+        ? ""
+        : " report_sent="
+            + r.sentAt()
+            + " report_fence="
+            + r.fence()
+            + " report_ago="
+            + Duration.between(w.reportedAt, now);
+  }
+
   @Override
   public boolean isTaskOpen(Run run) {
     LiveStep step = run.step;
@@ -141,7 +154,8 @@
 
   @Override
   public Run runFound(WorkerState w, RunId id, Instant now) {
-    decisions.accept(Decision.of("run_found", id, "taken_over", "agent=" + w.agent));
+    String inputs = "agent=" + w.agent + describeReport(w, now);
+    decisions.accept(Decision.of("run_found", id, "taken_over", inputs));
     LiveStep step = liveJobs.findStep(id.task());
     int index = id.task().index();
     if (step == null || step.isDone(index) || step.isAssigned(index)) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WaitingCallers.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WaitingCallers.java
@@ -32,7 +32,14 @@
 
   /** Adds the caller of a job in the place of an earlier one, which is not answered any more. */
   void put(QueuedJobId id, Caller caller) {
-    callers.put(id, caller);
+    Caller former = callers.put(id, caller);
+    if (former != null && !former.node().equals(caller.node())) {
+      LiveJob job = liveJobs.find(id);
+      Object confirmed = job == null ? "none" : job.lastConfirmation();
+      String inputs =
+          "entry=" + caller.node() + " former=" + former.node() + " confirmed=" + confirmed;
+      decisions.accept(Decision.of("caller_replaced", id, "other_entry", inputs));
+    }
   }
 
   @Nullable Caller remove(QueuedJobId id) {
@@ -88,17 +95,25 @@
   void giveUpLost(Instant now) {
     List<LiveJob> lost = liveJobs.all().stream().filter(j -> leases.isLost(j, now)).toList();
     for (LiveJob job : lost) {
-      QueuedJobId id = job.job.id();
-      Caller caller = callers.remove(id);
       stopped.giveUpLost(job, now);
-      Object entry = caller == null ? "none" : caller.node();
-      boolean never = Instant.MIN.equals(job.confirmedAt);
-      Object confirmed = never ? "never" : job.confirmedAt;
-      String inputs = "entry=" + entry + " confirmed=" + confirmed + " started=" + job.started;
-      decisions.accept(Decision.of("job_given_up", id, "caller_lost", inputs));
+      removeGivenUp(job, "caller_lost");
     }
   }
 
+  /** Removes the caller of a job that was given up, and reports the job. */
+  void removeGivenUp(LiveJob job, String reason) {
+    QueuedJobId id = job.job.id();
+    Caller caller = callers.remove(id);
+    String inputs =
+        "entry="
+            + (caller == null ? "none" : caller.node())
+            + " confirmed="
+            + job.lastConfirmation()
+            + " started="
+            + job.started;
+    decisions.accept(Decision.of("job_given_up", id, reason, inputs));
+  }
+
   /** Gives up the jobs that are not durable and whose ends a process waits for. */
   void giveUpAllOf(NodeId node, Instant now) {
     List<QueuedJobId> waitedFor =
@@ -109,8 +124,8 @@
     for (QueuedJobId id : waitedFor) {
       LiveJob job = liveJobs.find(id);
       if (job != null && !job.job.durable()) {
-        callers.remove(id);
         stopped.giveUpLost(job, now);
+        removeGivenUp(job, "entry_disconnected");
       }
     }
   }
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackControllerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackControllerTest.java
@@ -198,6 +198,29 @@
     assertThat(sent(RunOrders.class)).anyMatch(o -> o.stops().contains(run));
   }
 
+  /** Guards against runs that are stopped without a line that tells why. */
+  @Test
+  void reports_its_fence_and_each_job_that_it_stops_with_the_connection_of_an_entry() {
+    engage();
+    report(FENCE);
+    submit(false, 1);
+
+    on(new PeerDisconnected(ENTRY));
+
+    assertThat(jobDecisions)
+        .anyMatch(
+            d ->
+                d.event().equals("job_admitted")
+                    && d.inputs().endsWith("dispatcher=fallback fence=" + FENCE))
+        .anyMatch(
+            d ->
+                d.event().equals("job_given_up")
+                    && d.subject().equals(ID.toString())
+                    && d.outcome().equals("entry_disconnected")
+                    && d.inputs().startsWith("entry=" + ENTRY + " confirmed=")
+                    && d.inputs().endsWith("started=true"));
+  }
+
   /**
    * Guards against a run beside that of a leader, to which a lost caller has sent the job again.
    */
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackScenario.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackScenario.java
@@ -65,6 +65,10 @@
           SELF, LeaderScenario.SETTINGS.withFallback(LeaderScenario.RESEND_DELAY));
   final List<Send> sends = new ArrayList<>();
   final List<Decision> decisions = new ArrayList<>();
+
+  /** Decisions about jobs and runs; the others are in {@link #decisions}. */
+  final List<Decision> jobDecisions = new ArrayList<>();
+
   final Map<RunId, Boolean> running = new HashMap<>();
   Instant now = Instant.parse("2026-12-04T08:00:00Z");
   long lastRequestId;
@@ -171,6 +175,8 @@
         }
       } else if (e instanceof Decision d && d.event().startsWith("fallback_")) {
         decisions.add(d);
+      } else if (e instanceof Decision d) {
+        jobDecisions.add(d);
       }
     }
     answers.forEach(this::on);
