Log the leases and orders that an agent does not obey

An agent dropped orders and leases of another holder, fence or number without a word, so its log could not tell whether a late message had reached it. orders_ignored and lease_ignored name sender, reason and runs. leader_obeyed tells since when a leader is the holder, and orders_resumed that the first orders since a holder was taken are not its number 1. What the agent does has not changed.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -12,6 +12,7 @@
 import org.cassiastack.decision.Decision;
 import org.cassiastack.fallback.FallbackDirectory;
 import org.cassiastack.model.FailureDomain;
+import org.cassiastack.model.Incarnation;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.PeerConnected;
 import org.cassiastack.protocol.PeerDisconnected;
@@ -23,6 +24,7 @@
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
 import org.cassiastack.runs.MinionProfile;
+import org.cassiastack.runs.Fences;
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOrders;
 import org.cassiastack.runs.StartOrder;
@@ -192,9 +194,11 @@
           l.fence() >= fence && holders.mayTakeLease(r.from(), l.fence(), l.reportSentAt());
       if (mayTake && mayAnswerOwnReport(l, now)) {
         onLease(r.from(), l, now, effects);
+      } else {
+        effects.add(HolderLog.ignoredLease(r.from(), l, mayTake, fence, holder));
       }
-    } else if (r.message() instanceof RunOrders o && holders.mayObeyOrders(r.from(), o.fence())) {
-      onOrders(o, now, effects);
+    } else if (r.message() instanceof RunOrders o) {
+      onOrders(r.from(), o, now, effects);
     }
   }
 
@@ -210,6 +214,8 @@
 
   private void onLease(NodeId from, AgentLease l, Instant now, List<Effect> effects) {
     boolean newFence = l.fence() > fence;
+    NodeId former = holder;
+    long formerFence = fence;
     holder = from;
     fence = l.fence();
     if (holders.onLease(from, l.fence(), now, effects)) {
@@ -218,6 +224,8 @@
           "fence=" + fence + " lease_left=" + Duration.between(now, leaseUntil) + " revoked=";
       effects.add(Decision.of("fallback_taken", from, "runs_revoked", inputs + revoked));
       newFence = true;
+    } else if (newFence) {
+      effects.add(HolderLog.leaderObeyed(from, l, formerFence, former, leaseUntil, now));
     }
     if (newFence) {
       minion.onHolder(fence, now);
@@ -231,14 +239,22 @@
     minion.onAcknowledged(l.minionIncarnation(), l.acknowledgedThrough());
   }
 
-  private void onOrders(RunOrders o, Instant now, List<Effect> effects) {
-    boolean isAddressee = o.agentIncarnation().equals(settings.incarnation());
-    if (!isAddressee || o.fence() != fence || o.number() <= processedOrdersThrough) {
+  private void onOrders(NodeId from, RunOrders o, Instant now, List<Effect> effects) {
+    Incarnation self = settings.incarnation();
+    boolean mayObey =
+        holders.mayObeyOrders(from, o.fence())
+            && o.agentIncarnation().equals(self) && o.fence() == fence;
+    if (!mayObey || o.number() <= processedOrdersThrough) {
+      effects.add(HolderLog.ignoredOrders(from, o, self, fence, holder, processedOrdersThrough));
       return;
     }
+    if (processedOrdersThrough == 0 && o.number() > 1 && !Fences.isFallback(fence)) {
+      effects.add(HolderLog.resumedOrders(from, o, Duration.between(now, leaseUntil)));
+    }
     processedOrdersThrough = o.number();
     reportDue |= o.starts().isEmpty() && o.stops().isEmpty();
     if (!minion.isIncarnation(o.minionIncarnation())) {
+      effects.add(HolderLog.otherMinion(from, o));
       reportDue = true;
       return;
     }
