Log why a dispatcher extends the lease of an agent no more

A run that ends with its lease, or outlasts it, could not be traced to the reason for which the lease was not extended. lease_withheld tells it once until the lease is extended again, with the report it answers.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobDispatch.java
@@ -33,6 +33,7 @@
   final LeaderRequestHandler requests;
   private final CallerProber prober = new CallerProber();
   private final CallerLeases callerLeases;
+  private final WithheldLeases withheldLeases;
   private final WaitingCallers callers;
   private final long fence;
   private final RunEventHandler runEvents;
@@ -66,6 +67,7 @@
             this::medianSpeed);
     this.fleet = new Fleet(settings, runEvents);
     this.callerLeases = CallerLeases.of(settings, ledger::contains);
+    this.withheldLeases = new WithheldLeases(fence, decisions);
     this.held = new HeldJobs(settings.leaseExpiryTimeout(), decisions);
     StoppedJobs stopped = new StoppedJobs(liveJobs, held, fleet);
     this.callers = new WaitingCallers(liveJobs, stopped, callerLeases, decisions);
@@ -180,6 +182,7 @@
     MinionIncarnation incarnation = m == null ? null : m.life();
     Duration lease =
         report.minion() == null ? Duration.ZERO : callerLeases.agentLease(w, report, fence, now);
+    withheldLeases.onLease(agent, report, lease);
     effects.add(
         new Send(
             agent,
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LostCallerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LostCallerTest.java
@@ -214,6 +214,7 @@
     report(FIRST, List.of(new ActiveRun(unknown, 20)), List.of());
 
     assertThat(before).extracting(AgentLease::duration).containsOnly(Duration.ZERO);
+    assertThat(decisions).anyMatch(d -> d.event().equals("lease_withheld"));
     assertThat(leases.get(leases.size() - 1).duration()).isGreaterThan(Duration.ofMillis(700));
   }
 
