Join the logs of agents with the orders of dispatchers

An agent obeys a fallback dispatcher only after a lease since it began to ask, and dispatchers no longer number their orders from 1. So orders_resumed names the first orders of a dispatcher that was the holder before, whatever their number.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -23,8 +23,8 @@
 import org.cassiastack.request.LeaderViewChanged;
 import org.cassiastack.runs.AgentLease;
 import org.cassiastack.runs.AgentReport;
-import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.runs.Fences;
+import org.cassiastack.runs.MinionProfile;
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOrders;
 import org.cassiastack.runs.StartOrder;
@@ -68,6 +68,9 @@
   /** Number of the last orders of {@link #holder} that were processed. */
   private long processedOrdersThrough;
 
+  /** Whether {@link #holder} is a fallback dispatcher that was the holder before, too. */
+  private boolean retaken;
+
   private Instant leaseUntil = Instant.MIN;
 
   /** Duration of the last lease, which the next one is likely to have. */
@@ -223,6 +226,7 @@
       String inputs =
           "fence=" + fence + " lease_left=" + Duration.between(now, leaseUntil) + " revoked=";
       effects.add(Decision.of("fallback_taken", from, "runs_revoked", inputs + revoked));
+      retaken = from.equals(former) && fence == formerFence;
       newFence = true;
     } else if (newFence) {
       effects.add(HolderLog.leaderObeyed(from, l, formerFence, former, leaseUntil, now));
@@ -243,12 +247,15 @@
     Incarnation self = settings.incarnation();
     boolean mayObey =
         holders.mayObeyOrders(from, o.fence())
-            && o.agentIncarnation().equals(self) && o.fence() == fence;
+            && o.agentIncarnation().equals(self)
+            && o.fence() == fence;
     if (!mayObey || o.number() <= processedOrdersThrough) {
       effects.add(HolderLog.ignoredOrders(from, o, self, fence, holder, processedOrdersThrough));
       return;
     }
-    if (processedOrdersThrough == 0 && o.number() > 1 && !Fences.isFallback(fence)) {
+    // Fallback dispatchers do not number their orders from 1.
+    boolean mayBeLate = Fences.isFallback(fence) ? retaken : o.number() > 1;
+    if (processedOrdersThrough == 0 && mayBeLate) {
       effects.add(HolderLog.resumedOrders(from, o, Duration.between(now, leaseUntil)));
     }
     processedOrdersThrough = o.number();
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/HeldJobs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/HeldJobs.java
@@ -39,11 +39,28 @@
   }
 
   /** Holds a job that an entry has sent to another dispatcher before. */
-  void addResubmitted(LiveJob job, Instant now) {
+  void addResubmitted(LiveJob job, Caller caller, Instant now) {
+    job.resubmittedBy = caller;
     job.startsHeld = true;
     resubmitted.put(job, now);
   }
 
+  /**
+   * Holds the waiting tasks of a live job that an entry has sent to another dispatcher before: an
+   * earlier copy of the submission, which was late, may have made it live. Repetitions of a request
+   * have no effect, nor is a job held whose runs are known from the ledger.
+   */
+  void holdAgain(LiveJob job, Caller caller, LiveJobs liveJobs, Instant now) {
+    if (job.job.durable() || caller.equals(job.resubmittedBy)) {
+      return;
+    }
+    addResubmitted(job, caller, now);
+    liveJobs.unqueue(job);
+    liveJobs.markStarted(job);
+    String inputs = "entry=" + caller.node();
+    decisions.accept(Decision.of("job_held_again", job.job.id(), "resubmitted", inputs));
+  }
+
   void remove(LiveJob job) {
     restored.remove(job);
     resubmitted.remove(job);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobQueries.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/JobQueries.java
@@ -1,5 +1,6 @@
 package org.cassiastack.schedule.internal;
 
+import org.cassiastack.model.Payload;
 import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.Queue;
@@ -41,6 +42,13 @@
         : RequestAnswer.phase(AnswerCode.FOUND, phase);
   }
 
+  /** Returns the present configuration with the number of the orders for failure domains. */
+  RequestAnswer configuration(int orderNumber) {
+    QueueConfiguration c = ledger.configuration();
+    Payload document = c == null ? null : c.document();
+    return RequestAnswer.configuration(document, orderNumber);
+  }
+
   private @Nullable JobPhase phase(QueuedJobId id) {
     JobPhase finalPhase = ledger.finalPhase(id);
     if (finalPhase != null || ledger.live(id) == null) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderRequestHandler.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 import org.cassiastack.decision.Decision;
 import org.cassiastack.model.NodeId;
-import org.cassiastack.model.Payload;
 import org.cassiastack.queue.JobLedger;
 import org.cassiastack.queue.JobPhase;
 import org.cassiastack.queue.LedgerBatch;
@@ -123,9 +122,7 @@
     } else if (request instanceof SwitchDomainSince d) {
       domainOrders.take(caller, d);
     } else if (request instanceof AskQueueConfiguration) {
-      QueueConfiguration c = ledger.configuration();
-      Payload document = c == null ? null : c.document();
-      answer(caller, RequestAnswer.configuration(document, domainOrders.number()));
+      answer(caller, queries.configuration(domainOrders.number()));
     }
     return null;
   }
@@ -158,8 +155,8 @@
     }
     LiveJob live = liveJobs.find(id);
     if (live != null || commits.isAccepting(id) || commits.isRefusing(id)) {
-      if (live != null && mayHaveRun && !live.job.durable()) {
-        holdAgain(live, caller, now);
+      if (live != null && mayHaveRun) {
+        held.holdAgain(live, caller, liveJobs, now);
       }
       // Replaces an earlier caller: only the last one is answered when the job is committed or,
       // if it is not durable, has ended.
@@ -193,32 +190,13 @@
     Instant requestedAt = now.minus(s.waitTime());
     Instant callerTimeoutAt = now.plus(s.timeout());
     LiveJob job = liveJobs.newJob(s.job(), queue, maxAttempts, requestedAt, callerTimeoutAt);
-    hold(job, caller, now);
+    held.addResubmitted(job, caller, now);
     callers.put(s.job().id(), caller);
     activate(job, now);
     liveJobs.markStarted(job);
     addDecision("job_admitted", s.job().id(), "resubmitted", describe(caller, s));
   }
 
-  /**
-   * Holds the waiting tasks of a job that is live here and comes from another dispatcher: an
-   * earlier copy of the submission, which was late, may have made it live.
-   */
-  private void holdAgain(LiveJob job, Caller caller, Instant now) {
-    if (caller.equals(job.resubmittedBy)) {
-      return;
-    }
-    hold(job, caller, now);
-    liveJobs.unqueue(job);
-    liveJobs.markStarted(job);
-    addDecision("job_held_again", job.job.id(), "resubmitted", "entry=" + caller.node());
-  }
-
-  private void hold(LiveJob job, Caller caller, Instant now) {
-    job.resubmittedBy = caller;
-    held.addResubmitted(job, now);
-  }
-
   private void admit(Caller caller, SubmitJob s, Queue queue, Instant now) {
     // Where a new leader starts jobs before it knows all workers, a larger one may still report.
     boolean needsKnown = !fallback || s.job().durable() || capacityKnown.getAsBoolean();
@@ -387,13 +365,12 @@
     }
     callers.giveUpLost(now);
     for (LiveJob job : liveJobs.callerTimedOut(now)) {
-      QueuedJobId id = job.job.id();
       stopped.giveUp(job);
       callers.removeGivenUp(job, "caller_timeout");
       if (job.started) {
         // A repeated request may still arrive. It must not be refused, because a refusal states
         // that no task has run.
-        recentAnswers.add(id, RequestAnswer.of(AnswerCode.UNANSWERED), now);
+        recentAnswers.add(job.job.id(), RequestAnswer.of(AnswerCode.UNANSWERED), now);
       }
     }
   }
