Number orders above those that a worker has processed before its removal

Cause: a leader removes a worker whose agent was silent for 30 s, and counted its orders from 1 again when the agent came back. The agent still knew the numbers of before under the same fence: it ignored as many orders, while its reports proved to the leader that they were processed. Callers could see tasks that started late.

Change: numbers go on above those that the agent reports. A report with such a number can no longer pass for an answer to a request for lists either.

The new test of FallbackLeaderTest failed before: the order had number 1.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -171,6 +171,7 @@
     w.minion = m;
     w.leasedAt = now;
     if (r.fence() == fence) {
+      w.continueOrderNumbers(r);
       applyLists(w, r, now);
       w.synced |= r.listsComplete();
       if (r.listsComplete()) {
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/WorkerState.java
@@ -273,6 +273,14 @@
     return o;
   }
 
+  /**
+   * Numbers the next orders above those that the agent has processed: this leader may have removed
+   * the worker before, and the agent ignores orders with numbers that it knows.
+   */
+  void continueOrderNumbers(AgentReport r) {
+    lastOrdersNumber = Math.max(lastOrdersNumber, r.processedOrdersThrough());
+  }
+
   /** Records a report under this leader's fence with complete run lists. */
   void recordCompleteLists(AgentReport r) {
     Map.Entry<Long, Instant> processed = orderTimes.floorEntry(r.processedOrdersThrough());
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackLeaderTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackLeaderTest.java
@@ -351,6 +351,18 @@
     assertThat(started()).hasSize(1);
   }
 
+  /** Guards against orders that an agent ignores because it knows their numbers. */
+  @Test
+  void numbers_the_orders_of_an_agent_that_was_removed_above_those_that_it_has_processed() {
+    lastOrdersNumbers.put(SECOND, 40L);
+    beSilentFor(Duration.ofSeconds(31));
+    report(SECOND, List.of(), List.of());
+    report(SECOND, List.of(), List.of());
+    resubmit(1);
+
+    assertThat(lastOrdersNumbers.get(SECOND)).isEqualTo(41);
+  }
+
   @Test
   void keeps_a_silent_agent_in_the_ledger_while_a_lost_entry_may_hold_it() {
     NodeId entry = new NodeId("10.0.0.3/entry");
