Let simulated entries learn late of requests and of lost callers

The simulation posted a request to its entry when the caller sent it, and told the entry 3 ms after a caller was gone. Lost packets make both later, and callers then send a job again while its entry still confirms it.

Change: a profile of delays for three in ten requests and three in ten lost connections; by default none, with the same random sequence. A caller whose request was late gives up by its own time, unseen by the entry.

--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobProperties.java
@@ -50,8 +50,18 @@
   }
 
   static Outcome play(long seed, NetworkProfile network) {
+    return play(seed, network, SimulatedCallers.Delays.none());
+  }
+
+  static Outcome play(long seed, SimulatedCallers.Delays delays) {
+    return play(seed, NetworkProfile.dropping(), delays);
+  }
+
+  private static Outcome play(
+      long seed, NetworkProfile network, SimulatedCallers.Delays delays) {
     QueueSimulation simulation = start(seed);
     simulation.network().setProfile(network);
+    simulation.callers().setDelays(delays);
     Random random = new Random(seed + 1);
     long from = simulation.millis();
     simulation.callers().begin(CALL_INTERVAL_MILLIS);
@@ -67,7 +77,7 @@
     return outcome(simulation, from);
   }
 
-  private static Outcome outcome(QueueSimulation simulation, long from) {
+  static Outcome outcome(QueueSimulation simulation, long from) {
     return new Outcome(
         simulation.callers().servedShare(from, simulation.millis(), null),
         simulation.runChecker().unfinishedRuns(),
@@ -89,8 +99,18 @@
   }
 
   static Outcome playWithCutOffAgents(long seed, NetworkProfile network) {
+    return playWithCutOffAgents(seed, network, SimulatedCallers.Delays.none());
+  }
+
+  static Outcome playWithCutOffAgents(long seed, SimulatedCallers.Delays delays) {
+    return playWithCutOffAgents(seed, NetworkProfile.dropping(), delays);
+  }
+
+  private static Outcome playWithCutOffAgents(
+      long seed, NetworkProfile network, SimulatedCallers.Delays delays) {
     QueueSimulation simulation = start(seed);
     simulation.network().setProfile(network);
+    simulation.callers().setDelays(delays);
     simulation.runModel().lengthenRuns(LONG_RUN_TIME_FACTOR);
     Random random = new Random(seed + 1);
     long from = simulation.millis();
@@ -174,7 +194,7 @@
     return simulation;
   }
 
-  private static List<SimulatedNode> entriesOf(QueueSimulation simulation, String domain) {
+  static List<SimulatedNode> entriesOf(QueueSimulation simulation, String domain) {
     return simulation.entries().stream()
         .filter(e -> ((SimulatedEntry) e).domain().name().equals(domain))
         .toList();
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedCallers.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedCallers.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import org.cassiastack.model.FailureDomain;
 import org.cassiastack.queue.JobPhase;
@@ -45,7 +46,12 @@
 
   private final QueueSimulation simulation;
   private Profile profile = new Profile(2_500, 2_500, Duration.ofMillis(80));
+  private Delays delays = Delays.none();
   private final Map<Long, Request> requests = new HashMap<>();
+
+  /** Requests that their callers have given up and their entries have not answered. */
+  private final Map<Long, Request> timedOut = new HashMap<>();
+
   private final Set<Long> abandoned = new HashSet<>();
   private final Map<QueuedJobId, Call> calls = new LinkedHashMap<>();
   private final Set<QueuedJobId> startedJobs = new HashSet<>();
@@ -74,6 +80,11 @@
     profile = newProfile;
   }
 
+  /** Sets how late entries learn of requests and of lost callers. */
+  void setDelays(Delays newDelays) {
+    delays = newDelays;
+  }
+
   /** Sends jobs at a fixed interval from now on. */
   void begin(int intervalMillis) {
     calling = true;
@@ -135,30 +146,57 @@
     c.attempts++;
     lastRequestId++;
     long id = lastRequestId;
-    Request r = new Request(c, entry, entry.interruptions());
+    int delay = delays.ofRequest(simulation.random());
+    Request r = new Request(c, entry, entry.interruptions(), simulation.millis() + delay);
     requests.put(id, r);
     Duration timeout = Duration.ofMillis(left);
     SubmitJob s = SubmitJob.of(id, QueueSimulation.address(c.job.id()), c.job, timeout);
-    simulation.runAfter(left + MAX_DELAY_MILLIS, () -> checkAnswered(id, r));
-    entry.on(new RequestPosted(s, simulation.now().plus(timeout)));
+    simulation.runAfter(delay + left + MAX_DELAY_MILLIS, () -> checkAnswered(id, r));
+    if (delay == 0) {
+      entry.on(new RequestPosted(s, simulation.now().plus(timeout)));
+      return;
+    }
+    simulation.runAfter(left, () -> timeOut(id));
+    int incarnation = entry.incarnation();
+    simulation.runAfter(
+        delay, () -> entry.on(new RequestPosted(s, simulation.now().plus(timeout)), incarnation));
+  }
+
+  /**
+   * Lets a caller give up a request that has reached its entry late. The entry does not notice: the
+   * connection stays open for other requests, or its end is lost.
+   */
+  private void timeOut(long id) {
+    Request r = requests.remove(id);
+    if (r != null) {
+      timedOut.put(id, r);
+      abandoned.add(id);
+      r.call.answeredAt = simulation.millis();
+      sendLater(r.call);
+    }
   }
 
   private void checkAnswered(long id, Request r) {
-    if (!requests.containsKey(id)) {
+    boolean isAwaited = requests.containsKey(id);
+    if (!isAwaited && !timedOut.containsKey(id)) {
       return;
     }
     if (r.interruptions == r.entry.interruptions()) {
       throw new AssertionError(
           simulation + " no answer by the deadline at " + r.entry.node + " to " + r.call);
     }
-    requests.remove(id);
-    onConnectionLost(id, r);
+    timedOut.remove(id);
+    if (isAwaited) {
+      requests.remove(id);
+      onConnectionLost(id, r);
+    }
   }
 
   void answered(RequestAnswered a) {
     if (a.requestId() <= 1L << 40) {
       return;
     }
+    timedOut.remove(a.requestId());
     Request r = requests.remove(a.requestId());
     if (r == null && abandoned.contains(a.requestId())) {
       return;
@@ -188,7 +226,9 @@
     r.call.answeredAt = simulation.millis();
     sendLater(r.call);
     int incarnation = r.entry.incarnation();
-    simulation.runAfter(LOSS_NOTICE_MILLIS, () -> abandon(id, r.entry, incarnation));
+    long untilRequest = Math.max(0, r.arrivesAt - simulation.millis());
+    long notice = Math.max(untilRequest, delays.ofLoss(simulation.random())) + LOSS_NOTICE_MILLIS;
+    simulation.runAfter(notice, () -> abandon(id, r.entry, incarnation));
   }
 
   /**
@@ -344,5 +384,38 @@
    */
   record Profile(int timeoutMillis, int patienceMillis, Duration expectedRunTime) {}
 
-  private record Request(Call call, SimulatedNode entry, int interruptions) {}
+  /**
+   * How late entries learn of their callers. Three in ten requests, and three in ten losses of a
+   * connection, are late, as after lost packets; a loss is never noticed before its request.
+   *
+   * @param maxOfRequest maximum time in ms that a late request takes; 0 if none is late
+   * @param maxOfLoss maximum time in ms until a loss is noticed late; 0 if none is late
+   */
+  record Delays(int maxOfRequest, int maxOfLoss) {
+    static Delays none() {
+      return new Delays(0, 0);
+    }
+
+    static Delays ofRequests(int maxMillis) {
+      return new Delays(maxMillis, 0);
+    }
+
+    static Delays ofLosses(int maxMillis) {
+      return new Delays(0, maxMillis);
+    }
+
+    private int ofRequest(Random random) {
+      return of(maxOfRequest, random);
+    }
+
+    private int ofLoss(Random random) {
+      return of(maxOfLoss, random);
+    }
+
+    private static int of(int max, Random random) {
+      return max > 0 && random.nextInt(10) < 3 ? 1 + random.nextInt(max) : 0;
+    }
+  }
+
+  private record Request(Call call, SimulatedNode entry, int interruptions, long arrivesAt) {}
 }
