End leases before a caller that gave up unseen sends its job again

Cause: a caller's time-out counts from its sending, that of the dispatcher from the reading at the entry. A request that is late by lost packets leaves a job confirmed after its caller has given it up, and the copy, sent 1.3 s later, may start at another dispatcher while an agent that is cut off keeps the first run under a lease of 0.8 s. Callers saw no error; the task ran twice at a time.

Change: the lease of an agent with a run of a job rests on its last confirmation, or on 600 ms before the time-out that the dispatcher knows, whichever is earlier. Times for giving a job up and for starts are as before. The shortest lease that is granted before the time-out is 0.5 s.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/CallerLease.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/CallerLease.java
@@ -42,6 +42,13 @@
   /** Time within which an entry notices the loss of a caller and confirms its job no more. */
   private static final Duration CALLER_LOSS_NOTICE = Duration.ofMillis(30);
 
+  /**
+   * Time that a request may take from its caller to a dispatcher, by which the caller's time-out
+   * comes before the one that the dispatcher knows. A lost packet is sent again after 0.2 s, and
+   * for the second time 0.4 s later.
+   */
+  private static final Duration MAX_REQUEST_DELAY = Duration.ofMillis(600);
+
   /**
    * Age of the last confirmation up to which a task may start: two probe intervals, so that the
    * answer to one probe may take as long as an interval.
@@ -77,14 +84,28 @@
     return !now.isAfter(confirmedAt.plus(startableFor));
   }
 
+  /**
+   * Returns the confirmation that the leases of agents with runs of a job may rest on: the caller
+   * may give up up to {@link #MAX_REQUEST_DELAY} before the time-out that the dispatcher knows,
+   * without a sign to the entry. The lease that is granted last before the time-out is still of
+   * use.
+   *
+   * @param confirmedAt when the last probe was sent that was answered for the job
+   * @param callerTimeoutAt when the caller stops waiting, as far as the dispatcher knows
+   */
+  public Instant leaseBasis(Instant confirmedAt, Instant callerTimeoutAt) {
+    Instant latest = callerTimeoutAt.minus(shorter(MAX_REQUEST_DELAY, keptFor));
+    return confirmedAt.isBefore(latest) ? confirmedAt : latest;
+  }
+
   /**
    * Returns the lease for an agent that may have a run of a job; zero if its lease must not be
    * extended any more.
    *
-   * @param confirmedAt when the last probe was sent that was answered for the job
+   * @param basis confirmation of the job that the lease rests on
    */
-  public Duration agentLease(Instant confirmedAt, Instant now) {
-    Instant end = confirmedAt.plus(agentBudget);
+  public Duration agentLease(Instant basis, Instant now) {
+    Instant end = basis.plus(agentBudget);
     return now.isBefore(end)
         ? shorter(maxAgentLease, withoutDrift(Duration.between(now, end)))
         : Duration.ZERO;
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/CallerLeases.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/CallerLeases.java
@@ -91,6 +91,7 @@
       }
       if (job.confirmedAt == null) {
         job.confirmedAt = Instant.MIN;
+        job.leaseBasis = Instant.MIN;
         job.keptUntil = Instant.MIN;
       }
       // A job that was not confirmed yet does not start, but it waits for its first confirmation.
@@ -106,6 +107,7 @@
       // A probe of an earlier incarnation of this process may have another clock.
       if (former != null && probeSentAt.isAfter(former) && !probeSentAt.isAfter(now)) {
         job.confirmedAt = probeSentAt;
+        job.leaseBasis = lease.leaseBasis(probeSentAt, job.callerTimeoutAt);
         job.keepUntil(probeSentAt.plus(lease.keptFor()));
       }
     }
@@ -132,7 +134,7 @@
       }
       Instant oldest = now;
       for (Run r : w.runs.values()) {
-        Instant at = r.confirmedAt();
+        Instant at = r.leaseBasis();
         if (at != null && at.isBefore(oldest) && !isStored.test(r.id.task().job())) {
           oldest = at;
         }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LiveJob.java
@@ -50,6 +50,12 @@
    */
   @Nullable Instant confirmedAt;
 
+  /**
+   * The confirmation that leases of agents with runs of this job rest on: {@link #confirmedAt}, or
+   * earlier where the caller's timeout is close.
+   */
+  @Nullable Instant leaseBasis;
+
   /** When the job is given up unless it is confirmed before. */
   Instant keptUntil = Instant.MAX;
 
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
@@ -37,7 +37,7 @@
    * When the last probe was sent that was answered for the job, if the job was given up because its
    * caller may send it again; null for other runs that are no longer needed.
    */
-  private @Nullable Instant lastConfirmedAt;
+  private @Nullable Instant lastLeaseBasis;
 
   /** Whether the run is being stopped so that its task can start on another worker. */
   boolean isMoving;
@@ -112,24 +112,23 @@
   /**
    * Records that the job was given up.
    *
-   * @param lastConfirmed when the last probe was sent that was answered for the job, or null if its
-   *     caller will not send it again
+   * @param basis basis of leases for its runs, or null if its caller will not send it again
    */
-  void giveUp(@Nullable Instant lastConfirmed) {
+  void giveUp(@Nullable Instant basis) {
     step = null;
-    lastConfirmedAt = lastConfirmed;
+    lastLeaseBasis = basis;
   }
 
   /**
-   * Returns when the last probe was sent that was answered for the job of this run; {@link
-   * Instant#MIN} if none is known to have been, null if the run need not end with its caller.
+   * Returns the confirmation of the job that a lease for this run rests on; {@link Instant#MIN} if
+   * none is known, null if the run need not end with its caller.
    */
-  @Nullable Instant confirmedAt() {
+  @Nullable Instant leaseBasis() {
     LiveStep s = step;
     if (s != null) {
-      return s.job.confirmedAt;
+      return s.job.leaseBasis;
     }
-    return isOfUnknownJob ? Instant.MIN : lastConfirmedAt;
+    return isOfUnknownJob ? Instant.MIN : lastLeaseBasis;
   }
 
   /** Returns whether the run has to be stopped. */
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/StoppedJobs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/StoppedJobs.java
@@ -31,7 +31,7 @@
 
   /** Removes a live job that its caller may send again, and stops its runs before. */
   void giveUp(LiveJob job) {
-    remove(job, job.confirmedAt);
+    remove(job, job.leaseBasis);
   }
 
   /** Gives up a live job whose caller may be lost, and may send it again before long. */
@@ -42,11 +42,11 @@
     }
   }
 
-  private void remove(LiveJob job, @Nullable Instant lastConfirmed) {
+  private void remove(LiveJob job, @Nullable Instant leaseBasis) {
     held.remove(job);
     liveJobs.remove(job);
     if (job.started) {
-      fleet.markRunsUnwanted(job, lastConfirmed);
+      fleet.markRunsUnwanted(job, leaseBasis);
     }
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LostCallerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LostCallerTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import org.cassiastack.consensus.LeaseExtended;
 import org.cassiastack.controller.ClockLeaped;
@@ -184,6 +185,46 @@
     }
   }
 
+  /**
+   * Guards against agents that are cut off before the time-out of a job whose request was late: its
+   * caller gives it up 600 ms before the dispatcher does, without a sign to its entry.
+   */
+  @Test
+  void no_lease_lasts_until_a_job_may_be_sent_again_whose_request_was_600_ms_late() {
+    submitAndStart();
+    RunId run = started().get(0);
+    Instant timeoutAt = now.plus(LONG);
+    Instant resentAt = timeoutAt.minusMillis(600).plus(RESEND_DELAY);
+
+    List<AgentLease> granted = new ArrayList<>();
+    while (now.isBefore(resentAt)) {
+      reportFor(STEP, lastStartAgent, run, 10, 10);
+      confirm(ID);
+      granted.add(leaseOfWorker());
+    }
+
+    assertThat(now).isAfter(timeoutAt);
+    assertThat(granted)
+        .filteredOn(l -> !l.duration().isZero())
+        .allMatch(l -> !endOfRuns(l).isAfter(resentAt));
+  }
+
+  @Test
+  void a_lease_shortly_before_the_timeout_of_a_caller_is_still_of_use() {
+    submitAndStart();
+    RunId run = started().get(0);
+    Instant timeoutAt = now.plus(LONG);
+
+    List<AgentLease> granted = new ArrayList<>();
+    while (now.isBefore(timeoutAt.minus(STEP))) {
+      confirm(ID);
+      reportFor(STEP, lastStartAgent, run, 10, 10);
+      granted.add(leaseOfWorker());
+    }
+
+    assertThat(granted).allMatch(l -> l.duration().compareTo(Duration.ofMillis(500)) > 0);
+  }
+
   @Test
   void an_agent_without_runs_gets_leases_that_a_job_of_300_ms_before_may_start_under() {
     leases.clear();
@@ -350,6 +391,14 @@
     return duration.multipliedBy(100).dividedBy(98);
   }
 
+  /** Returns the latest end of runs under a lease. */
+  private static Instant endOfRuns(AgentLease lease) {
+    return lease
+        .reportSentAt()
+        .plus(ofSlowestClock(lease.duration()))
+        .plus(SETTINGS.leaseExpiryMargin());
+  }
+
   private RunId submitAndStart() {
     submit(ID, now);
     return started().get(0);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/LateCallerProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/LateCallerProperties.java
@@ -4,6 +4,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
 import org.cassiastack.model.FailureDomain;
 import org.cassiastack.schedule.faults.ResentJobProperties.Outcome;
 import org.cassiastack.schedule.faults.SimulatedCallers.Delays;
@@ -19,6 +22,12 @@
   private static final SimulatedCallers.Profile IMPATIENT_CALLERS =
       new SimulatedCallers.Profile(TIMEOUT_MILLIS, 14_000, Duration.ofMillis(700));
 
+  /** Guards against leases of agents that rest on a time-out which the caller has passed. */
+  @Property(tries = 60, shrinking = ShrinkingMode.OFF, seed = "20261207")
+  void a_job_whose_caller_times_out_750_ms_before_its_entry_never_runs_twice(@ForAll long seed) {
+    playTimeouts(seed, Delays.ofRequests(750));
+  }
+
   /**
    * Plays one seed in which callers give up long jobs while the agents of these are cut off, and
    * send them to the other failure domain, which has lost the leader.
