--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/LateCallerProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/LateCallerProperties.java
@@ -10,6 +10,7 @@
 import org.cassiastack.model.FailureDomain;
 import org.cassiastack.schedule.faults.ResentJobProperties.Outcome;
 import org.cassiastack.schedule.faults.SimulatedCallers.Delays;
+import org.junit.jupiter.api.Test;
 
 /**
  * Sends jobs that need not be stored again, 1.3 s after no answer, while entries read requests late
@@ -28,6 +29,13 @@
     playTimeouts(seed, Delays.ofRequests(750));
   }
 
+  /** Guards against runs that go on while their entry has not noticed that the caller is gone. */
+  @Test
+  void a_job_whose_caller_is_seen_to_be_gone_800_ms_late_never_runs_twice() {
+    ResentJobProperties.play(110_036, Delays.ofLosses(800));
+    ResentJobProperties.playWithCutOffAgents(110_024, Delays.ofLosses(800));
+  }
+
   /**
    * Plays one seed in which callers give up long jobs while the agents of these are cut off, and
    * send them to the other failure domain, which has lost the leader.
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobProperties.java
@@ -57,8 +57,7 @@
     return play(seed, NetworkProfile.dropping(), delays);
   }
 
-  private static Outcome play(
-      long seed, NetworkProfile network, SimulatedCallers.Delays delays) {
+  private static Outcome play(long seed, NetworkProfile network, SimulatedCallers.Delays delays) {
     QueueSimulation simulation = start(seed);
     simulation.network().setProfile(network);
     simulation.callers().setDelays(delays);
