Split tests of callers and resubmitted jobs by subject

Tests of log lines are in CallerLogTest, those of resubmitted jobs in ResubmittedJobTest, and the delays of callers in CallerDelays. No test changes.

--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/LostCallerTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/LostCallerTest.java
@@ -1,7 +1,6 @@
 package org.cassiastack.schedule;
 
 import static org.assertj.core.api.Assertions.assertThat;
-import static org.assertj.core.api.Assertions.tuple;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -9,21 +8,16 @@
 import java.util.List;
 import org.cassiastack.consensus.LeaseExtended;
 import org.cassiastack.controller.ClockLeaped;
-import org.cassiastack.controller.Tick;
-import org.cassiastack.decision.Decision;
 import org.cassiastack.model.NodeId;
 import org.cassiastack.protocol.PeerConnected;
 import org.cassiastack.protocol.PeerDisconnected;
 import org.cassiastack.protocol.Received;
 import org.cassiastack.protocol.Send;
-import org.cassiastack.queue.QueuedJob;
 import org.cassiastack.queue.QueuedJobId;
 import org.cassiastack.queue.QueuedTaskId;
 import org.cassiastack.request.AwaitedJobs;
 import org.cassiastack.request.AwaitedSubmit;
 import org.cassiastack.request.CallerProbe;
-import org.cassiastack.request.CancelJob;
-import org.cassiastack.request.QueueAddress;
 import org.cassiastack.request.SubmitJob;
 import org.cassiastack.runs.ActiveRun;
 import org.cassiastack.runs.AgentLease;
@@ -34,16 +28,7 @@
  * Guards against runs that go on when the callers of their jobs may send them to a fallback
  * dispatcher, which would start them a second time.
  */
-class LostCallerTest extends LeaderScenario {
-  private static final NodeId OTHER_ENTRY = new NodeId("10.0.0.2/entry");
-  private static final Duration STEP = Duration.ofMillis(30);
-  private static final Duration LONG = Duration.ofSeconds(5);
-
-  @Override
-  ScheduleSettings settings() {
-    return SETTINGS.withFallback(RESEND_DELAY);
-  }
-
+class LostCallerTest extends LostCallerScenario {
   @Test
   void keeps_a_job_while_its_entry_confirms_that_a_caller_waits() {
     RunId run = submitAndStart();
@@ -303,89 +288,6 @@
     assertThat(leaseOfWorker().duration()).isGreaterThan(Duration.ofMillis(700));
   }
 
-  /** Guards against a job with two waiting entries of which the log names one. */
-  @Test
-  void reports_that_another_entry_waits_for_a_job_in_the_place_of_the_former_one() {
-    submitAndStart();
-    Instant probed = now;
-    now = now.plusMillis(200);
-    SubmitJob copy = SubmitJob.of(++lastRequestId, ADDRESS, job(), LONG);
-
-    on(new Received(OTHER_ENTRY, new AwaitedSubmit(copy, now)));
-    on(new Received(OTHER_ENTRY, new AwaitedSubmit(copy, now)));
-
-    assertThat(decisions.stream().filter(d -> d.event().equals("caller_replaced")))
-        .hasSize(1)
-        .allMatch(d -> d.subject().equals(ID.toString()))
-        .extracting(Decision::inputs)
-        .containsExactly("entry=" + OTHER_ENTRY + " former=" + ENTRY + " confirmed=" + probed);
-  }
-
-  @Test
-  void reports_the_age_of_the_last_confirmation_and_the_number_of_the_orders_with_each_run() {
-    submit(ID, now.minusMillis(120));
-
-    assertThat(decisions.stream().filter(d -> d.event().equals("run_ordered")))
-        .extracting(Decision::inputs)
-        .singleElement()
-        .asString()
-        .endsWith(" orders=1 confirmed_ago=PT0.12S");
-  }
-
-  @Test
-  void reports_a_job_that_is_given_up_at_the_deadline_of_its_caller() {
-    QueuedJob job = new QueuedJob(ID, "spec", List.of(step(1, 1_000)), false);
-    SubmitJob s = SubmitJob.of(++lastRequestId, ADDRESS, job, Duration.ofMillis(400));
-    on(new Received(ENTRY, new AwaitedSubmit(s, now)));
-    Instant probed = now;
-    now = now.plusMillis(401);
-
-    on(new Tick());
-
-    assertThat(decisions.stream().filter(d -> d.event().equals("job_given_up")))
-        .extracting(Decision::outcome, Decision::inputs)
-        .containsExactly(
-            tuple("caller_timeout", "entry=" + ENTRY + " confirmed=" + probed + " started=true"));
-  }
-
-  @Test
-  void reports_the_cancellation_of_a_job_that_is_not_stored() {
-    submitAndStart();
-
-    request(new CancelJob(++lastRequestId, ADDRESS));
-
-    assertThat(decisions)
-        .anyMatch(
-            d ->
-                d.event().equals("job_ended")
-                    && d.subject().equals(ID.toString())
-                    && d.outcome().equals("cancelled"));
-  }
-
-  /** Guards against runs that count as lost or found by a report that nobody can name. */
-  @Test
-  void reports_which_report_shows_a_run_or_the_end_of_a_lease() {
-    RunId run = submitAndStart();
-    report(lastStartAgent, List.of(new ActiveRun(run, 10)), List.of());
-    Instant sent = now;
-    now = now.plus(SETTINGS.leaseExpiryTimeout()).plusMillis(1);
-    confirm(ID);
-    on(new Tick());
-    String gone = inputsOf("run_gone");
-
-    report(lastStartAgent, List.of(new ActiveRun(run, 10)), List.of());
-
-    Duration silence = SETTINGS.leaseExpiryTimeout().plusMillis(1);
-    assertThat(gone)
-        .endsWith(" report_sent=" + sent + " report_fence=" + fence + " report_ago=" + silence);
-    assertThat(inputsOf("run_found"))
-        .endsWith(" report_sent=" + now + " report_fence=" + fence + " report_ago=PT0S");
-  }
-
-  private String inputsOf(String event) {
-    return decisions.stream().filter(d -> d.event().equals(event)).findFirst().get().inputs();
-  }
-
   /** Returns the time that passes while a clock that is 2 % slow shows a duration. */
   private static Duration ofSlowestClock(Duration duration) {
     return duration.multipliedBy(100).dividedBy(98);
@@ -399,22 +301,6 @@
         .plus(SETTINGS.leaseExpiryMargin());
   }
 
-  private RunId submitAndStart() {
-    submit(ID, now);
-    return started().get(0);
-  }
-
-  private void submit(QueuedJobId id, Instant probed) {
-    QueuedJob job = new QueuedJob(id, "spec", List.of(step(1, 1_000)), false);
-    QueueAddress address = new QueueAddress("h", "/q/" + id);
-    SubmitJob s = SubmitJob.of(++lastRequestId, address, job, LONG);
-    on(new Received(ENTRY, new AwaitedSubmit(s, probed)));
-  }
-
-  private static QueuedJob job() {
-    return job(List.of(step(1, 1_000)), false);
-  }
-
   private List<Send> probesTo(NodeId entry) {
     return sends.stream()
         .filter(s -> s.to().equals(entry) && s.message() instanceof CallerProbe)
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/LateCallerProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/LateCallerProperties.java
@@ -9,7 +9,6 @@
 import net.jqwik.api.ShrinkingMode;
 import org.cassiastack.model.FailureDomain;
 import org.cassiastack.schedule.faults.ResentJobProperties.Outcome;
-import org.cassiastack.schedule.faults.SimulatedCallers.Delays;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -26,21 +25,21 @@
   /** Guards against leases of agents that rest on a time-out which the caller has passed. */
   @Property(tries = 60, shrinking = ShrinkingMode.OFF, seed = "20261207")
   void a_job_whose_caller_times_out_750_ms_before_its_entry_never_runs_twice(@ForAll long seed) {
-    playTimeouts(seed, Delays.ofRequests(750));
+    playTimeouts(seed, CallerDelays.ofRequests(750));
   }
 
   /** Guards against runs that go on while their entry has not noticed that the caller is gone. */
   @Test
   void a_job_whose_caller_is_seen_to_be_gone_late_never_runs_twice() {
-    ResentJobProperties.play(110_036, Delays.ofLosses(800));
-    ResentJobProperties.playWithCutOffAgents(110_024, Delays.ofLosses(800));
+    ResentJobProperties.play(110_036, CallerDelays.ofLosses(800));
+    ResentJobProperties.playWithCutOffAgents(110_024, CallerDelays.ofLosses(800));
   }
 
   /**
    * Plays one seed in which callers give up long jobs while the agents of these are cut off, and
    * send them to the other failure domain, which has lost the leader.
    */
-  static Outcome playTimeouts(long seed, Delays delays) {
+  static Outcome playTimeouts(long seed, CallerDelays delays) {
     QueueSimulation simulation = ResentJobProperties.start(seed);
     simulation.callers().setProfile(IMPATIENT_CALLERS);
     simulation.callers().setDelays(delays);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/LateCallerSeeds.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/LateCallerSeeds.java
@@ -5,7 +5,6 @@
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.cassiastack.schedule.faults.ResentJobProperties.Outcome;
-import org.cassiastack.schedule.faults.SimulatedCallers.Delays;
 
 /**
  * Plays ranges of seeds with entries that learn late of requests and of lost callers, to search for
@@ -26,7 +25,7 @@
   public static void main(String[] arguments) {
     int maxOfRequest = Integer.parseInt(arguments[0]);
     int maxOfLoss = Integer.parseInt(arguments[1]);
-    Delays delays = new Delays(maxOfRequest, maxOfLoss);
+    CallerDelays delays = new CallerDelays(maxOfRequest, maxOfLoss);
     long first = Long.parseLong(arguments[2]);
     long count = Long.parseLong(arguments[3]);
     long failed =
@@ -38,7 +37,11 @@
   }
 
   private static long play(
-      String name, BiFunction<Long, Delays, Outcome> play, Delays delays, long first, long count) {
+      String name,
+      BiFunction<Long, CallerDelays, Outcome> play,
+      CallerDelays delays,
+      long first,
+      long count) {
     List<Outcome> played =
         LongStream.range(first, first + count)
             .parallel()
@@ -62,7 +65,7 @@
   }
 
   private static Stream<Outcome> play(
-      String name, BiFunction<Long, Delays, Outcome> play, Delays delays, long seed) {
+      String name, BiFunction<Long, CallerDelays, Outcome> play, CallerDelays delays, long seed) {
     try {
       return Stream.of(play.apply(seed, delays));
     } catch (AssertionError | RuntimeException e) {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/ResentJobProperties.java
@@ -50,14 +50,14 @@
   }
 
   static Outcome play(long seed, NetworkProfile network) {
-    return play(seed, network, SimulatedCallers.Delays.none());
+    return play(seed, network, CallerDelays.none());
   }
 
-  static Outcome play(long seed, SimulatedCallers.Delays delays) {
+  static Outcome play(long seed, CallerDelays delays) {
     return play(seed, NetworkProfile.dropping(), delays);
   }
 
-  private static Outcome play(long seed, NetworkProfile network, SimulatedCallers.Delays delays) {
+  private static Outcome play(long seed, NetworkProfile network, CallerDelays delays) {
     QueueSimulation simulation = start(seed);
     simulation.network().setProfile(network);
     simulation.callers().setDelays(delays);
@@ -98,15 +98,15 @@
   }
 
   static Outcome playWithCutOffAgents(long seed, NetworkProfile network) {
-    return playWithCutOffAgents(seed, network, SimulatedCallers.Delays.none());
+    return playWithCutOffAgents(seed, network, CallerDelays.none());
   }
 
-  static Outcome playWithCutOffAgents(long seed, SimulatedCallers.Delays delays) {
+  static Outcome playWithCutOffAgents(long seed, CallerDelays delays) {
     return playWithCutOffAgents(seed, NetworkProfile.dropping(), delays);
   }
 
   private static Outcome playWithCutOffAgents(
-      long seed, NetworkProfile network, SimulatedCallers.Delays delays) {
+      long seed, NetworkProfile network, CallerDelays delays) {
     QueueSimulation simulation = start(seed);
     simulation.network().setProfile(network);
     simulation.callers().setDelays(delays);
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedCallers.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedCallers.java
@@ -9,7 +9,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.Set;
 import org.cassiastack.model.FailureDomain;
 import org.cassiastack.queue.JobPhase;
@@ -46,7 +45,7 @@
 
   private final QueueSimulation simulation;
   private Profile profile = new Profile(2_500, 2_500, Duration.ofMillis(80));
-  private Delays delays = Delays.none();
+  private CallerDelays delays = CallerDelays.none();
   private final Map<Long, Request> requests = new HashMap<>();
 
   /** Requests that their callers have given up and their entries have not answered. */
@@ -81,7 +80,7 @@
   }
 
   /** Sets how late entries learn of requests and of lost callers. */
-  void setDelays(Delays newDelays) {
+  void setDelays(CallerDelays newDelays) {
     delays = newDelays;
   }
 
@@ -384,38 +383,5 @@
    */
   record Profile(int timeoutMillis, int patienceMillis, Duration expectedRunTime) {}
 
-  /**
-   * How late entries learn of their callers. Three in ten requests, and three in ten losses of a
-   * connection, are late, as after lost packets; a loss is never noticed before its request.
-   *
-   * @param maxOfRequest maximum time in ms that a late request takes; 0 if none is late
-   * @param maxOfLoss maximum time in ms until a loss is noticed late; 0 if none is late
-   */
-  record Delays(int maxOfRequest, int maxOfLoss) {
-    static Delays none() {
-      return new Delays(0, 0);
-    }
-
-    static Delays ofRequests(int maxMillis) {
-      return new Delays(maxMillis, 0);
-    }
-
-    static Delays ofLosses(int maxMillis) {
-      return new Delays(0, maxMillis);
-    }
-
-    private int ofRequest(Random random) {
-      return of(maxOfRequest, random);
-    }
-
-    private int ofLoss(Random random) {
-      return of(maxOfLoss, random);
-    }
-
-    private static int of(int max, Random random) {
-      return max > 0 && random.nextInt(10) < 3 ? 1 + random.nextInt(max) : 0;
-    }
-  }
-
   private record Request(Call call, SimulatedNode entry, int interruptions, long arrivesAt) {}
 }
