Keep agents in the ledger whose dispatcher is back before them

What callers saw: nothing; their job ran twice at the same time.

Cause: a leader removes agents that were silent for 30 s, but not while an entry that offered itself is lost, since it may hold them. When such an entry was back, after a cut of more than 30 s, the silence of its agents counted at once. They were removed before they had reported, and a job that the entry handed over was released without their lists.

The silence counts anew from the time at which no such entry is lost any more.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/LeaderTerm.java
@@ -197,6 +197,9 @@
     lastTickAt = now;
     if (forgetsSilentAgents) {
       removeSilentAgents(now);
+    } else {
+      // The agents of an entry that was lost may be back after the entry.
+      hearsAgentsSince = now;
     }
   }
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackLeaderTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/FallbackLeaderTest.java
@@ -25,6 +25,8 @@
 
 /** Tests a leader with fallback dispatchers, in particular one that has just been elected. */
 class FallbackLeaderTest extends FallbackLeaderScenario {
+  private static final NodeId LOST = new NodeId("10.0.0.3/entry");
+
   @Test
   void a_new_leader_starts_a_new_job_on_the_first_worker_that_has_reported() {
     lead(6);
@@ -211,6 +213,49 @@
     request(SubmitJob.of(++lastRequestId, address, job, Duration.ofSeconds(3)));
   }
 
+  /**
+   * Guards against reports from before the request, which name orders that the leader has sent
+   * before it removed the worker, and numbered from 1 again.
+   */
+  @Test
+  void lists_from_before_the_request_do_not_count_although_the_worker_was_removed_meanwhile() {
+    offer(LOST, "a");
+    on(new PeerDisconnected(LOST));
+    beSilentFor(Duration.ofSeconds(31));
+    resubmit(1);
+    report(FIRST, List.of(), List.of());
+    lastOrdersNumbers.put(SECOND, 500L);
+    report(SECOND, List.of(), List.of());
+    lastOrdersNumbers.put(SECOND, 500L);
+
+    report(SECOND, List.of(), List.of());
+
+    assertThat(started()).isEmpty();
+  }
+
+  /**
+   * Guards against a second run beside one that a fallback dispatcher has started: after a cut of
+   * more than 30 s its entry is back before its agents have reported.
+   */
+  @Test
+  void waits_for_an_agent_that_was_cut_off_for_more_than_30_s_when_its_dispatcher_is_back_first() {
+    offer(LOST, "a");
+    on(new PeerDisconnected(LOST));
+    beSilentFor(Duration.ofSeconds(31));
+    offer(LOST, "a");
+    on(new Tick());
+    resubmit(1);
+    report(FIRST, List.of(), List.of());
+    report(FIRST, List.of(), List.of());
+    boolean startedEarly = !started().isEmpty();
+
+    report(SECOND, List.of(new ActiveRun(EARLIER, 10)), List.of());
+    report(SECOND, List.of(new ActiveRun(EARLIER, 20)), List.of());
+
+    assertThat(startedEarly).isFalse();
+    assertThat(started()).isEmpty();
+  }
+
   /** Lets the second agent be silent while the first one reports. */
   private void beSilentFor(Duration time) {
     on(new LeaseExtended(5, now.plusSeconds(100)));
