Use no fallback dispatcher while a leader may have removed the agent

Cause: a leader removes an agent from the ledger whose minion leaves and has no runs. If the leader was lost before the next minion of the agent had reported, a fallback dispatcher took the agent and started tasks, and the next leader released resubmitted jobs without its lists.

An agent whose minion was leaving now uses fallback dispatchers only after a leader has granted a lease for its next minion. It costs the room of minions that were replaced just before the leader was lost.

--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -71,6 +71,12 @@
   /** Whether {@link #holder} is a fallback dispatcher that was the holder before, too. */
   private boolean retaken;
 
+  /**
+   * Whether a leader may have removed this agent from the ledger because its minion was leaving, so
+   * that the next leader does not wait for the runs of the next minion.
+   */
+  private boolean mayBeRemoved;
+
   private Instant leaseUntil = Instant.MIN;
 
   /** Duration of the last lease, which the next one is likely to have. */
@@ -98,6 +104,7 @@
     if (event instanceof MinionAnnounced a) {
       if (minion.onAnnounced(a, now)) {
         reportDue = true;
+        mayBeRemoved |= a.profile().draining();
         String outcome = a.profile().draining() ? "leaving" : "available";
         effects.add(
             Decision.of("minion_announced", a.profile().life(), outcome, "seq=" + a.sequence()));
@@ -172,11 +179,11 @@
   /**
    * Returns the failure domain whose fallback dispatchers may be used, or null if none may be. A
    * restarted agent uses none while runs of its earlier incarnation may exist that it does not
-   * know, because it could not revoke them.
+   * know, because it could not revoke them; nor does one that a leader may have removed.
    */
   private @Nullable FailureDomain fallbackDomain(Instant now) {
     MinionProfile p = minion.profile();
-    return p != null && haveEarlierCallsExpired(now) ? p.domain() : null;
+    return p != null && !mayBeRemoved && haveEarlierCallsExpired(now) ? p.domain() : null;
   }
 
   private void onReceived(Received r, Instant now, List<Effect> effects) {
@@ -241,6 +248,11 @@
     leaseUntil = until.isAfter(leaseUntil) ? until : leaseUntil;
     leaseDuration = l.duration();
     minion.onAcknowledged(l.minionIncarnation(), l.acknowledgedThrough());
+    MinionProfile p = minion.profile();
+    boolean isOfLeader = !Fences.isFallback(l.fence());
+    if (isOfLeader && p != null && !p.draining() && p.life().equals(l.minionIncarnation())) {
+      mayBeRemoved = false;
+    }
   }
 
   private void onOrders(NodeId from, RunOrders o, Instant now, List<Effect> effects) {
