--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/NextEngagementTest.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/NextEngagementTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.cassiastack.runs.AgentLease;
+import org.cassiastack.runs.Fences;
 import org.cassiastack.runs.RunId;
 import org.cassiastack.runs.RunOrders;
 import org.junit.jupiter.api.Test;
@@ -82,6 +83,24 @@
     assertThat(sent(AgentLease.class)).extracting(AgentLease::duration).containsOnly(Duration.ZERO);
   }
 
+  /**
+   * Guards against a report from before the agent took the dispatcher first, which a former
+   * connection delivers late, and which lets orders of the former engagement count as processed.
+   */
+  @Test
+  void a_late_report_with_the_fence_of_the_leader_confirms_no_agent_of_a_former_engagement() {
+    runOneJobAndEngageAgain();
+    processesOrders = false;
+    report(Fences.ofLeader(5));
+    sends.clear();
+
+    report(FENCE);
+
+    assertThat(sent(AgentLease.class))
+        .extracting(AgentLease::duration)
+        .allMatch(Duration.ZERO::equals);
+  }
+
   /** Runs a job, engages again and returns the number of the last orders until then. */
   private long runOneJobAndEngageAgain() {
     engage();
