--- a/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/agent/AgentController.java
@@ -68,7 +68,7 @@
   /** Number of the last orders of {@link #holder} that were processed. */
   private long processedOrdersThrough;
 
-  /** Whether {@link #holder} is a fallback dispatcher that was the holder before, too. */
+  /** Whether the agent has taken the same fallback dispatcher again; for the log only. */
   private boolean retaken;
 
   /**
@@ -240,7 +240,7 @@
     }
     if (newFence) {
       minion.onHolder(fence, now);
-      // Each holder numbers its orders from 1.
+      // Each holder has numbers of its own.
       processedOrdersThrough = 0;
       reportDue = true;
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/HeldJobs.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/HeldJobs.java
@@ -94,6 +94,8 @@
     }
     resubmitted.forEach(
         (job, at) -> {
+          // The job was handed over before it arrived, so a request of the same time is late
+          // enough.
           boolean runsListed = !at.isAfter(lists.since());
           if (runsListed || now.isAfter(at.plus(leaseExpiryTimeout))) {
             released.add(job);
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/OldestLists.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/OldestLists.java
@@ -14,7 +14,7 @@
  * @param report last report of that agent, or null if it has not reported
  */
 record OldestLists(Instant since, @Nullable NodeId agent, @Nullable AgentReport report) {
-  /** The lists of no agent. */
+  /** The lists of no agent, for a dispatcher that waits for none. */
   static final OldestLists NONE = new OldestLists(Instant.MAX, null, null);
 
   /** Returns the inputs of a decision about jobs that wait for the lists. */
