Ask again for the first start of a new job within 300 ms of an election

The check of FallbackServiceProperties that replaced set a bound to the pauses between starts, and none to the time until a new job starts. The former bound of 300 ms is back, next to the limit of the pauses. The starts of a term are in LeaderStarts.

--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/CallerLease.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/CallerLease.java
@@ -87,8 +87,8 @@
   /**
    * Returns the confirmation that the leases of agents with runs of a job may rest on: the caller
    * may give up up to {@link #MAX_REQUEST_DELAY} before the time-out that the dispatcher knows,
-   * without a sign to the entry. The lease that is granted last before the time-out is still of
-   * use.
+   * without a sign to the entry. The bound is no longer than {@link #keptFor}, so that a lease that
+   * is granted before the time-out is not shorter than the minimum.
    *
    * @param confirmedAt when the last probe was sent that was answered for the job
    * @param callerTimeoutAt when the caller stops waiting, as far as the dispatcher knows
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Fleet.java
@@ -268,15 +268,15 @@
   /**
    * Marks the runs of a job as unwanted; their stops are ordered at the next tick.
    *
-   * @param lastConfirmed when the last probe was sent that was answered for the job, if its caller
-   *     may send it again; null otherwise
+   * @param leaseBasis confirmation that leases for the runs rest on, if the job's caller may send
+   *     it again; null otherwise
    */
-  void markRunsUnwanted(LiveJob job, @Nullable Instant lastConfirmed) {
+  void markRunsUnwanted(LiveJob job, @Nullable Instant leaseBasis) {
     for (WorkerState w : workers.values()) {
       for (Run r : w.runs.values()) {
         LiveStep step = r.step;
         if (step != null && step.job == job) {
-          r.giveUp(lastConfirmed);
+          r.giveUp(leaseBasis);
         }
       }
     }
--- a/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
+++ b/cassiastack-core/src/main/java/org/cassiastack/schedule/internal/Run.java
@@ -34,8 +34,8 @@
   boolean isOfUnknownJob;
 
   /**
-   * When the last probe was sent that was answered for the job, if the job was given up because its
-   * caller may send it again; null for other runs that are no longer needed.
+   * Confirmation that leases for this run rest on, if the job was given up because its caller may
+   * send it again; null for other runs that are no longer needed.
    */
   private @Nullable Instant lastLeaseBasis;
 
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FallbackServiceProperties.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/FallbackServiceProperties.java
@@ -26,11 +26,16 @@
 
   private static final double SERVED_GOAL = 0.95;
 
-  /**
-   * Half of the 300 ms within which a new leader has to start jobs: older jobs may have to start
-   * first, and to end before there is room for others.
-   */
-  private static final int START_PAUSE_LIMIT_MILLIS = 150;
+  private static final int FIRST_START_LIMIT_MILLIS = 300;
+
+  /** Half of the limit: older jobs may start first, and newer ones when some of them have ended. */
+  private static final int START_PAUSE_LIMIT_MILLIS = FIRST_START_LIMIT_MILLIS / 2;
+
+  /** Number of tasks that fill all minions. */
+  private static final long SLOTS =
+      QueueSimulation.FALLBACK_NODES
+          * FakeMinion.CAPACITY.milliCpu()
+          / QueueSimulation.TASK_MILLI_CPU;
 
   @Property(tries = 24, shrinking = ShrinkingMode.OFF, seed = "20261206")
   void no_task_has_two_runs_at_a_time_and_each_caller_gets_one_answer(@ForAll long seed) {
@@ -199,11 +204,20 @@
 
   private static void assertStartsArePrompt(QueueSimulation simulation) {
     LedgerObserver o = simulation.leader().observer();
-    Long pause = simulation.callers().longestPauseOf(o.ledTerm());
-    assertThat(pause).as(simulation + " starts in term " + o.ledTerm()).isNotNull();
-    assertThat(pause)
-        .as(simulation + " pause of starts in term " + o.ledTerm())
+    LeaderStarts starts = simulation.callers().startsOf(o.ledTerm());
+    String where = simulation + " term " + o.ledTerm();
+    assertThat(starts).as(where).isNotNull();
+    assertThat(starts.delayOfNewJobs())
+        .as(where + " start of a job after the election")
+        .isNotNull();
+    assertThat(starts.longestPause())
+        .as(where + " pause of starts")
         .isLessThanOrEqualTo(START_PAUSE_LIMIT_MILLIS);
+    if (starts.olderStarts() < SLOTS) {
+      assertThat(starts.delayOfNewJobs())
+          .as(where + " delay of the first start")
+          .isLessThanOrEqualTo(FIRST_START_LIMIT_MILLIS);
+    }
   }
 
   private static List<SimulatedNode> nodesOf(QueueSimulation simulation, FailureDomain domain) {
--- a/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedCallers.java
+++ b/cassiastack-core/src/test/java/org/cassiastack/schedule/faults/SimulatedCallers.java
@@ -3,7 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -55,13 +54,8 @@
   private final Map<QueuedJobId, Call> calls = new LinkedHashMap<>();
   private final Set<QueuedJobId> startedJobs = new HashSet<>();
 
-  /** Terms in which the leader has started a job that arrived after its election. */
-  private final Set<Long> termsWithNewJobs = new HashSet<>();
-
-  /** Longest time without a start in each term, until the term is among the above. */
-  private final Map<Long, Long> longestPauses = new HashMap<>();
-
-  private final Map<Long, Long> lastStarts = new HashMap<>();
+  /** Starts by the leader of each term. */
+  private final Map<Long, LeaderStarts> startsByTerm = new HashMap<>();
 
   /** Fence of the dispatcher that has ordered each run. */
   private final Map<RunId, Long> orderFences = new HashMap<>();
@@ -289,17 +283,11 @@
   }
 
   private void recordStartByLeader(Call c, LedgerObserver leader) {
-    long term = leader.ledTerm();
-    if (termsWithNewJobs.contains(term)) {
-      return;
-    }
-    Instant now = simulation.now();
-    long electedAt = simulation.millis() - Duration.between(leader.electedAt(), now).toMillis();
-    Long last = lastStarts.put(term, simulation.millis());
-    longestPauses.merge(term, simulation.millis() - (last == null ? electedAt : last), Math::max);
-    if (c.arrivedAt >= electedAt) {
-      termsWithNewJobs.add(term);
-    }
+    Duration led = Duration.between(leader.electedAt(), simulation.now());
+    long now = simulation.millis();
+    startsByTerm
+        .computeIfAbsent(leader.ledTerm(), t -> new LeaderStarts(now - led.toMillis()))
+        .record(c.arrivedAt, now);
   }
 
   void engaged() {
@@ -314,12 +302,9 @@
     return startsByFallback;
   }
 
-  /**
-   * Returns the longest time in milliseconds for which a leader started no task, from its election
-   * until it started a job that arrived after it; null if it started none.
-   */
-  @Nullable Long longestPauseOf(long term) {
-    return termsWithNewJobs.contains(term) ? longestPauses.get(term) : null;
+  /** Returns the starts by the leader of a term; null if it started none. */
+  @Nullable LeaderStarts startsOf(long term) {
+    return startsByTerm.get(term);
   }
 
   /** Returns the share of jobs that were served of those that arrived in an interval. */
